--- a/src/flamingobank/objects/kinds.py
+++ b/src/flamingobank/objects/kinds.py
@@ -63,7 +63,7 @@
     # Exact values of request headers, by lower-case name.
     headers: Mapping[str, str] = field(default_factory=dict)
     # Selects callers by the labels of their workspace.
-    callers: Selector = Selector()
+    callers: Selector = field(default_factory=Selector)
     traffic_class: TrafficClass = TrafficClass.CUSTOMER
     idempotent: bool = True
     expected_ms: int = 50
--- a/src/flamingobank/settings/node.py
+++ b/src/flamingobank/settings/node.py
@@ -1,6 +1,6 @@
 """Hold the settings of one node."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from flamingobank.core import FailureDomain, NodeId
@@ -42,6 +42,6 @@
     # [secrets]
     fleet_secret_file: Path | None = None
     # [limits]
-    limits: CallerLimits = CallerLimits()
+    limits: CallerLimits = field(default_factory=CallerLimits)
     # [shutdown]
     shutdown_deadline_ms: int = 30_000
