--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the fleet: ``python -m benchmarks NAME [--seed N] --json``."""
