--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -140,12 +140,12 @@
         self._flush_output()
 
     def _flush_output(self) -> None:
-        if not self._flushables:
-            return
-        flushables = self._flushables
-        self._flushables = []
-        for flushable in flushables:
-            flushable.flush()
+        # A flush may queue another one: an answer flushes into its connection.
+        while self._flushables:
+            flushables = self._flushables
+            self._flushables = []
+            for flushable in flushables:
+                flushable.flush()
 
     def _fire_readiness(self, fileno: int, events: int) -> None:
         source = self._sources.get(fileno)
--- /dev/null
+++ b/src/flamingobank/node/announcements.py
@@ -0,0 +1,212 @@
+"""Take the announcements of servers and keep those this node is home of."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import eliot
+from circuits import BaseComponent, handler
+from expression import Error, Ok, Result
+
+from flamingobank.core import Clock, FailureDomain, NodeId, rank_by_rendezvous
+from flamingobank.loop import Address, Timers
+from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.edge import EdgeRequest, EdgeResponse
+from flamingobank.node.upstream import Server
+
+ANNOUNCE_PATH = "/.flamingobank/announce"
+RENEW_MS = 1000
+EXPIRY_S = 3.0
+MAX_SLOTS = 1024
+CHECK_INTERVAL_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Describe a server as it describes itself."""
+
+    instance: str
+    boot: str
+    address: Address
+    labels: dict[str, str]
+    slots: int
+    failure_domain: FailureDomain
+    in_use: int
+    draining: bool
+    warm: float
+    # Set after several redirects, when the views of nodes disagree.
+    final: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementError:
+    """Say which field of an announcement is wrong."""
+
+    field: str
+    seen: object
+    expected: str
+
+    def __str__(self) -> str:
+        return f"announcement field {self.field}: expected {self.expected}, got {self.seen!r}"
+
+
+def parse_announcement(body: bytes) -> Result[Announcement, AnnouncementError]:
+    """Check the JSON body of an announcement."""
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return Error(AnnouncementError("body", body[:64], "a JSON object"))
+    if not isinstance(fields, dict):
+        return Error(AnnouncementError("body", fields, "a JSON object"))
+    for name in ("instance", "boot", "address", "failure_domain"):
+        value = fields.get(name)
+        if not isinstance(value, str) or not value:
+            return Error(AnnouncementError(name, value, "a string"))
+    host, _, port = fields["address"].rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return Error(AnnouncementError("address", fields["address"], "IP:port"))
+    labels = fields.get("labels", {})
+    if not isinstance(labels, dict) or not all(
+        isinstance(value, str) for value in labels.values()
+    ):
+        return Error(AnnouncementError("labels", labels, "an object of strings"))
+    slots = fields.get("slots")
+    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
+        return Error(AnnouncementError("slots", slots, f"a number from 1 to {MAX_SLOTS}"))
+    return Ok(
+        Announcement(
+            fields["instance"],
+            fields["boot"],
+            (host, int(port)),
+            labels,
+            slots,
+            FailureDomain(fields["failure_domain"]),
+            _clamp_count(fields.get("in_use"), slots),
+            fields.get("draining") is True,
+            _clamp_share(fields.get("warm", 1.0)),
+            fields.get("final") is True,
+        )
+    )
+
+
+def _clamp_count(value: object, slots: int) -> int:
+    """Return a reported count, or none when it cannot be true."""
+    if type(value) is not int or not 0 <= value <= slots:
+        return 0
+    return value
+
+
+def _clamp_share(value: object) -> float:
+    if not isinstance(value, int | float) or not 0 <= value <= 1:
+        return 1.0
+    return float(value)
+
+
+class Announcements(BaseComponent):
+    """Answer announcements and drop servers that stop renewing."""
+
+    channel = "servers"
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        clock: Clock,
+        timers: Timers,
+        dispatcher: Dispatcher,
+        list_domain_nodes: Callable[[FailureDomain], dict[NodeId, Address]],
+        on_change: Callable[[], None],
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.leaving = False
+        self.removed: list[tuple[float, str, str]] = []
+        self._node_id = node_id
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._list_domain_nodes = list_domain_nodes
+        self._on_change = on_change
+        timers.call_every(CHECK_INTERVAL_S, self._remove_expired)
+
+    @handler("request")
+    def _on_request(self, event, request: EdgeRequest, response: EdgeResponse):
+        if request.path != ANNOUNCE_PATH:
+            return None
+        if request.method != "POST":
+            return _answer_json(response, 405, {"error": "expected POST"})
+        parsed = parse_announcement(request.content)
+        if parsed.is_error():
+            return _answer_json(response, 400, {"error": str(parsed.error)})
+        announcement = parsed.ok
+        home = self._find_home(announcement)
+        if home is not None and not announcement.final:
+            self._drop(announcement.instance, "moved to another home")
+            node, address = home
+            return _answer_json(
+                response, 307, {"home": node, "address": f"{address[0]}:{address[1]}"}
+            )
+        self._apply(announcement)
+        return _answer_json(response, 200, {"renew_ms": RENEW_MS, "home": self._node_id})
+
+    def _find_home(self, announcement: Announcement) -> tuple[NodeId, Address] | None:
+        """Return the node that should be home, or None when it is this one."""
+        nodes = self._list_domain_nodes(announcement.failure_domain)
+        if not nodes:
+            # No node lives in its failure domain, so any node serves.
+            nodes = self._list_domain_nodes(FailureDomain(""))
+        if self.leaving:
+            nodes = {node: nodes[node] for node in nodes if node != self._node_id}
+        if not nodes:
+            return None
+        node = NodeId(rank_by_rendezvous(announcement.instance, nodes)[0])
+        if node == self._node_id:
+            return None
+        return node, nodes[node]
+
+    def _apply(self, announcement: Announcement) -> None:
+        now = self._clock.now()
+        server = self._dispatcher.servers.get(announcement.instance)
+        changed = False
+        if server is None or server.boot != announcement.boot:
+            if server is not None:
+                self._dispatcher.remove_server(announcement.instance)
+            server = Server(
+                announcement.instance, announcement.boot, announcement.address
+            )
+            changed = True
+        changed = changed or server.labels != announcement.labels
+        changed = changed or server.draining != announcement.draining
+        server.labels = announcement.labels
+        # Work that runs beyond a lowered limit is not cut.
+        server.slots = max(announcement.slots, server.in_use)
+        server.failure_domain = announcement.failure_domain
+        server.reported_in_use = announcement.in_use
+        server.warm = announcement.warm
+        server.expires_at = now + EXPIRY_S
+        if announcement.draining and server.draining_since is None:
+            server.draining_since = now
+        if not announcement.draining:
+            server.draining_since = None
+        if changed:
+            self._dispatcher.add_server(server)
+            self._on_change()
+
+    def _drop(self, instance: str, why: str) -> None:
+        if instance not in self._dispatcher.servers:
+            return
+        self._dispatcher.remove_server(instance)
+        self.removed.append((self._clock.now(), instance, why))
+        del self.removed[:-100]
+        eliot.log_message(message_type="home:server-removed", instance=instance, why=why)
+        self._on_change()
+
+    def _remove_expired(self) -> None:
+        now = self._clock.now()
+        for server in list(self._dispatcher.servers.values()):
+            if server.expires_at < now:
+                self._drop(server.instance, "its announcement expired")
+
+
+def _answer_json(response: EdgeResponse, status: int, fields: dict) -> EdgeResponse:
+    response.status = status
+    response.headers["Content-Type"] = "application/json"
+    response.body = json.dumps(fields)
+    return response
--- /dev/null
+++ b/src/flamingobank/node/edge.py
@@ -0,0 +1,464 @@
+"""Serve HTTP to callers, servers and operators with circuits.web.
+
+The parser of circuits.web has no limits and accepts ambiguous framing, and its
+TCP server queues output without a bound. Requests are therefore read by
+httptools on the loop's own connections and handed to circuits.web as its
+request events; its HTTP component renders the fleet's own answers.
+"""
+
+import abc
+import socket
+from collections.abc import Callable
+
+import eliot
+import httptools
+from circuits import BaseComponent, Event, handler
+from circuits.web.events import request as request_event
+from circuits.web.headers import Headers
+from circuits.web.http import HTTP
+from circuits.web.wrappers import Request, Response
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    Connection,
+    ConnectionHandler,
+    Listener,
+    Poller,
+    Timers,
+)
+from flamingobank.settings import CallerLimits
+
+CHECK_INTERVAL_S = 1.0
+HTTP_1_1 = (1, 1)
+
+STATUS_LINES = {
+    400: b"400 Bad Request",
+    408: b"408 Request Timeout",
+    413: b"413 Content Too Large",
+    429: b"429 Too Many Requests",
+    431: b"431 Request Header Fields Too Large",
+    501: b"501 Not Implemented",
+    503: b"503 Service Unavailable",
+    505: b"505 HTTP Version Not Supported",
+}
+
+
+class EdgeRequest(Request):
+    """Hold a request that has been read whole and checked."""
+
+    def __init__(self, connection: "EdgeConnection", server: "EdgeServer") -> None:
+        # The constructor of the base class parses URLs and cookies that no
+        # handler here uses; it would double the cost of a request.
+        self.sock = connection
+        self.server = server
+        self.method = connection.method
+        self.target = connection.target
+        path, _, query = connection.target.partition(b"?")
+        self.path = path.decode("latin-1")
+        self.qs = query.decode("latin-1")
+        self.protocol = connection.protocol
+        self.raw_headers = connection.headers
+        self.content = connection.take_body()
+        self.print_debug = False
+        self.cookie = {}
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers as circuits.web has them."""
+        pairs = self.raw_headers
+        return Headers([(_decode(name), _decode(value)) for name, value in pairs])
+
+    def get_header(self, name: bytes, default: bytes = b"") -> bytes:
+        """Return the first value of a header by its lower-case name."""
+        for known, value in self.raw_headers:
+            if known == name:
+                return value
+        return default
+
+
+class EdgeResponse(Response):
+    """Render one of the fleet's own answers."""
+
+    def __init__(self, request: EdgeRequest) -> None:
+        self.request = request
+        self.encoding = "utf-8"
+        self._body = []
+        self._status = None
+        self.status = 200
+        self.headers = Headers([])
+        self.cookie = {}
+        self.protocol = "HTTP/%d.%d" % request.protocol
+        self.close = not request.sock.keep_alive
+
+
+class ConnectionWatcher(abc.ABC):
+    """Hear of a caller that leaves or takes output while its answer runs."""
+
+    @abc.abstractmethod
+    def on_caller_left(self) -> None:
+        """React to the end of the connection."""
+
+    @abc.abstractmethod
+    def on_output_drained(self) -> None:
+        """React to all queued output having been sent."""
+
+
+class EdgeConnection(ConnectionHandler):
+    """Read requests from one connection, one at a time."""
+
+    def __init__(self, server: "EdgeServer", sock: socket.socket) -> None:
+        self.server = server
+        self.method = ""
+        self.target = b""
+        self.protocol = HTTP_1_1
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.keep_alive = True
+        self.busy = False
+        self.closed = False
+        self.watcher: ConnectionWatcher | None = None
+        self.started_at = server.clock.now()
+        self.reading_request = False
+        self._peername = sock.getpeername()
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._refused: int | None = None
+        self._early: list[bytes] = []
+        self._early_bytes = 0
+        self._message_ended = False
+        self._parser = httptools.HttpRequestParser(self)
+        self.connection = Connection(server.poller, sock, self, connecting=False)
+
+    def getpeername(self):
+        """Return the caller's address; circuits.web asks for it."""
+        return self._peername
+
+    @property
+    def output_bytes(self) -> int:
+        """Return the number of bytes that wait to be sent."""
+        return self.connection.output_bytes
+
+    def take_body(self) -> bytes:
+        """Return the body of the request that has been read."""
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    def write(self, data: bytes) -> None:
+        """Queue output."""
+        self.connection.write(data)
+
+    def close(self) -> None:
+        """Close once the output has been sent."""
+        self.connection.close_after_output()
+
+    def abort(self) -> None:
+        """Close at once, so that the caller sees an incomplete answer."""
+        self.connection.close("aborted")
+
+    def finish_answer(self, keep: bool) -> None:
+        """Go on to the next request, or close."""
+        self.watcher = None
+        self.busy = False
+        self.started_at = self.server.clock.now()
+        if not keep or not self.keep_alive or self.server.draining:
+            self.close()
+            return
+        self._parser = httptools.HttpRequestParser(self)
+        self._message_ended = False
+        early = b"".join(self._early)
+        self._early.clear()
+        self._early_bytes = 0
+        if early:
+            self.on_data(early)
+
+    def on_connected(self) -> None:
+        """React to a connection that can carry data; accepted ones always can."""
+
+    def on_data(self, data: bytes) -> None:
+        if self.busy:
+            self._keep_early(data)
+            return
+        if not self.reading_request:
+            self.reading_request = True
+            self.started_at = self.server.clock.now()
+        if not self._message_ended and not self._feed(data):
+            return
+        if self._refused is not None:
+            self.refuse(self._refused)
+            return
+        if self._message_ended:
+            self._hand_over()
+            return
+        unread_head = not self.headers_done
+        if unread_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > self.server.limits.max_head_bytes:
+                self.refuse(431)
+
+    def on_closed(self, reason: str) -> None:
+        self.closed = True
+        self.server.forget(self)
+        if self.watcher is not None:
+            watcher = self.watcher
+            self.watcher = None
+            watcher.on_caller_left()
+
+    def on_drained(self) -> None:
+        if self.watcher is not None:
+            self.watcher.on_output_drained()
+
+    def refuse(self, status: int) -> None:
+        """Answer a request that cannot be handed on, and close."""
+        self.busy = True
+        self.server.count_refusal(status)
+        self.write(
+            b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n"
+            b"Flamingobank-Outcome: not-run\r\n\r\n" % STATUS_LINES[status]
+        )
+        self.close()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        if self._message_ended:
+            return
+        self.headers = []
+        self.headers_done = False
+        self.target = b""
+        self._body_bytes = 0
+        self._head_bytes = 0
+
+    headers_done = False
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may come in pieces."""
+        if not self._message_ended:
+            self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if self._message_ended:
+            return
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > self.server.limits.max_head_bytes:
+            self._refused = 431
+            return
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the framing of the body."""
+        if self._message_ended:
+            return
+        self.headers_done = True
+        names = [name for name, _ in self.headers]
+        if names.count(b"host") != 1 and self._parser.get_http_version() == "1.1":
+            self._refused = 400
+        lengths = names.count(b"content-length")
+        encodings = names.count(b"transfer-encoding")
+        if lengths + encodings > 1:
+            self._refused = 400
+        for name, value in self.headers:
+            if name == b"content-length":
+                if int(value) > self.server.limits.max_body_bytes:
+                    self._refused = 413
+            if name == b"transfer-encoding" and value.lower() != b"chunked":
+                self._refused = 501
+        if self._parser.should_upgrade():
+            self._refused = 501
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        if self._message_ended:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self.server.limits.max_body_bytes:
+            self._refused = 413
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """End the request."""
+        if self._message_ended:
+            # A pipelined request: its bytes cannot be given back by the parser.
+            self._refused = 400
+            return
+        self._message_ended = True
+
+    def _feed(self, data: bytes) -> bool:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse(501)
+            return False
+        except (httptools.HttpParserError, ValueError) as error:
+            eliot.log_message(
+                message_type="edge:malformed",
+                caller=self._peername[0],
+                error=str(error),
+            )
+            self.refuse(self._refused or 400)
+            return False
+        return True
+
+    def _hand_over(self) -> None:
+        self.busy = True
+        self.reading_request = False
+        self.method = self._parser.get_method().decode("latin-1")
+        version = self._parser.get_http_version()
+        self.protocol = (1, 0) if version == "1.0" else HTTP_1_1
+        self.keep_alive = self._parser.should_keep_alive()
+        self.server.hand_over(self)
+
+    def _keep_early(self, data: bytes) -> None:
+        """Hold bytes that came before the answer was complete."""
+        self._early_bytes += len(data)
+        if self._early_bytes > self.server.limits.max_head_bytes:
+            self.abort()
+            return
+        self._early.append(data)
+
+
+class answer_rendered(Event):  # noqa: N801
+    """Tell that the write events of an own answer have been handled."""
+
+
+class EdgeHttp(HTTP):
+    """Render answers; requests come from EdgeServer instead of read events."""
+
+    @handler("read", override=True)
+    def _on_read(self, *args) -> None:
+        """Ignore read events; EdgeConnection reads."""
+
+
+class EdgeServer(BaseComponent):
+    """Accept connections and fire a circuits.web request event for each request."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        address: Address,
+        limits: CallerLimits,
+        channel: str,
+    ) -> None:
+        super().__init__(channel=channel)
+        self.poller = poller
+        self.clock = clock
+        self.limits = limits
+        self.draining = False
+        self.secure = False
+        self.display_banner = False
+        self.refusals: dict[int, int] = {}
+        self._connections: set[EdgeConnection] = set()
+        self._per_caller: dict[str, int] = {}
+        self.http = EdgeHttp(self, channel=channel).register(self)
+        self._listener: Listener | None = Listener(poller, address, self._accept)
+        self.address = self._listener.address
+        self.on_idle: Callable[[], None] | None = None
+        timers.call_every(CHECK_INTERVAL_S, self._close_slow)
+
+    @property
+    def host(self) -> str:
+        """Return the IP number this server listens on."""
+        return self.address[0]
+
+    @property
+    def port(self) -> int:
+        """Return the port this server listens on."""
+        return self.address[1]
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    @property
+    def busy_count(self) -> int:
+        """Return the number of connections with a request in flight."""
+        return sum(1 for connection in self._connections if connection.busy)
+
+    def hand_over(self, connection: EdgeConnection) -> None:
+        """Fire the request event for a request that has been read."""
+        request = EdgeRequest(connection, self)
+        self.fire(request_event(request, EdgeResponse(request)), self.channel)
+
+    def forget(self, connection: EdgeConnection) -> None:
+        """Drop a closed connection."""
+        self._connections.discard(connection)
+        caller = connection.getpeername()[0]
+        left = self._per_caller.get(caller, 1) - 1
+        if left:
+            self._per_caller[caller] = left
+        else:
+            self._per_caller.pop(caller, None)
+
+    def count_refusal(self, status: int) -> None:
+        """Count a request that was refused before it was handed on."""
+        self.refusals[status] = self.refusals.get(status, 0) + 1
+
+    def drain(self) -> None:
+        """Take no new connections, and close each after its answer."""
+        self.draining = True
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for connection in list(self._connections):
+            if not connection.busy and not connection.reading_request:
+                connection.close()
+
+    @handler("write")
+    def _on_write(self, connection: EdgeConnection, data: bytes) -> None:
+        connection.write(data)
+
+    @handler("close")
+    def _on_close(self, connection: EdgeConnection | None = None) -> None:
+        if connection is not None:
+            connection.close()
+
+    @handler("response", priority=-1)
+    def _on_response_sent(self, response: EdgeResponse) -> None:
+        """Go on with the connection once an own answer has been rendered."""
+        # The write events of the HTTP component are queued; this runs after them.
+        self.fire(answer_rendered(response), self.channel)
+
+    @handler("answer_rendered")
+    def _on_answer_rendered(self, response: EdgeResponse) -> None:
+        connection = response.request.sock
+        if not connection.closed and connection.busy:
+            connection.finish_answer(keep=not response.close)
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._connections) >= self.limits.max_connections:
+            self.count_refusal(503)
+            sock.close()
+            return
+        try:
+            connection = EdgeConnection(self, sock)
+        except OSError:
+            # The caller left between the accept and the look at its address.
+            sock.close()
+            return
+        self._connections.add(connection)
+        caller = connection.getpeername()[0]
+        self._per_caller[caller] = self._per_caller.get(caller, 0) + 1
+
+    def _close_slow(self) -> None:
+        now = self.clock.now()
+        for connection in list(self._connections):
+            if connection.busy:
+                continue
+            age_ms = (now - connection.started_at) * 1000
+            if connection.reading_request:
+                if age_ms > self.limits.request_timeout_ms:
+                    connection.refuse(408)
+                continue
+            if age_ms > self.limits.idle_timeout_ms:
+                connection.close()
+
+
+def _decode(data: bytes) -> str:
+    return data.decode("latin-1")
--- /dev/null
+++ b/src/flamingobank/node/exchange.py
@@ -0,0 +1,61 @@
+"""Define how a running request reports its answer."""
+
+import abc
+from dataclasses import dataclass
+
+from flamingobank.core import Refusal
+from flamingobank.wire import AnswerState
+
+Headers = list[tuple[bytes, bytes]]
+
+# Bytes of an answer that may be under way to the caller unacknowledged.
+WINDOW_BYTES = 262_144
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Report how busy a home node is with one service."""
+
+    queue_delay_ms: float
+    free_slots: int
+
+
+@dataclass(slots=True)
+class AnswerStart:
+    """Carry the head of an answer and the first bytes of its body."""
+
+    request_id: str
+    status: int
+    headers: Headers
+    instance: str
+    load: Load
+    data: bytes
+    state: AnswerState
+
+
+class AnswerSink(abc.ABC):
+    """Receive the answer to one request, in order."""
+
+    @abc.abstractmethod
+    def on_start(self, start: AnswerStart) -> None:
+        """React to the head of the answer."""
+
+    @abc.abstractmethod
+    def on_part(self, data: bytes, state: AnswerState) -> None:
+        """React to a further part of the body."""
+
+    @abc.abstractmethod
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        """React to there being no answer."""
+
+
+class RunningRequest(abc.ABC):
+    """Control a request that was handed over."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Give the request up; nothing more reaches the sink."""
+
+    @abc.abstractmethod
+    def acknowledge(self, consumed: int) -> None:
+        """Report bytes that the caller has taken."""
--- /dev/null
+++ b/src/flamingobank/node/links.py
@@ -0,0 +1,315 @@
+"""Carry messages between nodes over authenticated TCP connections."""
+
+import abc
+import socket
+from collections.abc import Callable, Sequence
+
+import eliot
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    Connection,
+    ConnectionHandler,
+    Listener,
+    Poller,
+    Timers,
+    connect,
+)
+from flamingobank.wire import (
+    FrameDecoder,
+    FrameEncoder,
+    FrameError,
+    Handshake,
+    HandshakeError,
+    Message,
+    MessageError,
+    pack_message,
+    unpack_message,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+# A link without traffic for this long is closed; at the design scale a node would
+# otherwise keep one to every other node.
+IDLE_TIMEOUT_S = 30.0
+# A link whose peer does not take output for this long is one-way and is closed.
+STALL_TIMEOUT_S = 2.0
+CONTROL_STREAM = 0
+
+
+class StreamHandler(abc.ABC):
+    """Receive the messages of one stream of a link."""
+
+    @abc.abstractmethod
+    def on_message(self, message: Message) -> None:
+        """React to a message."""
+
+    @abc.abstractmethod
+    def on_link_closed(self, reason: str) -> None:
+        """React to the end of the link."""
+
+
+class LinkObserver(abc.ABC):
+    """Receive what happens on links outside of known streams."""
+
+    @abc.abstractmethod
+    def on_control_message(self, link: "Link", message: Message) -> None:
+        """React to a message that belongs to no stream."""
+
+    @abc.abstractmethod
+    def on_stream_message(self, link: "Link", stream: int, message: Message) -> None:
+        """React to a message of a stream that has no handler yet."""
+
+    @abc.abstractmethod
+    def on_link_refused(self, peer: str, reason: str) -> None:
+        """Count a connection that was closed for what it sent."""
+
+
+class Link(ConnectionHandler):
+    """Run the handshake and then exchange messages with one peer."""
+
+    def __init__(
+        self,
+        observer: LinkObserver,
+        handshake: Handshake,
+        clock: Clock,
+        on_closed: Callable[["Link", str], None],
+    ) -> None:
+        self.peer = ""
+        self.ready = False
+        self.closed = False
+        self.was_ready = False
+        self.last_used = clock.now()
+        self.stalled_since: float | None = None
+        self._observer = observer
+        self._handshake: Handshake | None = handshake
+        self._clock = clock
+        self._on_closed = on_closed
+        self._connection: Connection | None = None
+        self._encoder: FrameEncoder | None = None
+        self._decoder: FrameDecoder | None = None
+        self._streams: dict[int, StreamHandler] = {}
+        self._next_stream = 1
+        self._unsent: list[tuple[int, Message]] = []
+
+    def attach(self, connection: Connection) -> None:
+        """Use a connection that has been accepted or started."""
+        self._connection = connection
+
+    @property
+    def stream_count(self) -> int:
+        """Return the number of open streams."""
+        return len(self._streams)
+
+    @property
+    def output_bytes(self) -> int:
+        """Return the number of bytes that wait to be sent."""
+        return self._connection.output_bytes
+
+    def open_stream(self, handler: StreamHandler) -> int:
+        """Return the number of a new stream started here."""
+        stream = self._next_stream
+        self._next_stream += 1
+        self._streams[stream] = handler
+        return stream
+
+    def accept_stream(self, stream: int, handler: StreamHandler) -> None:
+        """Receive further messages of a stream the peer started."""
+        self._streams[stream] = handler
+
+    def close_stream(self, stream: int) -> None:
+        """Discard further messages of a stream."""
+        self._streams.pop(stream, None)
+
+    def send(self, stream: int, message: Message) -> None:
+        """Send a message, or keep it until the handshake is done."""
+        if self.closed:
+            return
+        self.last_used = self._clock.now()
+        if not self.ready:
+            self._unsent.append((stream, message))
+            return
+        kind, fields = pack_message(message)
+        self._connection.write(self._encoder.encode(kind, stream, fields))
+
+    def close(self, reason: str) -> None:
+        """Close the link."""
+        self._connection.close(reason)
+
+    def check(self, now: float) -> None:
+        """Close the link when it is idle or its peer takes no output."""
+        if self._connection.output_bytes == 0:
+            self.stalled_since = None
+        elif self.stalled_since is None:
+            self.stalled_since = now
+        if self.stalled_since is not None and now > self.stalled_since + STALL_TIMEOUT_S:
+            self.close("peer takes no output")
+            return
+        if not self._streams and now > self.last_used + IDLE_TIMEOUT_S:
+            self.close("idle")
+
+    def on_connected(self) -> None:
+        self._connection.write(self._handshake.start())
+
+    def on_data(self, data: bytes) -> None:
+        if self._handshake is not None:
+            self._continue_handshake(data)
+            return
+        frames = self._decoder.feed(data)
+        if isinstance(frames, FrameError):
+            self._refuse(frames.reason)
+            return
+        for kind, stream, fields in frames:
+            message = unpack_message(kind, fields)
+            if isinstance(message, MessageError):
+                self._refuse(message.reason)
+                return
+            try:
+                self._deliver(stream, message)
+            except ValueError as error:
+                # An enumeration value of a newer or a hostile peer.
+                self._refuse(str(error))
+                return
+            if self.closed:
+                return
+
+    def on_closed(self, reason: str) -> None:
+        self.closed = True
+        self.ready = False
+        streams = list(self._streams.values())
+        self._streams.clear()
+        self._on_closed(self, reason)
+        for handler in streams:
+            handler.on_link_closed(reason)
+
+    def on_drained(self) -> None:
+        self.stalled_since = None
+
+    def _deliver(self, stream: int, message: Message) -> None:
+        if stream == CONTROL_STREAM:
+            self._observer.on_control_message(self, message)
+            return
+        handler = self._streams.get(stream)
+        if handler is not None:
+            handler.on_message(message)
+            return
+        self._observer.on_stream_message(self, stream, message)
+
+    def _continue_handshake(self, data: bytes) -> None:
+        step = self._handshake.feed(data)
+        if step is None:
+            return
+        if isinstance(step, HandshakeError):
+            self._refuse(step.reason)
+            return
+        if step.output:
+            self._connection.write(step.output)
+        session = step.session
+        if session is None:
+            return
+        self._handshake = None
+        self.peer = session.peer
+        self._encoder = FrameEncoder(session.send_key)
+        self._decoder = FrameDecoder(session.receive_key)
+        self.ready = True
+        self.was_ready = True
+        unsent = self._unsent
+        self._unsent = []
+        for stream, message in unsent:
+            self.send(stream, message)
+        if session.rest:
+            self.on_data(session.rest)
+
+    def _refuse(self, reason: str) -> None:
+        self._observer.on_link_refused(self._connection.peer, reason)
+        self.close(reason)
+
+
+class Links:
+    """Hold one outgoing link to each peer in use, and the accepted ones."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        node_id: str,
+        boot: str,
+        secrets: Callable[[], Sequence[bytes]],
+        observer: LinkObserver,
+    ) -> None:
+        self._poller = poller
+        self._timers = timers
+        self._clock = clock
+        self._node_id = node_id
+        self._boot = boot
+        self._secrets = secrets
+        self._observer = observer
+        self._outgoing: dict[Address, Link] = {}
+        self._incoming: set[Link] = set()
+        self._listener: Listener | None = None
+        timers.call_every(1.0, self._check_links)
+
+    def listen(self, address: Address) -> None:
+        """Accept links from peers."""
+        self._listener = Listener(self._poller, address, self._accept)
+
+    def stop_listening(self) -> None:
+        """Accept no more links."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def get(self, address: Address) -> Link:
+        """Return the outgoing link to a peer, started when there is none."""
+        link = self._outgoing.get(address)
+        if link is not None:
+            return link
+        handshake = Handshake(
+            self._node_id, self._boot, self._secrets(), initiator=True
+        )
+        link = Link(
+            self._observer,
+            handshake,
+            self._clock,
+            lambda link, reason: self._forget_outgoing(address, link, reason),
+        )
+        self._outgoing[address] = link
+        link.attach(connect(self._poller, address, link))
+        self._timers.call_at(
+            self._clock.now() + CONNECT_TIMEOUT_S,
+            lambda: None if link.ready or link.closed else link.close("no handshake"),
+        )
+        return link
+
+    @property
+    def count(self) -> int:
+        """Return the number of open links."""
+        return len(self._outgoing) + len(self._incoming)
+
+    def _accept(self, sock: socket.socket) -> None:
+        handshake = Handshake(
+            self._node_id, self._boot, self._secrets(), initiator=False
+        )
+        link = Link(self._observer, handshake, self._clock, self._forget_incoming)
+        link.attach(Connection(self._poller, sock, link, connecting=False))
+        self._incoming.add(link)
+        self._timers.call_at(
+            self._clock.now() + CONNECT_TIMEOUT_S,
+            lambda: None if link.ready or link.closed else link.close("no handshake"),
+        )
+
+    def _forget_outgoing(self, address: Address, link: Link, reason: str) -> None:
+        if self._outgoing.get(address) is link:
+            del self._outgoing[address]
+        eliot.log_message(
+            message_type="links:closed", peer=f"{address[0]}:{address[1]}", why=reason
+        )
+
+    def _forget_incoming(self, link: Link, reason: str) -> None:
+        self._incoming.discard(link)
+
+    def _check_links(self) -> None:
+        now = self._clock.now()
+        for link in [*self._outgoing.values(), *self._incoming]:
+            link.check(now)
--- /dev/null
+++ b/src/flamingobank/node/remote.py
@@ -0,0 +1,219 @@
+"""Run requests on other nodes, and requests of other nodes here."""
+
+from flamingobank.core import Disposition, Reason, Refusal
+from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.exchange import (
+    AnswerSink,
+    AnswerStart,
+    Load,
+    RunningRequest,
+)
+from flamingobank.node.links import Link, StreamHandler
+from flamingobank.wire import (
+    AnswerHead,
+    AnswerPart,
+    AnswerState,
+    Cancel,
+    Message,
+    OpenRequest,
+    Refused,
+    RequestPart,
+    Window,
+)
+
+# Request bodies and answers travel in parts well below the frame limit.
+PART_BYTES = 131_072
+UNREACHABLE_LOAD = Load(1e6, 0)
+
+
+class RemoteRequest(StreamHandler, RunningRequest):
+    """Stand at the entry node for a request that another node runs."""
+
+    __slots__ = ("_done", "_link", "_sink", "_stream")
+
+    def __init__(
+        self, link: Link, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> None:
+        self._link = link
+        self._sink = sink
+        self._done = False
+        self._stream = link.open_stream(self)
+        message.body = body[:PART_BYTES]
+        message.body_continues = len(body) > PART_BYTES
+        link.send(self._stream, message)
+        for position in range(PART_BYTES, len(body), PART_BYTES):
+            end = position + PART_BYTES
+            part = RequestPart(body[position:end], end >= len(body))
+            link.send(self._stream, part)
+
+    def cancel(self) -> None:
+        """Give the request up; nothing more reaches the sink."""
+        if self._done:
+            return
+        self._end()
+        self._link.send(self._stream, Cancel())
+
+    def acknowledge(self, consumed: int) -> None:
+        """Report bytes that the caller has taken."""
+        if not self._done:
+            self._link.send(self._stream, Window(consumed))
+
+    def on_message(self, message: Message) -> None:
+        if isinstance(message, AnswerHead):
+            self._pass_head(message)
+            return
+        if isinstance(message, AnswerPart):
+            state = AnswerState(message.state)
+            if state is not AnswerState.MORE:
+                self._end()
+            self._sink.on_part(message.data, state)
+            return
+        if isinstance(message, Refused):
+            self._end()
+            refusal = Refusal(
+                Disposition(message.disposition),
+                Reason(message.reason),
+                message.retry_after_ms / 1000,
+                message.detail,
+            )
+            load = Load(message.queue_delay_ms, message.free_slots)
+            self._sink.on_refused(refusal, load)
+
+    def on_link_closed(self, reason: str) -> None:
+        if self._done:
+            return
+        self._done = True
+        # Before the handshake was done no byte of the request left this node.
+        ran = self._link.was_ready
+        refusal = Refusal(
+            Disposition.UNKNOWN if ran else Disposition.NOT_RUN,
+            Reason.UNREACHABLE,
+            detail=f"link to its home node: {reason}",
+        )
+        self._sink.on_refused(refusal, UNREACHABLE_LOAD)
+
+    def _pass_head(self, message: AnswerHead) -> None:
+        state = AnswerState(message.state)
+        if state is not AnswerState.MORE:
+            self._end()
+        self._sink.on_start(
+            AnswerStart(
+                message.request_id,
+                message.status,
+                message.headers,
+                message.instance,
+                Load(message.queue_delay_ms, message.free_slots),
+                message.data,
+                state,
+            )
+        )
+
+    def _end(self) -> None:
+        self._done = True
+        self._link.close_stream(self._stream)
+
+
+class ServedStream(StreamHandler, AnswerSink):
+    """Stand at the home node for a request that came over a link."""
+
+    __slots__ = ("_body", "_dispatcher", "_done", "_link", "_message", "_running", "_stream")
+
+    def __init__(
+        self, dispatcher: Dispatcher, link: Link, stream: int, message: OpenRequest
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._link = link
+        self._stream = stream
+        self._message = message
+        self._body = [message.body]
+        self._running: RunningRequest | None = None
+        self._done = False
+        link.accept_stream(stream, self)
+        if not message.body_continues:
+            self._dispatch()
+
+    def on_message(self, message: Message) -> None:
+        if isinstance(message, Window):
+            if self._running is not None:
+                self._running.acknowledge(message.consumed)
+            return
+        if isinstance(message, Cancel):
+            self._end()
+            if self._running is not None:
+                self._running.cancel()
+            return
+        if isinstance(message, RequestPart) and self._running is None:
+            self._body.append(message.data)
+            if message.last:
+                self._dispatch()
+
+    def on_link_closed(self, reason: str) -> None:
+        if self._done:
+            return
+        self._done = True
+        if self._running is not None:
+            self._running.cancel()
+
+    def on_start(self, start: AnswerStart) -> None:
+        if self._done:
+            return
+        pieces = _split(start.data)
+        first_state = start.state if len(pieces) == 1 else AnswerState.MORE
+        head = AnswerHead(
+            start.request_id,
+            start.status,
+            start.headers,
+            start.instance,
+            start.load.queue_delay_ms,
+            start.load.free_slots,
+            pieces[0],
+            int(first_state),
+        )
+        self._link.send(self._stream, head)
+        self._send_pieces(pieces[1:], start.state)
+
+    def on_part(self, data: bytes, state: AnswerState) -> None:
+        if not self._done:
+            self._send_pieces(_split(data), state)
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if self._done:
+            return
+        self._end()
+        self._link.send(
+            self._stream,
+            Refused(
+                refusal.disposition.value,
+                refusal.reason.value,
+                int(refusal.retry_after_s * 1000),
+                refusal.detail,
+                load.queue_delay_ms,
+                load.free_slots,
+            ),
+        )
+
+    def _dispatch(self) -> None:
+        body = b"".join(self._body)
+        self._body.clear()
+        self._running = self._dispatcher.dispatch(self._message, body, self)
+
+    def _send_pieces(self, pieces: list[bytes], state: AnswerState) -> None:
+        last = len(pieces) - 1
+        for index, piece in enumerate(pieces):
+            piece_state = state if index == last else AnswerState.MORE
+            self._link.send(self._stream, AnswerPart(piece, int(piece_state)))
+        if state is not AnswerState.MORE:
+            self._end()
+
+    def _end(self) -> None:
+        self._done = True
+        self._link.close_stream(self._stream)
+
+
+def _split(data: bytes) -> list[bytes]:
+    if len(data) <= PART_BYTES:
+        return [data]
+    return [
+        data[position : position + PART_BYTES]
+        for position in range(0, len(data), PART_BYTES)
+    ]
--- /dev/null
+++ b/src/flamingobank/node/upstream.py
@@ -0,0 +1,277 @@
+"""Run one request on one server and pass its answer on as it arrives."""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flamingobank.core import BootId, FailureDomain, Invariant, check_invariant
+from flamingobank.loop import Address, AnswerHandler, HttpClientConnection, Poller
+from flamingobank.node.exchange import (
+    WINDOW_BYTES,
+    AnswerSink,
+    AnswerStart,
+    Headers,
+    Load,
+)
+from flamingobank.wire import AnswerState
+
+# Headers that belong to one connection and are not passed on.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+SHED_HEADER = b"flamingobank-shed"
+LOAD_HEADER = b"flamingobank-load"
+STATUS_UNAVAILABLE = 503
+# A server has this long to take its last new work after it said it drains.
+DRAIN_GRACE_S = 3.0
+
+
+class AttemptResult(enum.Enum):
+    """Say how one attempt on a server ended."""
+
+    COMPLETE = "complete"
+    SHED = "shed"
+    NOT_SENT = "not-sent"
+    BROKEN_BEFORE_HEAD = "broken-before-head"
+    BROKEN_AFTER_HEAD = "broken-after-head"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Describe a finished attempt for the judgement of the server."""
+
+    result: AttemptResult
+    status: int
+    started_at: float
+    head_at: float
+    ended_at: float
+    detail: str
+
+
+class Server:
+    """Hold what a home node knows about one of its servers."""
+
+    def __init__(self, instance: str, boot: str, address: Address) -> None:
+        self.instance = instance
+        self.boot = BootId(boot)
+        self.address = address
+        self.failure_domain = FailureDomain("")
+        self.labels: dict[str, str] = {}
+        self.slots = 1
+        self.warm = 1.0
+        self.in_use = 0
+        self.reported_in_use = 0
+        self.draining_since: float | None = None
+        self.expires_at = 0.0
+        self.ejected = False
+        self.trickle = False
+        self.backoff_until = 0.0
+        self.unreachable_until = 0.0
+        self._idle: list[HttpClientConnection] = []
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the server announced that it leaves."""
+        return self.draining_since is not None
+
+    def acquire(self, now: float) -> None:
+        """Take a slot for new work."""
+        self.in_use += 1
+        check_invariant(
+            Invariant.SLOTS,
+            0 < self.in_use <= self.slots,
+            instance=self.instance,
+            in_use=self.in_use,
+            slots=self.slots,
+        )
+        check_invariant(
+            Invariant.DRAINED,
+            self.draining_since is None or now <= self.draining_since + DRAIN_GRACE_S,
+            instance=self.instance,
+            draining_since=self.draining_since,
+            now=now,
+        )
+
+    def release(self) -> None:
+        """Give a slot back."""
+        self.in_use -= 1
+        check_invariant(
+            Invariant.SLOTS,
+            self.in_use >= 0,
+            instance=self.instance,
+            in_use=self.in_use,
+        )
+
+    def take_connection(self, poller: Poller) -> HttpClientConnection:
+        """Return a kept connection, or start a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle:
+                return connection
+        return HttpClientConnection(poller, self.address)
+
+    def keep_connection(self, connection: HttpClientConnection) -> None:
+        """Keep a connection for the next request."""
+        if connection.idle and len(self._idle) < self.slots:
+            self._idle.append(connection)
+            return
+        connection.close()
+
+    def close_connections(self) -> None:
+        """Close the kept connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+
+class UpstreamExchange(AnswerHandler):
+    """Pass one answer from a server to a sink, one message a turn of the loop."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        server: Server,
+        request_id: str,
+        sink: AnswerSink,
+        started_at: float,
+        read_clock: Callable[[], float],
+        read_load: Callable[[], Load],
+        on_finished: Callable[["UpstreamExchange", Attempt], None],
+    ) -> None:
+        self.server = server
+        self.request_id = request_id
+        self.started_at = started_at
+        self._poller = poller
+        self._sink = sink
+        self._read_clock = read_clock
+        self._read_load = read_load
+        self._on_finished = on_finished
+        self._connection = server.take_connection(poller)
+        self._status = 0
+        self._headers: Headers = []
+        self._head_at = 0.0
+        self._head_passed = False
+        self._shed = False
+        self._parts: list[bytes] = []
+        self._state = AnswerState.MORE
+        self._flush_queued = False
+        self._unacknowledged = 0
+        self._paused = False
+        self._done = False
+
+    def send(self, request: bytes) -> None:
+        """Send the request."""
+        self._connection.send(request, self)
+
+    def cancel(self) -> None:
+        """Close the connection, which cancels the work on the server."""
+        self._done = True
+        self._connection.cancel()
+
+    def acknowledge(self, consumed: int) -> None:
+        """Count bytes the caller has taken and read on when there is room."""
+        self._unacknowledged -= consumed
+        if self._paused and self._unacknowledged < WINDOW_BYTES:
+            self._paused = False
+            self._connection.resume_reading()
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        self._status = status
+        self._head_at = self._read_clock()
+        for name, value in headers:
+            lowered = name.lower()
+            if lowered == SHED_HEADER:
+                self._shed = status == STATUS_UNAVAILABLE
+            if lowered == LOAD_HEADER:
+                continue
+            if lowered not in HOP_BY_HOP:
+                self._headers.append((lowered, value))
+        self._flush_soon()
+
+    def on_answer_part(self, data: bytes) -> None:
+        if self._shed:
+            return
+        self._parts.append(data)
+        self._unacknowledged += len(data)
+        if self._unacknowledged >= WINDOW_BYTES and not self._paused:
+            self._paused = True
+            self._connection.pause_reading()
+        self._flush_soon()
+
+    def on_answer_end(self) -> None:
+        self._state = AnswerState.COMPLETE
+        if self._paused:
+            # The connection goes back to the kept ones and must read again.
+            self._paused = False
+            self._connection.resume_reading()
+        result = AttemptResult.SHED if self._shed else AttemptResult.COMPLETE
+        self._finish(result, "")
+
+    def on_answer_failed(self, reason: str, sent: bool) -> None:
+        self._state = AnswerState.BROKEN
+        if not sent:
+            self._finish(AttemptResult.NOT_SENT, reason)
+            return
+        if self._head_passed:
+            self._finish(AttemptResult.BROKEN_AFTER_HEAD, reason)
+            return
+        self._finish(AttemptResult.BROKEN_BEFORE_HEAD, reason)
+
+    def flush(self) -> None:
+        """Pass on what arrived in this turn of the loop."""
+        self._flush_queued = False
+        if self._done or self._shed:
+            return
+        data = b"".join(self._parts)
+        self._parts.clear()
+        state = self._state
+        if state is not AnswerState.MORE:
+            self._done = True
+        if self._head_passed:
+            self._sink.on_part(data, state)
+            return
+        self._head_passed = True
+        self._sink.on_start(
+            AnswerStart(
+                self.request_id,
+                self._status,
+                self._headers,
+                self.server.instance,
+                self._read_load(),
+                data,
+                state,
+            )
+        )
+
+    def _flush_soon(self) -> None:
+        if self._flush_queued:
+            return
+        self._flush_queued = True
+        self._poller.flush_later(self)
+
+    def _finish(self, result: AttemptResult, detail: str) -> None:
+        attempt = Attempt(
+            result,
+            self._status,
+            self.started_at,
+            self._head_at,
+            self._read_clock(),
+            detail,
+        )
+        if result in (AttemptResult.COMPLETE, AttemptResult.BROKEN_AFTER_HEAD):
+            self._flush_soon()
+        else:
+            self._done = True
+        if result in (AttemptResult.COMPLETE, AttemptResult.SHED):
+            self.server.keep_connection(self._connection)
+        self._on_finished(self, attempt)
--- /dev/null
+++ b/src/flamingobank/wire/handshake.py
@@ -0,0 +1,184 @@
+"""Prove the fleet secret in both directions and derive the keys of a connection."""
+
+import hmac
+import os
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgpack
+
+from flamingobank.wire.messages import PROTOCOL_VERSION
+
+LENGTH = struct.Struct(">H")
+NONCE_BYTES = 16
+PROOF_BYTES = 32
+MAX_HANDSHAKE_BYTES = 512
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Hold what a finished handshake agreed on."""
+
+    peer: str
+    peer_boot: str
+    send_key: bytes
+    receive_key: bytes
+    # Bytes that followed the handshake and belong to the first frame.
+    rest: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HandshakeError:
+    """Say why a peer was refused."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HandshakeStep:
+    """Carry bytes to send and, at the end, the session."""
+
+    output: bytes
+    session: Session | None = None
+
+
+class Handshake:
+    """Run one side of the handshake; the initiator starts with start().
+
+    Rotation of the secret: a node proves with its first secret and accepts all
+    of its secrets, so the new one is added behind the old one everywhere before
+    it is moved to the front.
+    """
+
+    def __init__(
+        self, node_id: str, boot: str, secrets: Sequence[bytes], initiator: bool
+    ) -> None:
+        nonce = os.urandom(NONCE_BYTES)
+        self._hello = [PROTOCOL_VERSION, node_id, boot, nonce]
+        self._secrets = list(secrets)
+        self._initiator = initiator
+        self._buffer = b""
+        self._peer_hello: list | None = None
+        self._secret = self._secrets[0]
+
+    def start(self) -> bytes:
+        """Return the initiator's first message."""
+        return _frame(self._hello)
+
+    def feed(self, data: bytes) -> HandshakeStep | HandshakeError | None:
+        """Take received bytes; None asks for more."""
+        self._buffer += data
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (size,) = LENGTH.unpack_from(self._buffer)
+        if size > MAX_HANDSHAKE_BYTES:
+            return HandshakeError(
+                f"handshake message of {size} bytes, at most "
+                f"{MAX_HANDSHAKE_BYTES} are allowed"
+            )
+        if len(self._buffer) < LENGTH.size + size:
+            return None
+        payload = self._buffer[LENGTH.size : LENGTH.size + size]
+        self._buffer = self._buffer[LENGTH.size + size :]
+        try:
+            fields = msgpack.unpackb(payload)
+        except (ValueError, msgpack.UnpackException) as error:
+            return HandshakeError(f"handshake is not msgpack: {error}")
+        if not isinstance(fields, list):
+            return HandshakeError("handshake message is not an array")
+        if self._initiator:
+            return self._finish_as_initiator(fields)
+        if self._peer_hello is None:
+            return self._answer_hello(fields)
+        return self._finish_as_acceptor(fields)
+
+    def _answer_hello(self, fields: list) -> HandshakeStep | HandshakeError:
+        error = _check_hello(fields, 4)
+        if error is not None:
+            return error
+        self._peer_hello = fields
+        proof = _prove(self._secret, b"acceptor", fields, self._hello)
+        return HandshakeStep(_frame([*self._hello, proof]))
+
+    def _finish_as_initiator(self, fields: list) -> HandshakeStep | HandshakeError:
+        error = _check_hello(fields, 5)
+        if error is not None:
+            return error
+        secret = self._find_secret(fields[4], fields)
+        if secret is None:
+            return HandshakeError(f"node {fields[1]!r} does not prove the fleet secret")
+        proof = _prove(secret, b"initiator", self._hello, fields)
+        session = self._make_session(secret, fields)
+        return HandshakeStep(_frame([proof]), session)
+
+    def _finish_as_acceptor(self, fields: list) -> HandshakeStep | HandshakeError:
+        hello = self._peer_hello
+        if len(fields) < 1 or not isinstance(fields[0], bytes):
+            return HandshakeError("handshake message has no proof")
+        expected = _prove(self._secret, b"initiator", hello, self._hello)
+        if not hmac.compare_digest(expected, fields[0]):
+            return HandshakeError(f"node {hello[1]!r} does not prove the fleet secret")
+        session = self._make_session(self._secret, hello)
+        return HandshakeStep(b"", session)
+
+    def _find_secret(self, proof: object, peer_hello: list) -> bytes | None:
+        if not isinstance(proof, bytes):
+            return None
+        for secret in self._secrets:
+            expected = _prove(secret, b"acceptor", self._hello, peer_hello)
+            if hmac.compare_digest(expected, proof):
+                return secret
+        return None
+
+    def _make_session(self, secret: bytes, peer_hello: list) -> Session:
+        hellos = [self._hello, peer_hello]
+        if not self._initiator:
+            hellos.reverse()
+        send_key = _prove(secret, b"to-acceptor", *hellos)
+        receive_key = _prove(secret, b"to-initiator", *hellos)
+        if not self._initiator:
+            send_key, receive_key = receive_key, send_key
+        return Session(
+            peer_hello[1], peer_hello[2], send_key, receive_key, self._buffer
+        )
+
+
+def _prove(
+    secret: bytes, role: bytes, initiator_hello: list, acceptor_hello: list
+) -> bytes:
+    """Return a MAC over both nonces and identities for one role."""
+    transcript = msgpack.packb([role, initiator_hello[1:4], acceptor_hello[1:4]])
+    return blake2b(
+        transcript, key=_shorten(secret), digest_size=PROOF_BYTES
+    ).digest()
+
+
+def _shorten(secret: bytes) -> bytes:
+    """Return a key of the size that BLAKE2b takes."""
+    return blake2b(secret, digest_size=32).digest()
+
+
+def _frame(fields: list) -> bytes:
+    payload = msgpack.packb(fields)
+    return LENGTH.pack(len(payload)) + payload
+
+
+def _check_hello(fields: list, count: int) -> HandshakeError | None:
+    if not fields or fields[0] != PROTOCOL_VERSION:
+        version = fields[0] if fields else None
+        return HandshakeError(
+            f"protocol version {version!r}, expected {PROTOCOL_VERSION}"
+        )
+    if len(fields) < count:
+        return HandshakeError(f"hello has {len(fields)} fields, expected {count}")
+    types_match = (
+        isinstance(fields[1], str)
+        and isinstance(fields[2], str)
+        and isinstance(fields[3], bytes)
+        and len(fields[3]) == NONCE_BYTES
+    )
+    if not types_match:
+        return HandshakeError("hello has fields of the wrong type")
+    return None
--- /dev/null
+++ b/src/flamingobank/wire/messages.py
@@ -0,0 +1,217 @@
+"""Define the messages between nodes and check them on receipt."""
+
+import dataclasses
+import enum
+import operator
+import types
+import typing
+from collections.abc import Callable
+from dataclasses import dataclass
+
+PROTOCOL_VERSION = 1
+
+HeaderList = list
+
+
+class AnswerState(enum.IntEnum):
+    """Say whether more parts of an answer follow."""
+
+    MORE = 0
+    COMPLETE = 1
+    BROKEN = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MessageError:
+    """Say why a message was refused."""
+
+    kind: int
+    reason: str
+
+
+@dataclass(slots=True)
+class OpenRequest:
+    """Ask a home node to run a request."""
+
+    request_id: str
+    route: str
+    service: str
+    method: str
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    # More parts of the body follow in RequestPart.
+    body_continues: bool
+    traffic_class: str
+    workspace: str
+    remaining_ms: int
+    expected_ms: int
+    idempotent: bool
+    attempt: int = 1
+    key: str = ""
+
+
+@dataclass(slots=True)
+class RequestPart:
+    """Carry a part of a request's body."""
+
+    data: bytes
+    last: bool
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """Carry the head of an answer with the first bytes of its body."""
+
+    request_id: str
+    status: int
+    headers: HeaderList
+    instance: str
+    queue_delay_ms: float
+    free_slots: int
+    data: bytes
+    state: int
+
+
+@dataclass(slots=True)
+class AnswerPart:
+    """Carry a part of an answer's body."""
+
+    data: bytes
+    state: int
+
+
+@dataclass(slots=True)
+class Refused:
+    """Say that a home node gives no answer."""
+
+    disposition: str
+    reason: str
+    retry_after_ms: int
+    detail: str
+    queue_delay_ms: float
+    free_slots: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Give up a request."""
+
+
+@dataclass(slots=True)
+class Window:
+    """Report how many bytes of an answer the caller has taken."""
+
+    consumed: int
+
+
+@dataclass(slots=True)
+class DirectoryUpdate:
+    """Announce which services a home node serves."""
+
+    home: str
+    boot: str
+    sequence: int
+    host: str
+    port: int
+    failure_domain: str
+    region: str
+    leaving: bool
+    # Each entry is [service, servers in service, slots, servers announced].
+    services: list
+    revision: int = 0
+    servers_host: str = ""
+    servers_port: int = 0
+
+
+Message = typing.Any
+
+_TYPES: dict[int, type] = {
+    1: OpenRequest,
+    2: RequestPart,
+    3: AnswerHead,
+    4: AnswerPart,
+    5: Refused,
+    6: Cancel,
+    7: Window,
+    8: DirectoryUpdate,
+}
+_KINDS: dict[type, int] = {}
+_GETTERS: dict[type, Callable[[object], tuple]] = {}
+_CHECKS: dict[int, tuple[tuple[type, ...], ...]] = {}
+_REQUIRED: dict[int, int] = {}
+
+
+def register_message(kind: int, message_class: type) -> None:
+    """Add a message type under a number that no other message has."""
+    _TYPES[kind] = message_class
+    _KINDS[message_class] = kind
+    fields = dataclasses.fields(message_class)
+    hints = typing.get_type_hints(message_class)
+    _CHECKS[kind] = tuple(_list_accepted_types(hints[field.name]) for field in fields)
+    _REQUIRED[kind] = sum(
+        1
+        for field in fields
+        if field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+    _GETTERS[message_class] = _make_getter([field.name for field in fields])
+
+
+def pack_message(message: Message) -> tuple[int, tuple]:
+    """Return a message's number and its fields in order."""
+    message_class = type(message)
+    return _KINDS[message_class], _GETTERS[message_class](message)
+
+
+def unpack_message(kind: int, fields: list) -> Message | MessageError:
+    """Check received fields and return the message.
+
+    Fields beyond the known ones come from a newer version and are ignored.
+    """
+    message_class = _TYPES.get(kind)
+    if message_class is None:
+        return MessageError(kind, f"unknown message type {kind}")
+    checks = _CHECKS[kind]
+    if len(fields) < _REQUIRED[kind]:
+        return MessageError(
+            kind,
+            f"{message_class.__name__} has {len(fields)} fields, "
+            f"at least {_REQUIRED[kind]} are expected",
+        )
+    del fields[len(checks) :]
+    for value, accepted in zip(fields, checks, strict=False):
+        if type(value) not in accepted:
+            names = " or ".join(one.__name__ for one in accepted)
+            return MessageError(
+                kind,
+                f"{message_class.__name__} has a field of type "
+                f"{type(value).__name__}, expected {names}",
+            )
+    return message_class(*fields)
+
+
+def _list_accepted_types(hint: object) -> tuple[type, ...]:
+    if hint is float:
+        return (float, int)
+    if isinstance(hint, types.UnionType):
+        return tuple(
+            accepted
+            for part in typing.get_args(hint)
+            for accepted in _list_accepted_types(part)
+        )
+    origin = typing.get_origin(hint)
+    return (origin or hint,)
+
+
+def _make_getter(names: list[str]) -> Callable[[object], tuple]:
+    if not names:
+        return lambda message: ()
+    if len(names) == 1:
+        name = names[0]
+        return lambda message: (getattr(message, name),)
+    return operator.attrgetter(*names)
+
+
+for _kind, _message_class in list(_TYPES.items()):
+    register_message(_kind, _message_class)
