Derive objects, manifests and checks from one field table

Cause: manifests, store specs, validation and documentation of objects must agree, and operators need to know which key is wrong and what it should be. Change: the schema package holds value types, fields, INI reading and errors; objects lists the fields of each kind and derives parse_spec, render_spec, parse_manifest, render_manifest, validate_object and check_objects from them. Conclusion: settings can use the same machinery.

--- a/src/flamingobank/objects/__init__.py
+++ b/src/flamingobank/objects/__init__.py
@@ -1,5 +1,6 @@
 """Describe services, routes and workspaces as labeled objects."""
 
+from flamingobank.objects.checks import check_objects, select_services
 from flamingobank.objects.kinds import (
     AnyObject,
     Floor,
@@ -11,6 +12,8 @@
     Workspace,
     get_kind,
 )
+from flamingobank.objects.manifests import parse_manifest, render_manifest
+from flamingobank.objects.schema import KIND_SCHEMAS, KindSchema
 from flamingobank.objects.selectors import (
     Operator,
     Selector,
@@ -18,12 +21,21 @@
     Term,
     parse_selector,
 )
+from flamingobank.objects.specs import (
+    ObjectError,
+    parse_spec,
+    render_spec,
+    validate_object,
+)
 
 __all__ = [
     "AnyObject",
     "Floor",
     "FloorUnit",
+    "KIND_SCHEMAS",
     "Kind",
+    "KindSchema",
+    "ObjectError",
     "Operator",
     "Route",
     "Selector",
@@ -32,6 +44,13 @@
     "Term",
     "TrafficClass",
     "Workspace",
+    "check_objects",
     "get_kind",
+    "parse_manifest",
     "parse_selector",
+    "parse_spec",
+    "render_manifest",
+    "render_spec",
+    "select_services",
+    "validate_object",
 ]
--- /dev/null
+++ b/src/flamingobank/objects/checks.py
@@ -0,0 +1,145 @@
+"""Check objects against each other."""
+
+import itertools
+from collections.abc import Callable, Iterable, Mapping
+
+from flamingobank.objects.kinds import (
+    AnyObject,
+    FloorUnit,
+    Kind,
+    Route,
+    Service,
+    get_kind,
+)
+from flamingobank.objects.schema import METHODS
+from flamingobank.objects.selectors import Operator, Selector
+from flamingobank.objects.specs import ObjectError, validate_object
+from flamingobank.schema import Severity
+
+Sources = Mapping[tuple[Kind, str], str]
+
+
+def check_objects(
+    items: Iterable[AnyObject], sources: Sources | None = None
+) -> list[ObjectError]:
+    """Return errors and warnings about objects that are in force together.
+
+    Sources name the file of each object, by kind and name.
+    """
+    items = list(items)
+    services = [item for item in items if isinstance(item, Service)]
+    routes = [item for item in items if isinstance(item, Route)]
+    locate = _make_locator(sources or {})
+    findings: list[ObjectError] = []
+    for item in items:
+        findings.extend(validate_object(item, locate(item)))
+    findings.extend(_check_floors(services, locate))
+    findings.extend(_check_targets(routes, services, locate))
+    findings.extend(_check_claims(routes, locate))
+    return findings
+
+
+def select_services(
+    selector: Selector, services: Mapping[str, Service]
+) -> list[Service]:
+    """Return the services that a route's target selects, in name order."""
+    candidates: Iterable[str] = services
+    for term in selector.terms:
+        if term.name == "service" and term.operator in (Operator.EQUALS, Operator.IN):
+            candidates = [name for name in term.values if name in services]
+            break
+    chosen = []
+    for name in sorted(set(candidates)):
+        if selector.matches({**services[name].labels, "service": name}):
+            chosen.append(services[name])
+    return chosen
+
+
+def _make_locator(sources: Sources) -> Callable[[AnyObject], str]:
+    def locate(item: AnyObject) -> str:
+        return sources.get((get_kind(item), item.name), "objects")
+
+    return locate
+
+
+def _check_floors(services: list[Service], locate) -> list[ObjectError]:
+    findings = []
+    for service in services:
+        if service.floor.unit is not FloorUnit.SHARE or service.floor.value != 1:
+            continue
+        findings.append(
+            ObjectError(
+                locate(service),
+                f"service {service.name}",
+                "floor",
+                "100%",
+                "less than 100%, because no server can be ejected at this floor",
+                Severity.WARNING,
+            )
+        )
+    return findings
+
+
+def _check_targets(
+    routes: list[Route], services: list[Service], locate
+) -> list[ObjectError]:
+    by_name = {service.name: service for service in services}
+    chosen_by_target: dict[Selector, list[Service]] = {}
+    findings = []
+    for route in routes:
+        chosen = chosen_by_target.get(route.target)
+        if chosen is None:
+            chosen = select_services(route.target, by_name)
+            chosen_by_target[route.target] = chosen
+        if len(chosen) == 1:
+            continue
+        expected = "a selector that picks a service"
+        severity = Severity.ERROR
+        if chosen:
+            names = ", ".join(service.name for service in chosen)
+            expected = f"one service; {chosen[0].name} is used out of {names}"
+            severity = Severity.WARNING
+        section = f"route {route.name}"
+        seen = str(route.target)
+        findings.append(
+            ObjectError(locate(route), section, "target", seen, expected, severity)
+        )
+    return findings
+
+
+def _check_claims(routes: list[Route], locate) -> list[ObjectError]:
+    groups: dict[tuple, list[Route]] = {}
+    for route in routes:
+        headers = tuple(sorted(route.headers.items()))
+        callers = frozenset(route.callers.terms)
+        groups.setdefault((route.host, route.path, headers, callers), []).append(route)
+    findings = []
+    for group in groups.values():
+        group.sort(key=lambda route: route.name)
+        for winner, loser in itertools.combinations(group, 2):
+            finding = _compare_claims(winner, loser, locate)
+            if finding is not None:
+                findings.append(finding)
+    return findings
+
+
+def _compare_claims(winner: Route, loser: Route, locate) -> ObjectError | None:
+    """Compare two routes that differ at most in their methods."""
+    winner_methods = set(winner.methods or METHODS)
+    loser_methods = set(loser.methods or METHODS)
+    shared = winner_methods & loser_methods
+    if not shared:
+        return None
+    place = f"route {winner.name} in {locate(winner)}"
+    if shared == loser_methods:
+        expected = f"a match of its own; {place} takes all of its requests"
+        severity = Severity.ERROR
+    elif not loser.methods:
+        # A route for some methods before one for the rest is the usual pattern.
+        return None
+    else:
+        expected = f"a match of its own; {place} takes some of its requests"
+        severity = Severity.WARNING
+    section = f"route {loser.name}"
+    seen = f"{', '.join(loser.methods) or 'any method'} {loser.host}{loser.path}"
+    return ObjectError(locate(loser), section, "path", seen, expected, severity)
--- /dev/null
+++ b/src/flamingobank/schema/__init__.py
@@ -0,0 +1,44 @@
+"""Derive parsing, validation, rendering and explanations from field tables."""
+
+from flamingobank.schema.errors import SchemaError, Severity, suggest_name
+from flamingobank.schema.explanations import explain_field, explain_fields
+from flamingobank.schema.fields import Field, find_field
+from flamingobank.schema.ini import Section, read_sections, render_sections
+from flamingobank.schema.parsing import parse_fields, render_fields
+from flamingobank.schema.values import (
+    AddressValue,
+    Choice,
+    FilePath,
+    Integer,
+    ListOf,
+    Pattern,
+    Share,
+    ValueType,
+    YesNo,
+    render_share,
+)
+
+__all__ = [
+    "AddressValue",
+    "Choice",
+    "Field",
+    "FilePath",
+    "Integer",
+    "ListOf",
+    "Pattern",
+    "SchemaError",
+    "Section",
+    "Severity",
+    "Share",
+    "ValueType",
+    "YesNo",
+    "explain_field",
+    "explain_fields",
+    "find_field",
+    "parse_fields",
+    "read_sections",
+    "render_fields",
+    "render_sections",
+    "render_share",
+    "suggest_name",
+]
