--- a/src/flamingobank/objects/__init__.py
+++ b/src/flamingobank/objects/__init__.py
@@ -13,7 +13,7 @@
     get_kind,
 )
 from flamingobank.objects.manifests import parse_manifest, render_manifest
-from flamingobank.objects.schema import KIND_SCHEMAS, KindSchema
+from flamingobank.objects.schema import KIND_SCHEMAS, OBJECT_NAME, KindSchema
 from flamingobank.objects.selectors import (
     Operator,
     Selector,
@@ -35,6 +35,7 @@
     "KIND_SCHEMAS",
     "Kind",
     "KindSchema",
+    "OBJECT_NAME",
     "ObjectError",
     "Operator",
     "Route",
--- a/src/flamingobank/schema/__init__.py
+++ b/src/flamingobank/schema/__init__.py
@@ -5,6 +5,11 @@
 from flamingobank.schema.fields import Field, find_field
 from flamingobank.schema.ini import Section, read_sections, render_sections
 from flamingobank.schema.parsing import parse_fields, render_fields
+from flamingobank.schema.sections import (
+    SectionSchema,
+    parse_sections,
+    render_section_values,
+)
 from flamingobank.schema.values import (
     AddressValue,
     Choice,
@@ -28,6 +33,7 @@
     "Pattern",
     "SchemaError",
     "Section",
+    "SectionSchema",
     "Severity",
     "Share",
     "ValueType",
@@ -36,8 +42,10 @@
     "explain_fields",
     "find_field",
     "parse_fields",
+    "parse_sections",
     "read_sections",
     "render_fields",
+    "render_section_values",
     "render_sections",
     "render_share",
     "suggest_name",
