Add the store stand-in

Change: ObjectStore decides every call in memory (revisions, conditions, history with compaction, pages, size limit, call rates in which a waiting watch takes one read a second, outage by refusal or by silence, delay, lost answers, stale reads). StoreServer serves it on circuits.web; /control sets faults and shows counters. The server uses the pollers and timers of circuits and not flamingobank.loop, which does not import with circuits 3.2.5: loop/poller.py takes _disconnect, _read and _write from circuits.net.events, and they are in circuits.core.pollers.

--- /dev/null
+++ b/src/flamingobank_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Simulate the external systems for tests and benchmarks."""
--- /dev/null
+++ b/src/flamingobank_standins/store/faults.py
@@ -0,0 +1,84 @@
+"""Set the faults and limits of the store and count its calls."""
+
+import dataclasses
+import enum
+from dataclasses import dataclass
+
+
+class Outage(enum.Enum):
+    """Name how the store is away."""
+
+    NONE = "none"
+    # Every call is answered with 503.
+    REFUSE = "refuse"
+    # Calls are accepted and never answered; none takes effect.
+    HANG = "hang"
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold what the store does wrong and what it allows."""
+
+    outage: str = Outage.NONE.value
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+    delay_ms: float = 0.0
+    # Added to the delay, uniform from 0.
+    jitter_ms: float = 0.0
+    # Share of calls whose answer is lost after the call took effect.
+    lose_ratio: float = 0.0
+    # Number of next writes whose answer is lost.
+    lose_next: int = 0
+    # Number of next reads answered with an older version.
+    stale_next: int = 0
+
+    def update(self, values: dict[str, object]) -> str:
+        """Set fields by name; return what is wrong, or an empty text."""
+        types = {field.name: type(field.default) for field in dataclasses.fields(self)}
+        for name, value in values.items():
+            expected = types.get(name)
+            if expected is None:
+                return f"fault {name!r}: expected one of {', '.join(sorted(types))}"
+            if expected is str and value not in [mode.value for mode in Outage]:
+                return f"fault {name!r}: got {value!r}, expected none, refuse or hang"
+            if expected is not str and not isinstance(value, int | float):
+                return f"fault {name!r}: got {value!r}, expected a number"
+        for name, value in values.items():
+            setattr(self, name, types[name](value))
+        return ""
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count calls; a waiting watch counts as one call for each second."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    watch_seconds: float = 0.0
+    waiting_watches: int = 0
+    throttled: int = 0
+    refused_away: int = 0
+    lost_answers: int = 0
+
+
+class CallRate:
+    """Allow calls at a rate with a burst of one second."""
+
+    def __init__(self) -> None:
+        self._tokens: float | None = None
+        self._updated_s = 0.0
+
+    def take(self, rate: float, waiting: int, now: float) -> bool:
+        """Take one call; calls that wait use up rate as long as they wait."""
+        usable = max(0.0, rate - waiting)
+        if self._tokens is None:
+            self._tokens = usable
+            self._updated_s = now
+        elapsed_s = max(0.0, now - self._updated_s)
+        self._updated_s = now
+        self._tokens = min(usable, self._tokens + elapsed_s * usable)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/flamingobank_standins/store/server.py
@@ -0,0 +1,134 @@
+"""Serve the object store over HTTP."""
+
+import dataclasses
+import json
+from urllib.parse import parse_qsl
+
+from circuits import BaseComponent, Event, Timer, handler
+from circuits.net.events import close
+from circuits.web import BaseServer
+from circuits.web.events import response
+
+from flamingobank.core import Clock
+from flamingobank_standins.store.messages import Call, Handled, Reply
+from flamingobank_standins.store.object_store import ObjectStore
+
+RECEIVE_BYTES = 262_144
+
+
+class answer_due(Event):  # noqa: N801
+    """Answer the watches that are due."""
+
+
+class send_later(Event):  # noqa: N801
+    """Send a delayed reply."""
+
+
+class StoreServer(BaseComponent):
+    """Pass calls to the store; watches wait without holding the loop."""
+
+    channel = "web"
+
+    def __init__(
+        self, address: tuple[str, int], store: ObjectStore, clock: Clock
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.store = store
+        self._clock = clock
+        self._waiting: dict[object, object] = {}
+        self._wakeup: Timer | None = None
+        self._server = BaseServer(
+            address, display_banner=False, bufsize=RECEIVE_BYTES
+        ).register(self)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the bound address."""
+        return self._server.host, self._server.port
+
+    @handler("request", priority=1)
+    def _on_request(self, event, req, res, peer_cert=None) -> bool:
+        event.stop()
+        call = _read_call(req)
+        if call.path == "/control":
+            self._send(res, self._control(call))
+            self._answer_due()
+            return True
+        handled = self.store.handle(call, self._clock.now(), ticket=req.sock)
+        if handled.waiting:
+            self._waiting[req.sock] = res
+        else:
+            self._finish(res, handled)
+        self._answer_due()
+        # A bool keeps circuits.web from answering by itself.
+        return True
+
+    @handler("disconnect", priority=1)
+    def _on_disconnect(self, sock) -> None:
+        self._waiting.pop(sock, None)
+        self.store.drop(sock, self._clock.now())
+
+    def _control(self, call: Call) -> Reply:
+        if call.method == "POST":
+            values = json.loads(call.body or b"{}")
+            if values.pop("compact", False):
+                self.store.table.compact()
+            problem = self.store.faults.update(values)
+            if problem:
+                return Reply(400, {"error": problem})
+        return Reply(
+            200,
+            {
+                "revision": self.store.table.revision,
+                "objects": len(self.store.table),
+                "faults": dataclasses.asdict(self.store.faults),
+                "counters": dataclasses.asdict(self.store.counters),
+            },
+        )
+
+    @handler("answer_due")
+    def _answer_due(self, *args) -> None:
+        for sock, handled in self.store.collect_due(self._clock.now()):
+            res = self._waiting.pop(sock, None)
+            if res is not None:
+                self._finish(res, handled)
+        self._arm_wakeup()
+
+    def _arm_wakeup(self) -> None:
+        if self._wakeup is not None:
+            self._wakeup.unregister()
+            self._wakeup = None
+        deadline = self.store.get_next_deadline()
+        if deadline is not None:
+            delay_s = max(0.0, deadline - self._clock.now())
+            self._wakeup = Timer(delay_s, answer_due(), self.channel).register(self)
+
+    def _finish(self, res, handled: Handled) -> None:
+        if handled.delay_s > 0:
+            later = send_later(res, handled)
+            Timer(handled.delay_s, later, self.channel).register(self)
+            return
+        self._send_or_lose(res, handled)
+
+    @handler("send_later")
+    def _send_or_lose(self, res, handled: Handled) -> None:
+        if handled.lost:
+            self.fire(close(res.request.sock))
+            return
+        self._send(res, handled.reply)
+
+    def _send(self, res, reply: Reply) -> None:
+        if res.request.sock.fileno() < 0:
+            return
+        res.status = reply.status
+        res.headers["Content-Type"] = "application/json"
+        for name, value in reply.headers.items():
+            res.headers[name] = value
+        res.body = json.dumps(reply.body)
+        self.fire(response(res))
+
+
+def _read_call(req) -> Call:
+    headers = {name.lower(): value for name, value in req.headers.items()}
+    query = dict(parse_qsl(req.qs or "", keep_blank_values=True))
+    return Call(req.method, req.path, query, headers, req.body.read())
