Add the command line of operators with recorded, conditional changes

Cause: operators change objects concurrently, while the store loses answers and goes away; each change must be recorded and each message must be true. Change: check, explain, apply, diff, get, delete, history, rollback, audit, status, drain and undrain, one module for each group; examples of both deployments and files with one error each. A change writes its audit and history objects first, then the object under its revision, and repeats a write whose answer was lost; the write id in the conflict tells whether it took effect.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Hold example deployments and the demo."""
--- /dev/null
+++ b/src/flamingobank/cli/apply.py
@@ -0,0 +1,157 @@
+"""Apply manifests to the store, or show how they differ from it."""
+
+import argparse
+
+from expression import Error, Ok, Result
+
+from flamingobank.cli.changes import ChangeMaker, Outcome, describe_conflict
+from flamingobank.cli.context import CommandContext, Session, open_session
+from flamingobank.cli.documents import ObjectSet, read_one_set
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.output import paint, print_findings, print_line, use_color
+from flamingobank.cli.plans import (
+    StoreContent,
+    merge_objects,
+    plan_changes,
+    read_content,
+)
+from flamingobank.cli.records import Change, describe_difference, get_spec
+from flamingobank.cli.reports import (
+    report_error,
+    report_failure,
+    report_input,
+    report_problem,
+)
+from flamingobank.cli.waiting import WAIT_TIMEOUT_S, wait_in_force
+from flamingobank.objects import check_objects
+
+_COLORS = {"create": "green", "update": "yellow", "delete": "red"}
+
+
+def add_parser(subparsers) -> None:
+    """Describe the subcommands."""
+    text = "Write the objects of manifests to the store."
+    parser = subparsers.add_parser("apply", help=text, description=text)
+    _add_common(parser)
+    parser.add_argument("--dry-run", action="store_true", help="show the changes only")
+    parser.add_argument(
+        "--base",
+        type=int,
+        metavar="REVISION",
+        help="refuse to touch objects that changed after this revision",
+    )
+    parser.add_argument("--reason", default="", help="text for the audit trail")
+    parser.add_argument(
+        "--wait", action="store_true", help="wait until the changes are in force"
+    )
+    parser.add_argument(
+        "--timeout", type=float, default=WAIT_TIMEOUT_S, metavar="SECONDS"
+    )
+    parser.set_defaults(run=run_apply)
+    text = "Show how manifests differ from the store; exit code 1 when they do."
+    parser = subparsers.add_parser("diff", help=text, description=text)
+    _add_common(parser)
+    parser.set_defaults(run=run_diff)
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("paths", nargs="+", metavar="PATH")
+    parser.add_argument(
+        "--prune",
+        action="store_true",
+        help="delete objects that the manifests leave out, of the kinds they contain",
+    )
+
+
+def run_diff(options: argparse.Namespace) -> ExitCode:
+    """Print the planned changes."""
+    planned = _plan(options, reason="")
+    if planned.is_error():
+        return planned.error
+    _, _, changes = planned.ok
+    _print_changes(options.context, changes)
+    return ExitCode.FAILED if changes else ExitCode.DONE
+
+
+def run_apply(options: argparse.Namespace) -> ExitCode:
+    """Make the planned changes in order; stop at the first that fails."""
+    context = options.context
+    planned = _plan(options, options.reason)
+    if planned.is_error():
+        return planned.error
+    session, content, changes = planned.ok
+    if options.base is not None:
+        code = _check_base(context, session, changes, options.base)
+        if code is not ExitCode.DONE:
+            return code
+    _print_changes(context, changes)
+    if options.dry_run:
+        print_line(f"{len(changes)} changes planned, none made", context.out)
+        return ExitCode.DONE
+    maker = ChangeMaker(session, context)
+    revision = content.revision
+    for made, change in enumerate(changes):
+        result = maker.make(change)
+        if result.outcome is not Outcome.DONE:
+            return report_failure(context, change.title, result, made, len(changes))
+        revision = max(revision, result.revision)
+    print_line(f"{len(changes)} changes made, revision {revision}", context.out)
+    if options.wait:
+        return wait_in_force(session, context, revision, options.timeout)
+    return ExitCode.DONE
+
+
+def _plan(
+    options: argparse.Namespace, reason: str
+) -> Result[tuple[Session, StoreContent, list[Change]], ExitCode]:
+    context = options.context
+    wanted = read_one_set(options.paths)
+    if wanted.errors:
+        return Error(report_input(context, wanted.errors))
+    session = open_session(options)
+    if session.is_error():
+        return Error(report_input(context, session.error))
+    content = read_content(session.ok.store)
+    if content.is_error():
+        return Error(report_problem(context, content.error))
+    changes = plan_changes(wanted.items, content.ok, options.prune, reason)
+    if _print_conflicting(context, wanted, content.ok, changes):
+        return Error(ExitCode.BAD_INPUT)
+    return Ok((session.ok, content.ok, changes))
+
+
+def _print_conflicting(
+    context: CommandContext,
+    wanted: ObjectSet,
+    content: StoreContent,
+    changes: list[Change],
+) -> bool:
+    """Check the objects that would be in force together."""
+    merged = merge_objects(wanted.items, content, changes)
+    sources = dict.fromkeys(content.stored, "store") | wanted.sources
+    findings = check_objects(merged, sources)
+    return print_findings(findings, context.err, context.environ)
+
+
+def _check_base(
+    context: CommandContext, session: Session, changes: list[Change], base: int
+) -> ExitCode:
+    newer = [
+        change
+        for change in changes
+        if change.before is not None and change.before.revision > base
+    ]
+    for change in newer:
+        text = describe_conflict(session.store, change, change.before)
+        report_error(context, f"conflict: {text}")
+    return ExitCode.CONFLICT if newer else ExitCode.DONE
+
+
+def _print_changes(context: CommandContext, changes: list[Change]) -> None:
+    color = use_color(context.out, context.environ)
+    for change in changes:
+        title = f"{change.action} {change.title}"
+        print_line(paint(title, _COLORS[change.action], color), context.out)
+        for line in describe_difference(get_spec(change.before), change.spec):
+            hue = "red" if line.startswith("-") else "green"
+            print_line("  " + paint(line, hue, color), context.out)
--- /dev/null
+++ b/src/flamingobank/cli/audit.py
@@ -0,0 +1,85 @@
+"""Show the audit trail."""
+
+import argparse
+import datetime
+import json
+import re
+
+from flamingobank.cli.context import open_session
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.objects_api import StoredObject, list_all
+from flamingobank.cli.output import format_table, print_line
+from flamingobank.cli.records import AUDIT_KIND, make_write_id
+from flamingobank.cli.reports import report_error, report_input, report_problem
+
+_AGE = re.compile(r"(?P<count>[0-9]{1,6})(?P<unit>[smhd])")
+_UNIT_S = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+_COLUMNS = ("when", "who", "action", "kind", "name", "outcome", "reason")
+
+
+def add_parser(subparsers) -> None:
+    """Describe the subcommand."""
+    text = "Show who changed what and when."
+    parser = subparsers.add_parser("audit", help=text, description=text)
+    parser.add_argument("--who")
+    parser.add_argument("--kind")
+    parser.add_argument("--name")
+    parser.add_argument(
+        "--since", metavar="TIME", help="2026-12-04T05:00:00Z, or an age such as 2h"
+    )
+    parser.add_argument("-o", "--output", choices=["table", "json"], default="table")
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> ExitCode:
+    """Print the entries that pass all filters, oldest first."""
+    context = options.context
+    start = ""
+    if options.since:
+        since = parse_since(options.since, context.read_utc())
+        if since is None:
+            report_error(
+                context,
+                f"--since: got {options.since!r}, expected a time such as "
+                "2026-12-04T05:00:00Z, or an age such as 30s, 5m, 2h or 7d",
+            )
+            return ExitCode.BAD_INPUT
+        start = make_write_id(since, "")
+    session = open_session(options)
+    if session.is_error():
+        return report_input(context, session.error)
+    page = list_all(session.ok.store, AUDIT_KIND, after=start)
+    if page.is_error():
+        return report_problem(context, page.error)
+    items = [item for item in page.ok.items if _matches(item, options)]
+    if options.output == "json":
+        print_line(
+            json.dumps([dict(item.spec) for item in items], indent=2), context.out
+        )
+        return ExitCode.DONE
+    rows = [[str(item.spec.get(key, "")) for key in _COLUMNS] for item in items]
+    print_line(format_table(_COLUMNS, rows), context.out)
+    return ExitCode.DONE
+
+
+def parse_since(text: str, now: datetime.datetime) -> datetime.datetime | None:
+    """Return the time that an age or an ISO time stands for, in UTC."""
+    age = _AGE.fullmatch(text)
+    if age:
+        seconds = int(age["count"]) * _UNIT_S[age["unit"]]
+        return now - datetime.timedelta(seconds=seconds)
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        return None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return moment.astimezone(datetime.UTC)
+
+
+def _matches(item: StoredObject, options: argparse.Namespace) -> bool:
+    for key in ("who", "kind", "name"):
+        wanted = getattr(options, key)
+        if wanted and item.spec.get(key) != wanted:
+            return False
+    return True
--- /dev/null
+++ b/src/flamingobank/cli/config.py
@@ -0,0 +1,121 @@
+"""Load the settings of the command line."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from flamingobank.objects import OBJECT_NAME
+from flamingobank.schema import (
+    AddressValue,
+    Field,
+    FilePath,
+    Integer,
+    ListOf,
+    SchemaError,
+    SectionSchema,
+    parse_sections,
+)
+from flamingobank.settings import Address, read_text, resolve_paths
+
+CONFIG_VARIABLE = "FLAMINGOBANK_CONFIG"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorConfig:
+    """Say who operates and which store and nodes are used."""
+
+    operator: str
+    store: Address
+    token_file: Path
+    timeout_ms: int
+    nodes: tuple[Address, ...]
+
+
+CONFIG_SECTIONS: tuple[SectionSchema, ...] = (
+    SectionSchema(
+        "operator",
+        "Names the person or job that changes objects.",
+        (
+            Field(
+                "name",
+                "operator",
+                OBJECT_NAME,
+                "Name that the audit trail and conflicts show.",
+                "name = anna.gruber",
+            ),
+        ),
+    ),
+    SectionSchema(
+        "store",
+        "Gives access to the platform's object API.",
+        (
+            Field(
+                "address",
+                "store",
+                AddressValue(),
+                "Address of the store.",
+                "address = 10.9.0.1:8400",
+            ),
+            Field(
+                "token_file",
+                "token_file",
+                FilePath(),
+                "File with the bearer token of the store.",
+                "token_file = secrets/store-token",
+            ),
+            Field(
+                "timeout_ms",
+                "timeout_ms",
+                Integer(1, 600_000, "milliseconds"),
+                "Time after which a call to the store or a node is given up.",
+                "timeout_ms = 5000",
+                default="5000",
+            ),
+        ),
+    ),
+    SectionSchema(
+        "nodes",
+        "Gives nodes to ask for the state of the fleet.",
+        (
+            Field(
+                "addresses",
+                "nodes",
+                ListOf(AddressValue()),
+                "Operator addresses of a few nodes, asked in this order.",
+                "addresses = 10.1.0.4:7300, 10.2.0.4:7300",
+                default="",
+            ),
+        ),
+    ),
+)
+
+
+def load_config(
+    option: str | None, environ: Mapping[str, str]
+) -> Result[OperatorConfig, list[SchemaError]]:
+    """Read the file that the option names, else the one in FLAMINGOBANK_CONFIG."""
+    name = option or environ.get(CONFIG_VARIABLE)
+    if not name:
+        expected = f"the name of a file in --config or {CONFIG_VARIABLE}"
+        return Error([SchemaError("command line", "", "", "no settings", expected)])
+    path = Path(name)
+    text = read_text(path)
+    if text.is_error():
+        return Error([text.error])
+    return parse_config(text.ok, name, path.parent)
+
+
+def parse_config(
+    text: str, source: str, directory: Path = Path()
+) -> Result[OperatorConfig, list[SchemaError]]:
+    """Read command line settings from text."""
+    parsed = parse_sections(CONFIG_SECTIONS, text, source)
+    if parsed.is_error():
+        return Error(parsed.error)
+    attributes: dict[str, object] = {}
+    for values in parsed.ok.values():
+        attributes.update(values)
+    resolve_paths(attributes, directory)
+    return Ok(OperatorConfig(**attributes))
--- /dev/null
+++ b/src/flamingobank/cli/context.py
@@ -0,0 +1,63 @@
+"""Hold what commands need from their surroundings, so that tests replace it."""
+
+import argparse
+import datetime
+import os
+import secrets
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from expression import Error, Result
+
+from flamingobank.cli.config import OperatorConfig, load_config
+from flamingobank.cli.node_api import NodeApi
+from flamingobank.cli.objects_api import ObjectsApi
+from flamingobank.cli.store_access import open_store
+from flamingobank.schema import SchemaError
+
+
+def _read_utc() -> datetime.datetime:
+    return datetime.datetime.now(datetime.UTC)
+
+
+def _make_suffix() -> str:
+    return secrets.token_hex(6)
+
+
+@dataclass(slots=True)
+class CommandContext:
+    """Give commands their streams, clock, store and nodes."""
+
+    out: TextIO = field(default_factory=lambda: sys.stdout)
+    err: TextIO = field(default_factory=lambda: sys.stderr)
+    environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
+    open_store: Callable[[OperatorConfig], Result[ObjectsApi, SchemaError]] = open_store
+    open_nodes: Callable[[OperatorConfig], NodeApi] = NodeApi
+    read_utc: Callable[[], datetime.datetime] = _read_utc
+    make_suffix: Callable[[], str] = _make_suffix
+    sleep: Callable[[float], None] = time.sleep
+    now: Callable[[], float] = time.monotonic
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Hold the configuration of one command and its open store."""
+
+    config: OperatorConfig
+    store: ObjectsApi
+
+
+def open_session(
+    options: argparse.Namespace,
+) -> Result[Session, list[SchemaError]]:
+    """Load the configuration that the options name and open its store."""
+    config = load_config(options.config, options.context.environ)
+    if config.is_error():
+        return Error(config.error)
+    store = options.context.open_store(config.ok)
+    if store.is_error():
+        return Error([store.error])
+    return Result.Ok(Session(config.ok, store.ok))
--- /dev/null
+++ b/src/flamingobank/cli/delete.py
@@ -0,0 +1,57 @@
+"""Delete objects from the store."""
+
+import argparse
+
+from flamingobank.cli.changes import ChangeMaker, Outcome
+from flamingobank.cli.context import open_session
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.output import print_findings, print_line
+from flamingobank.cli.plans import merge_objects, read_content
+from flamingobank.cli.records import Change
+from flamingobank.cli.reports import (
+    report_error,
+    report_failure,
+    report_input,
+    report_problem,
+)
+from flamingobank.objects import Kind, check_objects
+
+
+def add_parser(subparsers) -> None:
+    """Describe the subcommand."""
+    text = "Delete objects; refused while a route needs a service among them."
+    parser = subparsers.add_parser("delete", help=text, description=text)
+    parser.add_argument("kind", choices=[kind.value for kind in Kind])
+    parser.add_argument("names", nargs="+", metavar="NAME")
+    parser.add_argument("--reason", default="", help="text for the audit trail")
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> ExitCode:
+    """Delete each named object at the revision that was read."""
+    context = options.context
+    session = open_session(options)
+    if session.is_error():
+        return report_input(context, session.error)
+    content = read_content(session.ok.store)
+    if content.is_error():
+        return report_problem(context, content.error)
+    kind = Kind(options.kind)
+    changes = []
+    for name in dict.fromkeys(options.names):
+        before = content.ok.stored.get((kind, name))
+        if before is None:
+            report_error(context, f"{kind.value} {name} does not exist")
+            return ExitCode.FAILED
+        changes.append(Change("delete", kind.value, name, None, before, options.reason))
+    left = merge_objects([], content.ok, changes)
+    findings = check_objects(left, dict.fromkeys(content.ok.stored, "store"))
+    if print_findings(findings, context.err, context.environ):
+        return ExitCode.BAD_INPUT
+    maker = ChangeMaker(session.ok, context)
+    for made, change in enumerate(changes):
+        result = maker.make(change)
+        if result.outcome is not Outcome.DONE:
+            return report_failure(context, change.title, result, made, len(changes))
+        print_line(f"deleted {change.title}", context.out)
+    return ExitCode.DONE
--- a/src/flamingobank/cli/main.py
+++ b/src/flamingobank/cli/main.py
@@ -4,6 +4,33 @@
 import sys
 
 from flamingobank import __version__
+from flamingobank.cli import (
+    apply,
+    audit,
+    check,
+    delete,
+    drain,
+    explain,
+    get,
+    history,
+    status,
+)
+from flamingobank.cli.config import CONFIG_VARIABLE
+from flamingobank.cli.context import CommandContext
+
+# Each module has add_parser(subparsers), which sets the default "run" of its
+# parsers to a function from parsed options to an exit code.
+COMMAND_MODULES = (
+    check,
+    explain,
+    apply,
+    get,
+    delete,
+    history,
+    audit,
+    status,
+    drain,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -13,20 +40,40 @@
         description="Run and operate a proxy fleet for upstreams that fail grayly.",
     )
     parser.add_argument("--version", action="version", version=__version__)
-    parser.add_subparsers(dest="command", metavar="COMMAND")
+    parser.add_argument(
+        "--config",
+        metavar="FILE",
+        help=f"settings of the command line; default: ${CONFIG_VARIABLE}",
+    )
+    subparsers = parser.add_subparsers(dest="command", metavar="COMMAND")
+    for module in COMMAND_MODULES:
+        module.add_parser(subparsers)
     return parser
 
 
-def main(arguments: list[str] | None = None) -> int:
+def main(
+    arguments: list[str] | None = None, context: CommandContext | None = None
+) -> int:
     """Run one command and return its exit code."""
     parser = build_parser()
     options = parser.parse_args(arguments)
     if options.command is None:
         parser.print_help(sys.stderr)
         return 2
-    return options.run(options)
+    options.context = context or CommandContext()
+    return int(options.run(options))
 
 
 def run() -> None:
     """Run the command line of this process."""
-    sys.exit(main())
+    try:
+        code = main()
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of a pipe, such as head, has left. Closing standard error
+        # keeps the interpreter from reporting the same at its exit.
+        sys.stderr.close()
+        code = 1
+    except KeyboardInterrupt:
+        code = 130
+    sys.exit(code)
--- /dev/null
+++ b/src/flamingobank/cli/node_api.py
@@ -0,0 +1,71 @@
+"""Call the operator interface of nodes over HTTP."""
+
+import http.client
+import json
+
+from expression import Error, Ok, Result
+
+from flamingobank.cli.config import OperatorConfig
+from flamingobank.settings import Address
+
+# A status of 3,700 members is under 1 MB.
+MAX_ANSWER_BYTES = 8_388_608
+
+
+class NodeApi:
+    """Ask the configured nodes in order."""
+
+    def __init__(self, config: OperatorConfig) -> None:
+        self.addresses = config.nodes
+        self._timeout_s = config.timeout_ms / 1000.0
+
+    def read_status(self, address: Address) -> Result[dict, str]:
+        """Return the status of one node, or why there is none."""
+        answer = self._call(address, "GET", "/status", None)
+        if answer.is_error():
+            return Error(answer.error)
+        status, body = answer.ok
+        if status != 200:
+            return Error(f"node {_show(address)} answered {status}, expected 200")
+        return Ok(body)
+
+    def read_any_status(self) -> Result[dict, list[str]]:
+        """Return the status of the first node that answers."""
+        problems = []
+        for address in self.addresses:
+            status = self.read_status(address)
+            if status.is_ok():
+                return Ok(status.ok)
+            problems.append(status.error)
+        return Error(problems or ["no node addresses in the settings"])
+
+    def set_draining(
+        self, address: Address, instance: str, draining: bool
+    ) -> Result[tuple[int, dict], str]:
+        """Ask a node to drain a server, or to end its drain."""
+        body = {"instance": instance, "draining": draining}
+        return self._call(address, "POST", "/drain", body)
+
+    def _call(
+        self, address: Address, method: str, path: str, body: dict | None
+    ) -> Result[tuple[int, dict], str]:
+        connection = http.client.HTTPConnection(*address, timeout=self._timeout_s)
+        try:
+            data = None if body is None else json.dumps(body)
+            headers = {"Content-Type": "application/json"} if data else {}
+            connection.request(method, path, data, headers)
+            answer = connection.getresponse()
+            content = json.loads(answer.read(MAX_ANSWER_BYTES) or b"{}")
+        except (OSError, http.client.HTTPException) as error:
+            return Error(f"node {_show(address)} gave no answer: {error}")
+        except ValueError as error:
+            return Error(f"node {_show(address)} gave no JSON: {error}")
+        finally:
+            connection.close()
+        if not isinstance(content, dict):
+            return Error(f"node {_show(address)} gave no JSON object")
+        return Ok((answer.status, content))
+
+
+def _show(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/src/flamingobank/cli/output.py
@@ -0,0 +1,49 @@
+"""Write text for people and for pipes."""
+
+import sys
+from collections.abc import Mapping, Sequence
+from typing import TextIO
+
+from flamingobank.schema import Severity
+
+_COLORS = {"red": "31", "green": "32", "yellow": "33", "bold": "1"}
+
+
+def use_color(stream: TextIO, environ: Mapping[str, str]) -> bool:
+    """Tell whether a stream is a terminal and NO_COLOR is not set."""
+    if environ.get("NO_COLOR") or environ.get("TERM") == "dumb":
+        return False
+    return stream.isatty()
+
+
+def paint(text: str, color: str, enabled: bool) -> str:
+    """Return the text in a color of the terminal."""
+    if not enabled:
+        return text
+    return f"\x1b[{_COLORS[color]}m{text}\x1b[0m"
+
+
+def print_line(text: str, stream: TextIO | None = None) -> None:
+    """Write one line at once, so that progress is seen through a pipe."""
+    print(text, file=stream or sys.stdout, flush=True)
+
+
+def format_table(header: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Return columns as wide as their longest cell."""
+    lines = [tuple(header), *(tuple(row) for row in rows)]
+    widths = [max(len(line[index]) for line in lines) for index in range(len(header))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def print_findings(findings, stream: TextIO, environ: Mapping[str, str]) -> bool:
+    """Write one line for each finding and tell whether any is an error."""
+    color = use_color(stream, environ)
+    for finding in findings:
+        hue = "red" if finding.severity is Severity.ERROR else "yellow"
+        print_line(paint(str(finding), hue, color), stream)
+    return any(finding.severity is Severity.ERROR for finding in findings)
--- /dev/null
+++ b/src/flamingobank/cli/plans.py
@@ -0,0 +1,101 @@
+"""Compare objects with the store and order the changes between them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+
+from flamingobank.cli.objects_api import (
+    ObjectsApi,
+    StoredObject,
+    StoreProblem,
+    list_all,
+)
+from flamingobank.cli.records import Change
+from flamingobank.objects import AnyObject, Kind, get_kind, parse_spec, render_spec
+
+# A route is written after the service that it needs, and deleted before it.
+WRITE_ORDER = (Kind.SERVICE, Kind.WORKSPACE, Kind.ROUTE)
+
+Key = tuple[Kind, str]
+
+
+@dataclass(slots=True)
+class StoreContent:
+    """Hold the configuration objects of the store at one revision."""
+
+    revision: int = 0
+    stored: dict[Key, StoredObject] = field(default_factory=dict)
+
+    def parse_objects(self) -> list[AnyObject]:
+        """Return the objects that can be read; a node ignores the others too."""
+        items = []
+        for (kind, name), stored in self.stored.items():
+            result = parse_spec(kind, name, stored.spec)
+            if result.is_ok():
+                items.append(result.ok)
+        return items
+
+
+def read_content(
+    store: ObjectsApi, kinds: Iterable[Kind] = tuple(Kind)
+) -> Result[StoreContent, StoreProblem]:
+    """List the objects of some kinds."""
+    content = StoreContent()
+    for kind in kinds:
+        page = list_all(store, kind.value)
+        if page.is_error():
+            return Error(page.error)
+        content.revision = max(content.revision, page.ok.revision)
+        for item in page.ok.items:
+            content.stored[kind, item.name] = item
+    return Ok(content)
+
+
+def plan_changes(
+    items: Iterable[AnyObject], content: StoreContent, prune: bool, reason: str = ""
+) -> list[Change]:
+    """Return the changes in a safe order.
+
+    Pruning deletes objects that the manifests leave out, and only of the kinds
+    that they contain, so that routes can be applied without all workspaces.
+    """
+    wanted = {(get_kind(item), item.name): item for item in items}
+    writes = []
+    for key, item in wanted.items():
+        before = content.stored.get(key)
+        if before is not None and _is_equal(key, before, item):
+            continue
+        action = "create" if before is None else "update"
+        spec = render_spec(item)
+        writes.append(Change(action, key[0].value, key[1], spec, before, reason))
+    deletions = []
+    pruned_kinds = {kind for kind, _ in wanted} if prune else set()
+    for (kind, name), before in content.stored.items():
+        if kind in pruned_kinds and (kind, name) not in wanted:
+            deletions.append(Change("delete", kind.value, name, None, before, reason))
+    writes.sort(key=_rank)
+    deletions.sort(key=_rank, reverse=True)
+    return writes + deletions
+
+
+def merge_objects(
+    items: Iterable[AnyObject], content: StoreContent, changes: Iterable[Change]
+) -> list[AnyObject]:
+    """Return the objects that are in force together after the changes."""
+    merged = {(get_kind(item), item.name): item for item in content.parse_objects()}
+    merged.update({(get_kind(item), item.name): item for item in items})
+    for change in changes:
+        if change.spec is None:
+            merged.pop((Kind(change.kind), change.name), None)
+    return list(merged.values())
+
+
+def _is_equal(key: Key, before: StoredObject, item: AnyObject) -> bool:
+    """Compare as objects, because equal objects can be written in several ways."""
+    result = parse_spec(key[0], key[1], before.spec)
+    return result.is_ok() and result.ok == item
+
+
+def _rank(change: Change) -> tuple[int, str]:
+    return WRITE_ORDER.index(Kind(change.kind)), change.name
--- /dev/null
+++ b/src/flamingobank/cli/reports.py
@@ -0,0 +1,56 @@
+"""Turn outcomes of store calls into messages and exit codes."""
+
+from flamingobank.cli.changes import ChangeResult, Outcome
+from flamingobank.cli.context import CommandContext
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.objects_api import ProblemKind, StoreProblem
+from flamingobank.cli.output import paint, print_line, use_color
+
+
+def report_error(context: CommandContext, text: str) -> None:
+    """Write an error line."""
+    color = use_color(context.err, context.environ)
+    print_line(paint(f"error: {text}", "red", color), context.err)
+
+
+def report_problem(context: CommandContext, problem: StoreProblem) -> ExitCode:
+    """Report a read that failed; nothing was changed."""
+    if problem.kind in (ProblemKind.AWAY, ProblemKind.UNKNOWN, ProblemKind.LIMITED):
+        report_error(
+            context,
+            f"store away: {problem.detail}; nothing was changed, "
+            "and the nodes keep the configuration that is in force",
+        )
+        return ExitCode.STORE_AWAY
+    report_error(context, f"store {problem.kind.value}: {problem.detail}")
+    return ExitCode.FAILED
+
+
+def report_failure(
+    context: CommandContext, title: str, result: ChangeResult, made: int, planned: int
+) -> ExitCode:
+    """Report a change that was not made or may have been made."""
+    counts = f"{made} of {planned} changes were made"
+    if result.outcome is Outcome.CONFLICT:
+        report_error(context, f"conflict: {result.detail} ({counts})")
+        return ExitCode.CONFLICT
+    if result.outcome is Outcome.UNKNOWN:
+        report_error(
+            context,
+            f"outcome of {title} unknown: {result.detail} ({counts} for certain); "
+            "run 'flamingobank diff' when the store answers",
+        )
+        return ExitCode.UNKNOWN
+    if result.outcome is Outcome.NOT_MADE:
+        known = "nothing was changed" if not made else counts
+        report_error(context, f"store away: {title}: {result.detail}; {known}")
+        return ExitCode.FAILED if made else ExitCode.STORE_AWAY
+    report_error(context, f"{title}: store refused: {result.detail} ({counts})")
+    return ExitCode.FAILED
+
+
+def report_input(context: CommandContext, errors) -> ExitCode:
+    """Report wrong input, one line each."""
+    for error in errors:
+        report_error(context, str(error))
+    return ExitCode.BAD_INPUT
--- /dev/null
+++ b/src/flamingobank/cli/waiting.py
@@ -0,0 +1,55 @@
+"""Wait until a revision is in force on all nodes."""
+
+from flamingobank.cli.context import CommandContext, Session
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.output import print_line
+from flamingobank.cli.reports import report_error
+
+# A change is in force everywhere within 6 s; the rest allows for a partition that
+# heals.
+WAIT_TIMEOUT_S = 30.0
+POLL_S = 0.25
+# An error line names only a few nodes of a large fleet.
+MAX_SHOWN_NODES = 5
+
+
+def wait_in_force(
+    session: Session, context: CommandContext, revision: int, timeout_s: float
+) -> ExitCode:
+    """Poll a node's status until each member has the revision."""
+    nodes = context.open_nodes(session.config)
+    deadline = context.now() + timeout_s
+    shown = ""
+    missing = "no status was read"
+    while True:
+        status = nodes.read_any_status()
+        if status.is_ok():
+            behind, total = find_behind(status.ok, revision)
+            line = f"revision {revision} in force on {total - len(behind)} of {total}"
+            if line != shown:
+                print_line(line, context.err)
+                shown = line
+            if not behind:
+                return ExitCode.DONE
+            missing = f"missing on {', '.join(behind[:MAX_SHOWN_NODES])}"
+        else:
+            missing = "; ".join(status.error)
+        if context.now() >= deadline:
+            break
+        context.sleep(POLL_S)
+    report_error(
+        context,
+        f"the changes are accepted, but revision {revision} is not seen in force "
+        f"everywhere after {timeout_s:g} s: {missing}",
+    )
+    return ExitCode.FAILED
+
+
+def find_behind(status: dict, revision: int) -> tuple[list[str], int]:
+    """Return the nodes below a revision and the number of all nodes."""
+    revisions = {str(status.get("node")): int(status.get("revision", 0))}
+    for member in status.get("members", []):
+        name = str(member.get("node"))
+        revisions[name] = max(revisions.get(name, 0), int(member.get("revision", 0)))
+    behind = [name for name, reached in revisions.items() if reached < revision]
+    return sorted(behind), len(revisions)
