Tell lost deletions and replaced writes from conflicts

Cause: a deletion whose answer was lost was called a conflict when another operator created the object again, and a conflict with a deletion did not name its operator. Change: cli/conflicts.py follows the history for both; scenarios cover them, and the pruning scenario uses a manifest of one kind.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -24,19 +24,31 @@
   Scenario: Pruning leaves kinds alone that the manifests do not contain
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
-    And "anna" runs "apply --prune DIR/status-only.ini" with exit code 0
-    Then the store holds "service orders, route order-status, workspace clinic-7"
+    And "anna" runs "apply --prune DIR/slower.ini" with exit code 0
+    Then the store holds "service orders, route order-status, workspace clinic-7, workspace stockroom"
 
   Scenario: A conflict names who changed what and when
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
-    And "farid" applies "DIR/slower.ini" while "anna" is about to write
+    And "farid" runs "apply DIR/slower.ini" while "anna" is about to write
     And "anna" runs "apply DIR/faster.ini" with exit code 3
     Then the last error has "changed by farid at 2026-12-04T"
     And the last error has "-deadline_ms = 2000; +deadline_ms = 9000"
     And the last error has "0 of 1 changes were made"
     And the stored "route" "order-status" has "deadline_ms" "9000"
 
+  Scenario Outline: A conflict with a deletion names who deleted the object
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And "farid" runs "<first>" while "anna" is about to write
+    And "anna" runs "<second>" with exit code 3
+    Then the last error has "deleted by farid at 2026-12-04T"
+
+    Examples:
+      | first                     | second                    |
+      | delete route order-status | delete route order-status |
+      | delete route order-status | apply DIR/slower.ini      |
+
   Scenario: An edit of an older revision is refused
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
@@ -69,6 +81,24 @@
     Then the stored "route" "order-status" has "deadline_ms" "9000"
     And the history of "route" "order-status" has 2 confirmed entries
 
+  Scenario: A deletion whose answer is lost is made, also when others go on
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And the store loses the answers of the next 1 writes of "route"
+    And "anna" runs "delete route order-status" with exit code 0
+    And "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And the answer to a write of "route" is lost, then "farid" runs "apply DIR/fleet.ini"
+    And "anna" runs "delete route order-status" with exit code 0
+    Then the stored "route" "order-status" has "deadline_ms" "2000"
+
+  Scenario: A write whose answer is lost and that is replaced was made
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And the answer to a write of "route" is lost, then "farid" runs "apply DIR/faster.ini"
+    And "anna" runs "apply DIR/slower.ini" with exit code 0
+    Then the stored "route" "order-status" has "deadline_ms" "1000"
+    And the history of "route" "order-status" has 3 confirmed entries
+
   Scenario: A write that stays without an answer has an unknown outcome
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -52,8 +52,6 @@
 [workspace stockroom]
 label.team = stock
 """,
-    "status-only.ini": "[service orders]\nselector = app=orders\n\n"
-    f"{ROUTE}deadline_ms = 2000\n\n[workspace clinic-7]\nlabel.tier = partner\n",
     "slower.ini": f"{ROUTE}deadline_ms = 9000\n",
     "faster.ini": f"{ROUTE}deadline_ms = 1000\n",
     "no-service.ini": "[route lost]\ntarget = service=nobody\npath = /lost\n",
@@ -258,19 +256,32 @@
     assert text in context.desk.out.splitlines()[-1], context.desk.out
 
 
-@when('"{other}" applies "{path}" while "{operator}" is about to write')
-def step_race(context, other, path, operator):
+@when('"{other}" runs "{command}" while "{operator}" is about to write')
+def step_race(context, other, command, operator):
     desk = context.desk
 
     def write_first(kind):
         if kind == "route":
             desk.store.hook = lambda kind: ""
-            assert desk.run(other, f"apply {path}") == 0, desk.err
+            assert desk.run(other, command) == 0, desk.err
         return ""
 
     desk.store.hook = write_first
 
 
+@when('the answer to a write of "{kind}" is lost, then "{other}" runs "{command}"')
+def step_lose_then(context, kind, other, command):
+    desk = context.desk
+
+    def run_other(seconds):
+        desk.store.hook = lambda kind: ""
+        desk.sleep = lambda seconds: None
+        assert desk.run(other, command) == 0, desk.err
+
+    desk.store.hook = lambda seen: "lose" if seen == kind else ""
+    desk.sleep = run_other
+
+
 @when("the store is away")
 def step_away(context):
     context.desk.store.away = True
--- a/src/flamingobank/cli/apply.py
+++ b/src/flamingobank/cli/apply.py
@@ -4,7 +4,8 @@
 
 from expression import Error, Ok, Result
 
-from flamingobank.cli.changes import ChangeMaker, Outcome, describe_conflict
+from flamingobank.cli.changes import ChangeMaker, Outcome
+from flamingobank.cli.conflicts import describe_conflict
 from flamingobank.cli.context import CommandContext, Session, open_session
 from flamingobank.cli.documents import ObjectSet, read_one_set
 from flamingobank.cli.exit_codes import ExitCode
--- a/src/flamingobank/cli/changes.py
+++ b/src/flamingobank/cli/changes.py
@@ -6,18 +6,16 @@
 
 from expression import Result
 
+from flamingobank.cli.conflicts import describe_conflict, find_effect
 from flamingobank.cli.context import CommandContext, Session
 from flamingobank.cli.objects_api import ProblemKind, StoredObject, StoreProblem
 from flamingobank.cli.records import (
     AUDIT_KIND,
     HISTORY_KIND,
     Change,
-    describe_difference,
-    get_spec,
     make_audit_spec,
     make_history_spec,
     make_write_id,
-    read_current,
     read_history,
 )
 
@@ -92,13 +90,8 @@
         if written.is_ok():
             return ChangeResult(Outcome.DONE, revision=written.ok)
         problem = written.error
-        if problem.kind is ProblemKind.NOT_FOUND:
-            if lost and change.spec is None:
-                return ChangeResult(Outcome.DONE)
-            detail = f"{change.title} was deleted by someone else"
-            return ChangeResult(Outcome.CONFLICT, detail)
-        if problem.kind is ProblemKind.CONFLICT:
-            return self._resolve_conflict(change, write_id, problem.current)
+        if problem.kind in (ProblemKind.CONFLICT, ProblemKind.NOT_FOUND):
+            return self._resolve(change, write_id, problem.current, bool(lost))
         if problem.kind is ProblemKind.REFUSED:
             return ChangeResult(Outcome.REFUSED, problem.detail)
         if lost:
@@ -144,36 +137,23 @@
             pause_s *= 2
         return result
 
-    def _resolve_conflict(
-        self, change: Change, write_id: str, current: StoredObject | None
+    def _resolve(
+        self,
+        change: Change,
+        write_id: str,
+        current: StoredObject | None,
+        lost: bool,
     ) -> ChangeResult:
+        """Tell an earlier copy of this write from a change by someone else."""
         if current is not None and current.write_id == write_id:
             return ChangeResult(Outcome.DONE, revision=current.revision)
-        entries = read_history(self._store, change.kind, change.name)
-        for entry in entries.default_value([]):
-            if entry.replaced_write_id == write_id:
-                detail = f"replaced since by {entry.who} at {entry.when}"
-                return ChangeResult(Outcome.DONE, detail, entry.replaced_revision)
-        return ChangeResult(
-            Outcome.CONFLICT, describe_conflict(self._store, change, current)
-        )
-
-
-def describe_conflict(store, change: Change, current: StoredObject | None) -> str:
-    """Say who changed what and when since the change was planned."""
-    if current is None:
-        return f"{change.title} does not exist any more; nothing of it was changed"
-    lines = describe_difference(get_spec(change.before), current.spec)
-    what = "; ".join(lines) or "no key"
-    audit = read_current(store, AUDIT_KIND, current.write_id).default_value(None)
-    if audit is None:
-        by = f"an unknown writer (write id {current.write_id}, no audit entry)"
-    else:
-        by = f"{audit.spec.get('who')} at {audit.spec.get('when')}"
-    return (
-        f"{change.title} was changed by {by} to revision {current.revision} ({what}); "
-        "your change was not made"
-    )
+        if lost:
+            entries = read_history(self._store, change.kind, change.name)
+            effect = find_effect(change, write_id, current, entries.default_value([]))
+            if effect is not None:
+                return ChangeResult(Outcome.DONE, *effect)
+        detail = describe_conflict(self._store, change, current)
+        return ChangeResult(Outcome.CONFLICT, detail)
 
 
 def _is_recorded(result: Result[int, StoreProblem], write_id: str) -> bool:
--- /dev/null
+++ b/src/flamingobank/cli/conflicts.py
@@ -0,0 +1,69 @@
+"""Find out who changed an object and whether a lost write took effect."""
+
+from collections.abc import Sequence
+
+from flamingobank.cli.objects_api import ObjectsApi, StoredObject
+from flamingobank.cli.records import (
+    AUDIT_KIND,
+    Change,
+    HistoryEntry,
+    describe_difference,
+    find_revisions,
+    get_spec,
+    read_current,
+    read_history,
+)
+
+
+def find_effect(
+    change: Change,
+    write_id: str,
+    current: StoredObject | None,
+    entries: Sequence[HistoryEntry],
+) -> tuple[str, int] | None:
+    """Return what followed a lost write that took effect, and its revision.
+
+    The revision is 0 where only the deletion itself is known.
+    """
+    for entry in entries:
+        if entry.replaced_write_id == write_id:
+            detail = f"replaced since by {entry.who} at {entry.when}"
+            return detail, entry.replaced_revision
+    if change.spec is not None:
+        return None
+    if current is None:
+        return "", 0
+    revisions = find_revisions(entries, current)
+    for entry in entries:
+        is_new = entry.spec is not None and not entry.replaced_write_id
+        if is_new and entry.write_id > write_id and entry.write_id in revisions:
+            return f"created again since by {entry.who} at {entry.when}", 0
+    return None
+
+
+def describe_conflict(
+    store: ObjectsApi, change: Change, current: StoredObject | None
+) -> str:
+    """Say who changed what and when since the change was planned."""
+    if current is None:
+        by = _find_deletion(store, change)
+        return f"{change.title} was deleted by {by}; your change was not made"
+    lines = describe_difference(get_spec(change.before), current.spec)
+    what = "; ".join(lines) or "no key"
+    audit = read_current(store, AUDIT_KIND, current.write_id).default_value(None)
+    if audit is None:
+        by = f"an unknown writer (write id {current.write_id}, no audit entry)"
+    else:
+        by = f"{audit.spec.get('who')} at {audit.spec.get('when')}"
+    return (
+        f"{change.title} was changed by {by} to revision {current.revision} ({what}); "
+        "your change was not made"
+    )
+
+
+def _find_deletion(store: ObjectsApi, change: Change) -> str:
+    entries = read_history(store, change.kind, change.name).default_value([])
+    for entry in reversed(entries):
+        if entry.spec is None:
+            return f"{entry.who} at {entry.when}"
+    return "an unknown writer (no history entry)"
