--- a/src/flamingobank/cli/main.py
+++ b/src/flamingobank/cli/main.py
@@ -13,6 +13,7 @@
     explain,
     get,
     history,
+    node,
     status,
 )
 from flamingobank.cli.config import CONFIG_VARIABLE
@@ -30,6 +31,7 @@
     audit,
     status,
     drain,
+    node,
 )
 
 
