Parse each repeated value once and read only what a change needs

Change: FieldTable keeps defaults, values are cached by text, check_objects leaves single objects to parse_spec and validate_object, and apply reads services, routes and the named workspaces.

--- /dev/null
+++ b/benchmarks/manifests.py
@@ -0,0 +1,150 @@
+"""Time reading and checking manifests of the design's size, and count store calls."""
+
+import argparse
+import itertools
+import random
+import resource
+import sys
+import time
+from collections.abc import Callable
+
+from expression import Ok
+
+from flamingobank.cli.changes import ChangeMaker
+from flamingobank.cli.config import OperatorConfig
+from flamingobank.cli.context import CommandContext, Session
+from flamingobank.cli.objects_api import ObjectsApi, Page, StoredObject
+from flamingobank.cli.records import Change
+from flamingobank.objects import (
+    Route,
+    Service,
+    check_objects,
+    parse_manifest,
+    render_manifest,
+)
+
+SERVICES = 2_900
+ROUTES = 48_000
+WORKSPACES = 330_000
+# The naive check compares each route with each service and each other route, so
+# it runs on a share of the routes and services.
+NAIVE_SHARE = 0.05
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Let a trial use a smaller fleet."""
+    parser.add_argument("--scale", type=float, default=1.0, metavar="SHARE")
+
+
+def measure(options: argparse.Namespace) -> dict[str, object]:
+    """Return seconds, megabytes and calls."""
+    rng = random.Random(options.seed)
+    text = make_manifest(rng, options.scale)
+    items, parse_s = _time("parse", lambda: parse_manifest(text, "fleet.ini").ok)
+    findings, check_s = _time("check", lambda: check_objects(items))
+    rendered, render_s = _time("render", lambda: render_manifest(items))
+    part = parse_manifest(make_manifest(rng, options.scale * NAIVE_SHARE), "part").ok
+    part_findings, part_s = _time("check of a part", lambda: check_objects(part))
+    naive_findings, naive_s = _time("naive check of a part", lambda: check_naive(part))
+    return {
+        "objects": len(items),
+        "megabytes_of_text": round(len(text) / 1e6, 1),
+        "parse_s": parse_s,
+        "check_s": check_s,
+        "render_s": render_s,
+        "findings": len(findings),
+        "round_trip": rendered == text,
+        "part_objects": len(part),
+        "part_check_s": part_s,
+        "part_naive_check_s": naive_s,
+        "same_findings": len(part_findings) == len(naive_findings),
+        "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
+        **count_store_calls(),
+    }
+
+
+def make_manifest(rng: random.Random, scale: float) -> str:
+    """Return a manifest with the design's mix of objects."""
+    services = max(1, int(SERVICES * scale))
+    lines = []
+    for index in range(services):
+        lines += [f"[service s{index}]", f"selector = app=s{index}", ""]
+    for index in range(int(ROUTES * scale)):
+        target = rng.randrange(services)
+        lines += [
+            f"[route r{index}]",
+            f"target = service=s{target}",
+            f"path = /s{target}/r{index}",
+            "methods = GET, POST",
+            "callers = tier=partner",
+            "deadline_ms = 2000",
+            "",
+        ]
+    for index in range(int(WORKSPACES * scale)):
+        lines += [f"[workspace w{index}]", "label.tier = partner", ""]
+    return "\n".join(lines)
+
+
+def check_naive(items: list) -> list[str]:
+    """Compare every pair of objects."""
+    services = [item for item in items if isinstance(item, Service)]
+    routes = [item for item in items if isinstance(item, Route)]
+    findings = []
+    for route in routes:
+        labels = ({**service.labels, "service": service.name} for service in services)
+        if sum(route.target.matches(each) for each in labels) != 1:
+            findings.append(route.name)
+    for first, second in itertools.combinations(routes, 2):
+        if first.path != second.path or first.host != second.host:
+            continue
+        if first.headers == second.headers and first.callers == second.callers:
+            findings.append(second.name)
+    return findings
+
+
+class CountingStore(ObjectsApi):
+    """Accept every call and count it."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.writes = 0
+
+    def get(self, kind, name):
+        """Count a read."""
+        self.reads += 1
+        return Ok(StoredObject(kind, name, 1, "", {}))
+
+    def put(self, kind, name, spec, write_id, revision):
+        """Count a write."""
+        self.writes += 1
+        return Ok(self.writes)
+
+    def delete(self, kind, name, write_id, revision):
+        """Count a write."""
+        self.writes += 1
+        return Ok(self.writes)
+
+    def list(self, kind, after=""):
+        """Count a read."""
+        self.reads += 1
+        return Ok(Page(self.writes))
+
+
+def count_store_calls() -> dict[str, float]:
+    """Return the calls that one recorded change makes."""
+    store = CountingStore()
+    config = OperatorConfig("anna", ("127.0.0.1", 1), None, 1, ())
+    maker = ChangeMaker(Session(config, store), CommandContext())
+    maker.make(Change("create", "service", "s", {"selector": "app=s"}, None))
+    return {
+        "store_writes_per_change": store.writes,
+        "store_reads_per_change": store.reads,
+    }
+
+
+def _time(name: str, run: Callable[[], object]) -> tuple[object, float]:
+    started = time.perf_counter()
+    result = run()
+    seconds = round(time.perf_counter() - started, 3)
+    print(f"{name}: {seconds} s", file=sys.stderr)
+    return result, seconds
--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -145,6 +145,8 @@
     When "anna" runs "apply --wait DIR/fleet.ini" with exit code 0
     Then the last error has "in force on 1 of 3"
     And the last error has "in force on 3 of 3"
+    Given nodes that stay at the revision of the last change
+    When "anna" runs "apply --wait DIR/fleet.ini" with exit code 0
     Given nodes that apply a revision after 9999 polls
     When "anna" runs "apply --wait --timeout 2 DIR/slower.ini" with exit code 1
     Then the last error has "the changes are accepted"
@@ -185,3 +187,7 @@
       | route.label                 | 0    | label.team = stock  |
       | settings/limits.max_streams | 2    | 'max_streams_per    |
       | rote                        | 2    | 'route'             |
+
+  Scenario: Reference pages are those that the schemas give
+    Then the pages about objects and settings are current
+    And the page about the command line names every command
--- a/features/objects.feature
+++ b/features/objects.feature
@@ -41,7 +41,7 @@
       | [service a] / selector = x / label.t = 1 / [service b] / selector = y / label.t = 1 / [route r] / target = t=1                          | warning  | route r   | a is used out of a, b  |
       | [service a] / selector = x / [route r] / target = service=a / path = /p / [route s] / target = service=a / path = /p                    | error    | route s   | takes all of its       |
       | [service a] / selector = x / [route r] / target = service=a / methods = GET, POST / [route s] / target = service=a / methods = POST, PUT | warning  | route s   | takes some of its      |
-      | [service a] / selector = x / floor = 100%                                                                                               | warning  | service a | no server can be       |
+      | [service a] / selector = x / floor = 100%                                                                                               | warning  | service a | lets no server be      |
 
   Scenario: Routes that share a path and differ otherwise are accepted
     When the manifest "[service a] / selector = x / [route r] / target = service=a / methods = GET / [route s] / target = service=a / [route t] / target = service=a / callers = tier=partner" is checked as a whole
@@ -49,3 +49,4 @@
 
   Scenario: An object built in code with a floor above its service is refused
     Then a service built in code with a floor of 1.2 has the error "from 0% to 100%"
+    And checking that service beside others gives the error "at most 100%"
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -19,6 +19,7 @@
 from flamingobank.cli import main
 from flamingobank.cli.config import OperatorConfig
 from flamingobank.cli.context import CommandContext
+from flamingobank.cli.main import build_parser
 from flamingobank.cli.objects_api import ObjectsApi, ProblemKind, StoreProblem
 from flamingobank.cli.output import print_findings
 from flamingobank.cli.store_access import (
@@ -31,6 +32,7 @@
 from flamingobank.objects import parse_manifest
 from flamingobank.schema import SchemaError
 from flamingobank_standins.store import Call, ObjectStore, StoreServer
+from tools.make_reference import find_stale_pages
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 START = datetime.datetime(2026, 12, 4, 5, 0, tzinfo=datetime.UTC)
@@ -113,15 +115,16 @@
 class FakeNodes:
     """Show three members, of which two lag until a number of polls."""
 
-    def __init__(self, polls):
+    def __init__(self, polls, revision=10**9):
         self._left = polls
+        self._revision = revision
 
     def read_any_status(self):
         self._left -= 1
-        reached = 0 if self._left > 0 else 10**9
+        reached = 0 if self._left > 0 else self._revision
         names = ["node-1", "node-2", "node-3"]
         members = [{"node": name, "revision": reached} for name in names]
-        return Ok({"node": "node-1", "revision": 10**9, "members": members})
+        return Ok({"node": "node-1", "revision": self._revision, "members": members})
 
 
 class Desk:
@@ -371,6 +374,13 @@
     context.desk.nodes = FakeNodes(polls)
 
 
+@given("nodes that stay at the revision of the last change")
+def step_nodes_stay(context):
+    kinds = ("service", "route", "workspace")
+    items = [item for kind in kinds for item in context.desk.list_kind(kind).values()]
+    context.desk.nodes = FakeNodes(0, max(item.revision for item in items))
+
+
 @given('a node\'s operator address that knows the instance "{instance}"')
 def step_node(context, instance):
     status = {
@@ -499,3 +509,17 @@
 def step_plain(context):
     assert "\x1b" not in print_error(False, {})
     assert "\x1b" not in print_error(True, {"NO_COLOR": "1"})
+
+
+@then("the pages about objects and settings are current")
+def step_pages(context):
+    assert find_stale_pages() == [], "run python -m tools.make_reference"
+
+
+@then("the page about the command line names every command")
+def step_commands(context):
+    page = (ROOT / "docs/reference/command-line.md").read_text()
+    parser = build_parser()
+    actions = [item for item in parser._actions if item.dest == "command"]
+    missing = [name for name in actions[0].choices if f"`{name}" not in page]
+    assert actions[0].choices and not missing, missing
--- a/features/steps/objects_steps.py
+++ b/features/steps/objects_steps.py
@@ -196,3 +196,11 @@
     assert validate_object(service) == []
     errors = validate_object(Service("a", service.selector, floor))
     assert len(errors) == 1 and words in errors[0].expected, errors
+    context.service = Service("a", service.selector, floor)
+
+
+@then('checking that service beside others gives the error "{words}"')
+def step_floor_beside(context, words):
+    findings = check_objects([context.service])
+    assert len(findings) == 1 and words in findings[0].expected, findings
+    assert findings[0].severity.value == "error", findings
--- a/src/flamingobank/cli/apply.py
+++ b/src/flamingobank/cli/apply.py
@@ -14,7 +14,7 @@
     StoreContent,
     merge_objects,
     plan_changes,
-    read_content,
+    read_needed,
 )
 from flamingobank.cli.records import Change, describe_difference, get_spec
 from flamingobank.cli.reports import (
@@ -90,7 +90,8 @@
         print_line(f"{len(changes)} changes planned, none made", context.out)
         return ExitCode.DONE
     maker = ChangeMaker(session, context)
-    revision = content.revision
+    # Records raise the store's revision too, but nodes never see them.
+    revision = max((item.revision for item in content.stored.values()), default=0)
     for made, change in enumerate(changes):
         result = maker.make(change)
         if result.outcome is not Outcome.DONE:
@@ -112,7 +113,7 @@
     session = open_session(options)
     if session.is_error():
         return Error(report_input(context, session.error))
-    content = read_content(session.ok.store)
+    content = read_needed(session.ok.store, wanted.sources, options.prune)
     if content.is_error():
         return Error(report_problem(context, content.error))
     changes = plan_changes(wanted.items, content.ok, options.prune, reason)
--- a/src/flamingobank/cli/config.py
+++ b/src/flamingobank/cli/config.py
@@ -10,6 +10,7 @@
 from flamingobank.schema import (
     AddressValue,
     Field,
+    FieldTable,
     FilePath,
     Integer,
     ListOf,
@@ -37,7 +38,7 @@
     SectionSchema(
         "operator",
         "Names the person or job that changes objects.",
-        (
+        FieldTable(
             Field(
                 "name",
                 "operator",
@@ -50,7 +51,7 @@
     SectionSchema(
         "store",
         "Gives access to the platform's object API.",
-        (
+        FieldTable(
             Field(
                 "address",
                 "store",
@@ -78,7 +79,7 @@
     SectionSchema(
         "nodes",
         "Gives nodes to ask for the state of the fleet.",
-        (
+        FieldTable(
             Field(
                 "addresses",
                 "nodes",
--- a/src/flamingobank/cli/delete.py
+++ b/src/flamingobank/cli/delete.py
@@ -6,7 +6,7 @@
 from flamingobank.cli.context import open_session
 from flamingobank.cli.exit_codes import ExitCode
 from flamingobank.cli.output import print_findings, print_line
-from flamingobank.cli.plans import merge_objects, read_content
+from flamingobank.cli.plans import merge_objects, read_needed
 from flamingobank.cli.records import Change
 from flamingobank.cli.reports import (
     report_error,
@@ -33,10 +33,11 @@
     session = open_session(options)
     if session.is_error():
         return report_input(context, session.error)
-    content = read_content(session.ok.store)
+    kind = Kind(options.kind)
+    wanted = [(kind, name) for name in options.names]
+    content = read_needed(session.ok.store, wanted)
     if content.is_error():
         return report_problem(context, content.error)
-    kind = Kind(options.kind)
     changes = []
     for name in dict.fromkeys(options.names):
         before = content.ok.stored.get((kind, name))
--- a/src/flamingobank/cli/explain.py
+++ b/src/flamingobank/cli/explain.py
@@ -7,15 +7,14 @@
 from flamingobank.cli.output import print_line
 from flamingobank.objects import KIND_SCHEMAS
 from flamingobank.schema import (
-    Field,
+    FieldTable,
     explain_field,
     explain_fields,
-    find_field,
     suggest_name,
 )
 from flamingobank.settings import SETTINGS_SECTIONS
 
-Topics = dict[str, tuple[str, tuple[Field, ...]]]
+Topics = dict[str, tuple[str, FieldTable]]
 
 
 def add_parser(subparsers) -> None:
@@ -43,7 +42,7 @@
     if not key:
         print_line(explain_fields(title, description, fields), context.out)
         return ExitCode.DONE
-    field = find_field(fields, key) or find_field(fields, f"{key}.")
+    field = fields.find(key) or fields.find(f"{key}.")
     if field is None:
         expected = suggest_name(key, [item.label for item in fields])
         print_line(f"{title} has no key {key!r}, expected {expected}", context.err)
--- a/src/flamingobank/cli/history.py
+++ b/src/flamingobank/cli/history.py
@@ -9,7 +9,7 @@
 from flamingobank.cli.exit_codes import ExitCode
 from flamingobank.cli.objects_api import StoredObject
 from flamingobank.cli.output import format_table, print_findings, print_line
-from flamingobank.cli.plans import merge_objects, read_content
+from flamingobank.cli.plans import merge_objects, read_needed
 from flamingobank.cli.records import (
     Change,
     HistoryEntry,
@@ -149,7 +149,7 @@
     parsed = parse_spec(Kind(change.kind), change.name, change.spec, "history")
     if parsed.is_error():
         return report_input(context, parsed.error)
-    content = read_content(session.store)
+    content = read_needed(session.store, [])
     if content.is_error():
         return report_problem(context, content.error)
     merged = merge_objects([parsed.ok], content.ok, [])
--- a/src/flamingobank/cli/node_api.py
+++ b/src/flamingobank/cli/node_api.py
@@ -25,8 +25,9 @@
         if answer.is_error():
             return Error(answer.error)
         status, body = answer.ok
-        if status != 200:
-            return Error(f"node {_show(address)} answered {status}, expected 200")
+        if status != 200 or "node" not in body:
+            seen = f"answered {status} with {len(body)} keys"
+            return Error(f"node {_show(address)} {seen}, expected 200 and a status")
         return Ok(body)
 
     def read_any_status(self) -> Result[dict, list[str]]:
@@ -55,16 +56,21 @@
             headers = {"Content-Type": "application/json"} if data else {}
             connection.request(method, path, data, headers)
             answer = connection.getresponse()
-            content = json.loads(answer.read(MAX_ANSWER_BYTES) or b"{}")
+            text = answer.read(MAX_ANSWER_BYTES)
         except (OSError, http.client.HTTPException) as error:
             return Error(f"node {_show(address)} gave no answer: {error}")
-        except ValueError as error:
-            return Error(f"node {_show(address)} gave no JSON: {error}")
         finally:
             connection.close()
-        if not isinstance(content, dict):
-            return Error(f"node {_show(address)} gave no JSON object")
-        return Ok((answer.status, content))
+        return Ok((answer.status, _read_object(text)))
+
+
+def _read_object(text: bytes) -> dict:
+    """Return the JSON object of an answer, or an empty one."""
+    try:
+        content = json.loads(text)
+    except ValueError:
+        return {}
+    return content if isinstance(content, dict) else {}
 
 
 def _show(address: Address) -> str:
--- a/src/flamingobank/cli/plans.py
+++ b/src/flamingobank/cli/plans.py
@@ -1,6 +1,6 @@
 """Compare objects with the store and order the changes between them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from expression import Error, Ok, Result
@@ -11,11 +11,14 @@
     StoreProblem,
     list_all,
 )
-from flamingobank.cli.records import Change
+from flamingobank.cli.records import Change, read_current
 from flamingobank.objects import AnyObject, Kind, get_kind, parse_spec, render_spec
 
 # A route is written after the service that it needs, and deleted before it.
 WRITE_ORDER = (Kind.SERVICE, Kind.WORKSPACE, Kind.ROUTE)
+# A page of the store's list holds about this many objects, so that more single
+# reads would cost more than the list of a small fleet.
+MAX_SINGLE_READS = 100
 
 Key = tuple[Kind, str]
 
@@ -52,6 +55,30 @@
     return Ok(content)
 
 
+def read_needed(
+    store: ObjectsApi, wanted: Collection[Key], prune: bool = False
+) -> Result[StoreContent, StoreProblem]:
+    """Read all services and routes, and those workspaces that are wanted.
+
+    Services and routes are checked against each other. Workspaces are not, and a
+    fleet has hundreds of thousands of them.
+    """
+    workspaces = [name for kind, name in wanted if kind is Kind.WORKSPACE]
+    kinds = [Kind.SERVICE, Kind.ROUTE]
+    if workspaces and (prune or len(workspaces) > MAX_SINGLE_READS):
+        return read_content(store, [*kinds, Kind.WORKSPACE])
+    content = read_content(store, kinds)
+    if content.is_error():
+        return content
+    for name in workspaces:
+        found = read_current(store, Kind.WORKSPACE.value, name)
+        if found.is_error():
+            return Error(found.error)
+        if found.ok is not None:
+            content.ok.stored[Kind.WORKSPACE, name] = found.ok
+    return content
+
+
 def plan_changes(
     items: Iterable[AnyObject], content: StoreContent, prune: bool, reason: str = ""
 ) -> list[Change]:
--- a/src/flamingobank/objects/checks.py
+++ b/src/flamingobank/objects/checks.py
@@ -13,8 +13,8 @@
 )
 from flamingobank.objects.schema import METHODS
 from flamingobank.objects.selectors import Operator, Selector
-from flamingobank.objects.specs import ObjectError, validate_object
-from flamingobank.schema import Severity
+from flamingobank.objects.specs import ObjectError
+from flamingobank.schema import Severity, render_share
 
 Sources = Mapping[tuple[Kind, str], str]
 
@@ -24,6 +24,8 @@
 ) -> list[ObjectError]:
     """Return errors and warnings about objects that are in force together.
 
+    Each object is taken to be valid by itself; parse_spec and validate_object
+    check that.
     Sources name the file of each object, by kind and name.
     """
     items = list(items)
@@ -31,8 +33,6 @@
     routes = [item for item in items if isinstance(item, Route)]
     locate = _make_locator(sources or {})
     findings: list[ObjectError] = []
-    for item in items:
-        findings.extend(validate_object(item, locate(item)))
     findings.extend(_check_floors(services, locate))
     findings.extend(_check_targets(routes, services, locate))
     findings.extend(_check_claims(routes, locate))
@@ -65,16 +65,20 @@
 def _check_floors(services: list[Service], locate) -> list[ObjectError]:
     findings = []
     for service in services:
-        if service.floor.unit is not FloorUnit.SHARE or service.floor.value != 1:
+        if service.floor.unit is not FloorUnit.SHARE or service.floor.value < 1:
             continue
+        is_whole = service.floor.value == 1
+        expected = "at most 100%"
+        if is_whole:
+            expected = "less than 100%, because this floor lets no server be ejected"
         findings.append(
             ObjectError(
                 locate(service),
                 f"service {service.name}",
                 "floor",
-                "100%",
-                "less than 100%, because no server can be ejected at this floor",
-                Severity.WARNING,
+                render_share(service.floor.value),
+                expected,
+                Severity.WARNING if is_whole else Severity.ERROR,
             )
         )
     return findings
--- a/src/flamingobank/objects/schema.py
+++ b/src/flamingobank/objects/schema.py
@@ -15,6 +15,7 @@
 from flamingobank.schema import (
     Choice,
     Field,
+    FieldTable,
     Integer,
     ListOf,
     Pattern,
@@ -113,7 +114,7 @@
     key_type=LABEL_KEY,
 )
 
-_SERVICE_FIELDS = (
+_SERVICE_FIELDS = FieldTable(
     Field(
         "selector",
         "selector",
@@ -140,7 +141,7 @@
     LABELS,
 )
 
-_ROUTE_FIELDS = (
+_ROUTE_FIELDS = FieldTable(
     Field(
         "target",
         "target",
@@ -231,7 +232,7 @@
     kind: Kind
     object_class: type
     description: str
-    fields: tuple[Field, ...]
+    fields: FieldTable
 
 
 KIND_SCHEMAS: dict[Kind, KindSchema] = {
@@ -251,6 +252,6 @@
         Kind.WORKSPACE,
         KIND_CLASSES[Kind.WORKSPACE],
         "Describes the tenant that a caller acts for.",
-        (LABELS,),
+        FieldTable(LABELS),
     ),
 }
--- a/src/flamingobank/schema/__init__.py
+++ b/src/flamingobank/schema/__init__.py
@@ -1,8 +1,12 @@
 """Derive parsing, validation, rendering and explanations from field tables."""
 
 from flamingobank.schema.errors import SchemaError, Severity, suggest_name
-from flamingobank.schema.explanations import explain_field, explain_fields
-from flamingobank.schema.fields import Field, find_field
+from flamingobank.schema.explanations import (
+    describe_default,
+    explain_field,
+    explain_fields,
+)
+from flamingobank.schema.fields import Field, FieldTable
 from flamingobank.schema.ini import Section, read_sections, render_sections
 from flamingobank.schema.parsing import parse_fields, render_fields
 from flamingobank.schema.sections import (
@@ -27,6 +31,7 @@
     "AddressValue",
     "Choice",
     "Field",
+    "FieldTable",
     "FilePath",
     "Integer",
     "ListOf",
@@ -38,9 +43,9 @@
     "Share",
     "ValueType",
     "YesNo",
+    "describe_default",
     "explain_field",
     "explain_fields",
-    "find_field",
     "parse_fields",
     "parse_sections",
     "read_sections",
--- a/src/flamingobank/schema/explanations.py
+++ b/src/flamingobank/schema/explanations.py
@@ -1,11 +1,11 @@
 """Describe fields for people."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from flamingobank.schema.fields import Field
 
 
-def explain_fields(title: str, description: str, fields: Sequence[Field]) -> str:
+def explain_fields(title: str, description: str, fields: Iterable[Field]) -> str:
     """Return one line per field below a title."""
     width = max((len(field.label) for field in fields), default=0)
     lines = [f"{title}: {description}", ""]
--- a/src/flamingobank/schema/fields.py
+++ b/src/flamingobank/schema/fields.py
@@ -1,6 +1,6 @@
 """Describe one key of a section."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from flamingobank.schema.values import ValueType
@@ -34,11 +34,46 @@
         return f"{self.key}NAME" if self.is_family else self.key
 
 
-def find_field(fields: Sequence[Field], key: str) -> Field | None:
-    """Return the field that a key belongs to, if any."""
-    for field in fields:
-        if field.is_family and key.startswith(field.key):
-            return field
-        if not field.is_family and key == field.key:
+class FieldTable:
+    """Hold the fields of a section for quick access by key."""
+
+    def __init__(self, *fields: Field) -> None:
+        self._fields = fields
+        self._by_key = {
+            field.key: field for field in self._fields if not field.is_family
+        }
+        self._families = tuple(field for field in self._fields if field.is_family)
+        self._defaults = {
+            field.attribute: _parse_default(field)
+            for field in self._by_key.values()
+            if field.default is not None
+        }
+        self.required = tuple(
+            field for field in self._by_key.values() if field.default is None
+        )
+
+    def __iter__(self) -> Iterator[Field]:
+        return iter(self._fields)
+
+    def find(self, key: str) -> Field | None:
+        """Return the field that a key belongs to, if any."""
+        field = self._by_key.get(key)
+        if field is not None:
             return field
-    return None
+        for family in self._families:
+            if key.startswith(family.key):
+                return family
+        return None
+
+    def make_defaults(self) -> dict[str, object]:
+        """Return the attributes of a section without any key."""
+        attributes = dict(self._defaults)
+        for family in self._families:
+            attributes[family.attribute] = {}
+        return attributes
+
+
+def _parse_default(field: Field) -> object:
+    result = field.value_type.parse(field.default)
+    # Blank text that does not parse marks a value that may be absent.
+    return result.ok if result.is_ok() else None
--- a/src/flamingobank/schema/parsing.py
+++ b/src/flamingobank/schema/parsing.py
@@ -1,28 +1,33 @@
 """Parse and render the keys of a section by their fields."""
 
-from collections.abc import Mapping, Sequence
+import functools
+from collections.abc import Mapping
 
 from expression import Error, Ok, Result
 
 from flamingobank.schema.errors import SchemaError, suggest_name
-from flamingobank.schema.fields import Field, find_field
+from flamingobank.schema.fields import FieldTable
+from flamingobank.schema.values import ValueType
+
+# Large manifests repeat most of their values; parsing them once halves the time.
+CACHED_VALUES = 16_384
 
 
 def parse_fields(
-    fields: Sequence[Field], values: Mapping[str, str], source: str, section: str
+    fields: FieldTable, values: Mapping[str, str], source: str, section: str
 ) -> Result[dict[str, object], list[SchemaError]]:
     """Return the attributes of a section, or one error for each wrong key."""
-    attributes = _parse_defaults(fields)
+    attributes = fields.make_defaults()
     errors: list[SchemaError] = []
     for key, text in values.items():
         error = _parse_key(fields, key, text, attributes)
         if error is None:
             continue
         shown = text if isinstance(text, str) else repr(text)
-        seen = key if find_field(fields, key) is None else shown
+        seen = key if fields.find(key) is None else shown
         errors.append(SchemaError(source, section, key, seen, error))
-    for field in fields:
-        if field.default is not None or field.is_family or field.key in values:
+    for field in fields.required:
+        if field.key in values:
             continue
         expected = f"{field.value_type.expected} (the key is required)"
         errors.append(SchemaError(source, section, field.key, "no value", expected))
@@ -30,7 +35,7 @@
 
 
 def render_fields(
-    fields: Sequence[Field], attributes: Mapping[str, object]
+    fields: FieldTable, attributes: Mapping[str, object]
 ) -> dict[str, str]:
     """Return keys and texts in the order of the fields, without defaults."""
     values: dict[str, str] = {}
@@ -46,36 +51,27 @@
     return values
 
 
-def _parse_defaults(fields: Sequence[Field]) -> dict[str, object]:
-    attributes: dict[str, object] = {}
-    for field in fields:
-        if field.is_family:
-            attributes[field.attribute] = {}
-            continue
-        if field.default is None:
-            continue
-        result = field.value_type.parse(field.default)
-        # Blank text that does not parse marks a value that may be absent.
-        attributes[field.attribute] = result.ok if result.is_ok() else None
-    return attributes
+@functools.lru_cache(maxsize=CACHED_VALUES)
+def _parse_value(value_type: ValueType, text: str) -> Result[object, str]:
+    return value_type.parse(text)
 
 
 def _parse_key(
-    fields: Sequence[Field], key: str, text: str, attributes: dict[str, object]
+    fields: FieldTable, key: str, text: str, attributes: dict[str, object]
 ) -> str | None:
     """Store the value and return None, or return what is expected."""
-    field = find_field(fields, key)
+    field = fields.find(key)
     if field is None:
         return suggest_name(key, [field.label for field in fields])
     if not isinstance(text, str):
         return "text"
-    result = field.value_type.parse(text)
+    result = _parse_value(field.value_type, text)
     if result.is_error():
         return result.error
     if not field.is_family:
         attributes[field.attribute] = result.ok
         return None
-    name = field.key_type.parse(key[len(field.key) :])
+    name = _parse_value(field.key_type, key[len(field.key) :])
     if name.is_error():
         return f"the key {field.label} with NAME {name.error}"
     family = attributes[field.attribute]
--- a/src/flamingobank/schema/sections.py
+++ b/src/flamingobank/schema/sections.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from flamingobank.schema.errors import SchemaError, suggest_name
-from flamingobank.schema.fields import Field
+from flamingobank.schema.fields import FieldTable
 from flamingobank.schema.ini import Section, read_sections, render_sections
 from flamingobank.schema.parsing import parse_fields, render_fields
 
@@ -17,7 +17,7 @@
 
     name: str
     description: str
-    fields: tuple[Field, ...]
+    fields: FieldTable
 
 
 def parse_sections(
--- a/src/flamingobank/settings/schema.py
+++ b/src/flamingobank/settings/schema.py
@@ -4,6 +4,7 @@
 from flamingobank.schema import (
     AddressValue,
     Field,
+    FieldTable,
     FilePath,
     Integer,
     ListOf,
@@ -17,7 +18,7 @@
 _NODE = SectionSchema(
     "node",
     "Names the node and its place.",
-    (
+    FieldTable(
         Field(
             "id",
             "node_id",
@@ -45,7 +46,7 @@
 _LISTEN = SectionSchema(
     "listen",
     "Gives the addresses that the node listens on; it opens no others.",
-    (
+    FieldTable(
         Field(
             "callers",
             "callers",
@@ -80,7 +81,7 @@
 _PEERS = SectionSchema(
     "peers",
     "Gives first contacts in the fleet.",
-    (
+    FieldTable(
         Field(
             "seeds",
             "seeds",
@@ -95,7 +96,7 @@
 _STORE = SectionSchema(
     "store",
     "Gives access to the platform's object API.",
-    (
+    FieldTable(
         Field(
             "address",
             "store",
@@ -118,7 +119,7 @@
 _SECRETS = SectionSchema(
     "secrets",
     "Names files with secrets; settings never hold a secret.",
-    (
+    FieldTable(
         Field(
             "fleet_file",
             "fleet_secret_file",
@@ -133,7 +134,7 @@
 _LIMITS = SectionSchema(
     "limits",
     "Bounds what callers may use.",
-    (
+    FieldTable(
         Field(
             "max_connections",
             "max_connections",
@@ -188,7 +189,7 @@
 _SHUTDOWN = SectionSchema(
     "shutdown",
     "Bounds a graceful shutdown.",
-    (
+    FieldTable(
         Field(
             "deadline_ms",
             "shutdown_deadline_ms",
