Serve a request from caller to server through two nodes

Change: the node daemon with its settings file, the status endpoint, the upstream stand-in and a launcher of local processes.

--- a/src/flamingobank/cli/main.py
+++ b/src/flamingobank/cli/main.py
@@ -4,6 +4,7 @@
 import sys
 
 from flamingobank import __version__
+from flamingobank.cli import node
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -13,7 +14,8 @@
         description="Run and operate a proxy fleet for upstreams that fail grayly.",
     )
     parser.add_argument("--version", action="version", version=__version__)
-    parser.add_subparsers(dest="command", metavar="COMMAND")
+    subparsers = parser.add_subparsers(dest="command", metavar="COMMAND")
+    node.add_parser(subparsers)
     return parser
 
 
--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -5,9 +5,7 @@
 from typing import Protocol
 
 from circuits.core.events import generate_events
-from circuits.core.handlers import handler
-from circuits.core.pollers import BasePoller
-from circuits.net.events import _disconnect, _read, _write
+from circuits.core.pollers import BasePoller, _disconnect, _read, _write
 
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
@@ -123,9 +121,7 @@
         self._masks[fileno] = new
         self._sources[fileno] = fd
 
-    @handler("generate_events", priority=-9)
-    def _on_generate_events(self, event: generate_events) -> None:
-        event.stop()
+    def _generate_events(self, event: generate_events) -> None:
         self._flush_output()
         ready = self._epoll.poll(event.time_left if event.time_left >= 0 else None)
         for fileno, events in ready:
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -47,7 +47,10 @@
     expected: str
 
     def __str__(self) -> str:
-        return f"announcement field {self.field}: expected {self.expected}, got {self.seen!r}"
+        return (
+            f"announcement field {self.field}: "
+            f"expected {self.expected}, got {self.seen!r}"
+        )
 
 
 def parse_announcement(body: bytes) -> Result[Announcement, AnnouncementError]:
@@ -72,7 +75,9 @@
         return Error(AnnouncementError("labels", labels, "an object of strings"))
     slots = fields.get("slots")
     if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
-        return Error(AnnouncementError("slots", slots, f"a number from 1 to {MAX_SLOTS}"))
+        return Error(
+            AnnouncementError("slots", slots, f"a number from 1 to {MAX_SLOTS}")
+        )
     return Ok(
         Announcement(
             fields["instance"],
@@ -144,7 +149,9 @@
                 response, 307, {"home": node, "address": f"{address[0]}:{address[1]}"}
             )
         self._apply(announcement)
-        return _answer_json(response, 200, {"renew_ms": RENEW_MS, "home": self._node_id})
+        return _answer_json(
+            response, 200, {"renew_ms": RENEW_MS, "home": self._node_id}
+        )
 
     def _find_home(self, announcement: Announcement) -> tuple[NodeId, Address] | None:
         """Return the node that should be home, or None when it is this one."""
@@ -195,7 +202,9 @@
         self._dispatcher.remove_server(instance)
         self.removed.append((self._clock.now(), instance, why))
         del self.removed[:-100]
-        eliot.log_message(message_type="home:server-removed", instance=instance, why=why)
+        eliot.log_message(
+            message_type="home:server-removed", instance=instance, why=why
+        )
         self._on_change()
 
     def _remove_expired(self) -> None:
--- /dev/null
+++ b/src/flamingobank/node/daemon.py
@@ -0,0 +1,259 @@
+"""Connect the parts of a node to one loop."""
+
+import os
+import random
+import signal
+import time
+from collections.abc import Iterable, Sequence
+
+import eliot
+from circuits import Component, handler
+
+from flamingobank.core import InvariantError, MonotonicClock
+from flamingobank.directory import DirectoryTable
+from flamingobank.loop import Poller, Timers
+from flamingobank.node.announcements import Announcements
+from flamingobank.node.directory_sync import DirectorySync
+from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.edge import EdgeServer
+from flamingobank.node.entry import Entry
+from flamingobank.node.fixed_routes import FixedRoutes
+from flamingobank.node.links import Link, LinkObserver, Links
+from flamingobank.node.metrics import NodeMetrics
+from flamingobank.node.remote import ServedStream
+from flamingobank.node.status import StatusPages
+from flamingobank.objects import AnyObject
+from flamingobank.settings import CallerLimits, NodeSettings
+from flamingobank.wire import DirectoryUpdate, Message, OpenRequest
+
+SHUTDOWN_CHECK_S = 0.05
+# Peers need this long to hear that a node leaves before it stops listening.
+LEAVE_NOTICE_S = 0.3
+# Announcements of servers and calls of operators are small and few.
+INNER_LIMITS = CallerLimits(max_connections=4096, max_body_bytes=65_536)
+
+
+def make_boot_id() -> str:
+    """Return an id that sorts after those of earlier processes of this node."""
+    return f"{time.time_ns():016x}-{os.urandom(4).hex()}"
+
+
+class NodeLinkObserver(LinkObserver):
+    """Pass what happens on links to the parts of a node.
+
+    A circuits component cannot derive from an abstract base class itself, as the
+    two have different metaclasses.
+    """
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def on_control_message(self, link: Link, message: Message) -> None:
+        if isinstance(message, DirectoryUpdate):
+            self._node.sync.receive(message)
+
+    def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
+        # Messages of streams that have ended here are discarded.
+        if isinstance(message, OpenRequest):
+            ServedStream(self._node.dispatcher, link, stream, message)
+
+    def on_link_refused(self, peer: str, reason: str) -> None:
+        refused = self._node.refused_links
+        refused[reason] = refused.get(reason, 0) + 1
+        eliot.log_message(message_type="links:refused", peer=peer, why=reason)
+
+
+class Node(Component):
+    """Run one node of the fleet."""
+
+    channel = "node"
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        secrets: Sequence[bytes],
+        items: Iterable[AnyObject] = (),
+        seed: int | None = None,
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.settings = settings
+        self.boot = make_boot_id()
+        self.clock = MonotonicClock()
+        self.refused_links: dict[str, int] = {}
+        self.stopping = False
+        self._stop_deadline = 0.0
+        self._secrets = secrets
+        rng = random.Random(seed)
+        self.poller = Poller().register(self)
+        self.timers = Timers(self.clock).register(self)
+        self.routes = FixedRoutes(items)
+        self.directory = DirectoryTable()
+        self.dispatcher = Dispatcher(self.poller, self.timers, self.clock)
+        self.links = Links(
+            self.poller,
+            self.timers,
+            self.clock,
+            settings.node_id,
+            self.boot,
+            lambda: self._secrets,
+            NodeLinkObserver(self),
+        )
+        self.sync = DirectorySync(
+            settings,
+            self.boot,
+            self.clock,
+            self.timers,
+            self.directory,
+            self.dispatcher,
+            self.links,
+        )
+        self.announcements = Announcements(
+            settings.node_id,
+            self.clock,
+            self.timers,
+            self.dispatcher,
+            self.sync.list_domain_nodes,
+            self.sync.announce_change,
+        ).register(self)
+        self.entry = Entry(
+            settings.node_id,
+            settings.failure_domain,
+            self.clock,
+            self.timers,
+            self.routes,
+            self.directory,
+            self.dispatcher,
+            self.links,
+            rng,
+        ).register(self)
+        self.metrics = NodeMetrics(settings.node_id)
+        StatusPages(self.read_status, self.metrics).register(self)
+        self.callers = self._serve(settings.callers, settings.limits, "callers")
+        self.servers = self._serve(settings.servers, INNER_LIMITS, "servers")
+        self.operators = self._serve(settings.operators, INNER_LIMITS, "operators")
+        self.links.listen(settings.peers)
+        self.dispatcher.update_services(self.routes.services.values())
+
+    def read_status(self) -> dict:
+        """Return what operators see of this node."""
+        revision = self.sync.read_revision()
+        count, total = self.sync.count_nodes_at(revision)
+        self._update_metrics()
+        return {
+            "node": self.settings.node_id,
+            "boot": self.boot,
+            "revision": revision,
+            "members": [
+                {
+                    "node": update.home,
+                    "failure_domain": update.failure_domain,
+                    "state": "leaving" if update.leaving else "live",
+                    "revision": update.revision,
+                }
+                for update in self.sync.list_members()
+            ],
+            "in_force": {"count": count, "of": total},
+            "services": [self._describe_service(name) for name in self.routes.services],
+            "servers": [
+                {
+                    "instance": server.instance,
+                    "slots": server.slots,
+                    "in_use": server.in_use,
+                    "draining": server.draining,
+                    "ejected": server.ejected,
+                }
+                for server in self.dispatcher.servers.values()
+            ],
+            "store": {"reachable": False, "last_contact_s": None},
+            "counters": dict(self.entry.counters),
+            "in_flight": len(self.entry.in_flight) + len(self.dispatcher.running),
+        }
+
+    def begin_shutdown(self) -> None:
+        """Take no new work, and stop once everything in flight has ended."""
+        if self.stopping:
+            return
+        self.stopping = True
+        now = self.clock.now()
+        self._stop_deadline = now + self.settings.shutdown_deadline_ms / 1000
+        eliot.log_message(
+            message_type="node:leaving",
+            node=self.settings.node_id,
+            in_flight=len(self.entry.in_flight) + len(self.dispatcher.running),
+        )
+        self.announcements.leaving = True
+        self.sync.send_leaving()
+        self.timers.call_at(now + LEAVE_NOTICE_S, self._drain_callers)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo: int, stack) -> None:
+        event.stop()
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.begin_shutdown()
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, error, trace, handler=None, fevent=None) -> None:
+        eliot.log_message(
+            message_type="node:exception",
+            node=self.settings.node_id,
+            error=f"{kind.__name__}: {error}",
+            trace="".join(trace) if isinstance(trace, list) else str(trace),
+        )
+        if isinstance(error, InvariantError):
+            # A broken promise must not be served on; the instance is replaced.
+            os._exit(70)
+
+    def _serve(
+        self, address: tuple[str, int], limits: CallerLimits, channel: str
+    ) -> EdgeServer:
+        return EdgeServer(
+            self.poller, self.timers, self.clock, address, limits, channel
+        ).register(self)
+
+    def _drain_callers(self) -> None:
+        self.callers.drain()
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        now = self.clock.now()
+        idle = (
+            not self.entry.in_flight
+            and not self.dispatcher.running
+            and not self.callers.connection_count
+        )
+        if idle or now >= self._stop_deadline:
+            eliot.log_message(
+                message_type="node:stopped",
+                node=self.settings.node_id,
+                cut=len(self.entry.in_flight) + len(self.dispatcher.running),
+            )
+            self.root.stop()
+            return
+        self.timers.call_at(now + SHUTDOWN_CHECK_S, self._check_drained)
+
+    def _describe_service(self, name: str) -> dict:
+        service = self.routes.services[name]
+        homes = self.directory.list_homes(name)
+        announced = sum(home.announced for home in homes)
+        pool = self.dispatcher.pools.get(name)
+        local = pool.servers if pool is not None else []
+        return {
+            "service": name,
+            "floor": service.floor.count_servers(announced),
+            "announced": announced,
+            "healthy": sum(home.servers for home in homes),
+            "ejected": [
+                {"instance": server.instance, "why": ""}
+                for server in local
+                if server.ejected
+            ],
+            "draining": sum(1 for server in local if server.draining),
+        }
+
+    def _update_metrics(self) -> None:
+        for name, count in self.entry.counters.items():
+            self.metrics.set_event_count(name, count)
+        self.metrics.set_value("caller_connections", self.callers.connection_count)
+        self.metrics.set_value("links", self.links.count)
+        self.metrics.set_value("servers", len(self.dispatcher.servers))
+        self.metrics.set_value("in_flight", len(self.entry.in_flight))
--- a/src/flamingobank/node/dispatcher.py
+++ b/src/flamingobank/node/dispatcher.py
@@ -164,7 +164,9 @@
             lambda exchange, attempt: self._end_attempt(request, exchange, attempt),
         )
         request.exchange = exchange
-        exchange.send(render_request(request.message, request.body, request.deadline - now))
+        exchange.send(
+            render_request(request.message, request.body, request.deadline - now)
+        )
 
     def _end_attempt(
         self, request: HomeRequest, exchange: UpstreamExchange, attempt: Attempt
@@ -189,9 +191,7 @@
         now = self._dispatcher.clock.now()
         request.exchange = None
         if attempt.result is AttemptResult.BROKEN_BEFORE_HEAD:
-            self._refuse(
-                request, Reason.BROKEN, attempt.detail, Disposition.UNKNOWN
-            )
+            self._refuse(request, Reason.BROKEN, attempt.detail, Disposition.UNKNOWN)
             return
         if attempt.result is AttemptResult.SHED:
             server.backoff_until = now + SHED_BACKOFF_S
--- a/src/flamingobank/node/edge.py
+++ b/src/flamingobank/node/edge.py
@@ -88,7 +88,8 @@
         self.status = 200
         self.headers = Headers([])
         self.cookie = {}
-        self.protocol = "HTTP/%d.%d" % request.protocol
+        major, minor = request.protocol
+        self.protocol = f"HTTP/{major}.{minor}"
         self.close = not request.sock.keep_alive
 
 
@@ -260,10 +261,10 @@
         encodings = names.count(b"transfer-encoding")
         if lengths + encodings > 1:
             self._refused = 400
+        limit = self.server.limits.max_body_bytes
         for name, value in self.headers:
-            if name == b"content-length":
-                if int(value) > self.server.limits.max_body_bytes:
-                    self._refused = 413
+            if name == b"content-length" and int(value) > limit:
+                self._refused = 413
             if name == b"transfer-encoding" and value.lower() != b"chunked":
                 self._refused = 501
         if self._parser.should_upgrade():
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -301,7 +301,9 @@
             self._acknowledge()
 
     def _is_whole(self) -> bool:
-        return self._expected_bytes is None or self._expected_bytes == self._passed_bytes
+        return (
+            self._expected_bytes is None or self._expected_bytes == self._passed_bytes
+        )
 
     def _acknowledge(self) -> None:
         if self._running is None or not self._unacknowledged:
--- a/src/flamingobank/node/links.py
+++ b/src/flamingobank/node/links.py
@@ -142,7 +142,10 @@
             self.stalled_since = None
         elif self.stalled_since is None:
             self.stalled_since = now
-        if self.stalled_since is not None and now > self.stalled_since + STALL_TIMEOUT_S:
+        if (
+            self.stalled_since is not None
+            and now > self.stalled_since + STALL_TIMEOUT_S
+        ):
             self.close("peer takes no output")
             return
         if not self._streams and now > self.last_used + IDLE_TIMEOUT_S:
--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/remote.py
@@ -116,7 +116,15 @@
 class ServedStream(StreamHandler, AnswerSink):
     """Stand at the home node for a request that came over a link."""
 
-    __slots__ = ("_body", "_dispatcher", "_done", "_link", "_message", "_running", "_stream")
+    __slots__ = (
+        "_body",
+        "_dispatcher",
+        "_done",
+        "_link",
+        "_message",
+        "_running",
+        "_stream",
+    )
 
     def __init__(
         self, dispatcher: Dispatcher, link: Link, stream: int, message: OpenRequest
--- a/src/flamingobank/wire/handshake.py
+++ b/src/flamingobank/wire/handshake.py
@@ -150,9 +150,7 @@
 ) -> bytes:
     """Return a MAC over both nonces and identities for one role."""
     transcript = msgpack.packb([role, initiator_hello[1:4], acceptor_hello[1:4]])
-    return blake2b(
-        transcript, key=_shorten(secret), digest_size=PROOF_BYTES
-    ).digest()
+    return blake2b(transcript, key=_shorten(secret), digest_size=PROOF_BYTES).digest()
 
 
 def _shorten(secret: bytes) -> bytes:
--- /dev/null
+++ b/src/flamingobank_standins/local_fleet.py
@@ -0,0 +1,250 @@
+"""Start nodes, servers and a store as processes on loopback."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+from flamingobank.settings import NodeSettings, render_settings
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 40.0
+
+
+@dataclass(slots=True)
+class NodeProcess:
+    """Hold a started node."""
+
+    settings: NodeSettings
+    settings_file: Path
+    process: subprocess.Popen
+
+
+@dataclass(slots=True)
+class ServerProcess:
+    """Hold a started server."""
+
+    instance: str
+    failure_domain: str
+    address: tuple[str, int]
+    labels: dict[str, str]
+    process: subprocess.Popen
+
+
+class LocalFleet:
+    """Own the processes of one fleet and end them by their ids."""
+
+    def __init__(self, region: str) -> None:
+        self.region = region
+        self.nodes: dict[str, NodeProcess] = {}
+        self.servers: dict[str, ServerProcess] = {}
+        self.store_address: tuple[str, int] | None = None
+        self._directory = tempfile.TemporaryDirectory(prefix="flamingobank-")
+        self.path = Path(self._directory.name)
+        self._others: list[subprocess.Popen] = []
+        self._secret_file = self._write_secret("fleet.secret", os.urandom(24).hex())
+        self.token_file = self._write_secret("store.token", os.urandom(16).hex())
+
+    def __enter__(self) -> "LocalFleet":
+        return self
+
+    def __exit__(self, *exception) -> None:
+        self.stop()
+
+    def start_store(self) -> None:
+        """Start the stand-in of the platform's store."""
+        self.store_address = (HOST, find_free_port())
+        process = self._spawn(
+            [
+                "-m",
+                "flamingobank_standins.store",
+                "--listen",
+                _render(self.store_address),
+                "--token-file",
+                str(self.token_file),
+            ],
+            "store",
+        )
+        self._others.append(process)
+        wait_until(lambda: _accepts(self.store_address), "the store listens")
+
+    def make_settings(self, node_id: str, failure_domain: str) -> NodeSettings:
+        """Return settings with free ports and the nodes so far as seeds."""
+        seeds = tuple(node.settings.peers for node in list(self.nodes.values())[:3])
+        return NodeSettings(
+            node_id=node_id,
+            failure_domain=failure_domain,
+            region=self.region,
+            callers=(HOST, find_free_port()),
+            peers=(HOST, find_free_port()),
+            servers=(HOST, find_free_port()),
+            operators=(HOST, find_free_port()),
+            seeds=seeds,
+            store=self.store_address,
+            store_token_file=self.token_file if self.store_address else None,
+            fleet_secret_file=self._secret_file,
+        )
+
+    def start_node(
+        self,
+        node_id: str,
+        failure_domain: str,
+        manifests: Iterable[Path] = (),
+        settings: NodeSettings | None = None,
+    ) -> NodeProcess:
+        """Start a node; it is ready once wait_for_nodes returns."""
+        settings = settings or self.make_settings(node_id, failure_domain)
+        settings_file = self.path / f"{node_id}.ini"
+        settings_file.write_text(render_settings(settings))
+        arguments = ["-m", "flamingobank", "node", "--settings", str(settings_file)]
+        for manifest in manifests:
+            arguments += ["--manifest", str(manifest)]
+        process = self._spawn(arguments, node_id)
+        node = NodeProcess(settings, settings_file, process)
+        self.nodes[node_id] = node
+        return node
+
+    def start_server(
+        self, instance: str, failure_domain: str, labels: dict[str, str], slots: int = 4
+    ) -> ServerProcess:
+        """Start a server that announces itself to the nodes."""
+        address = (HOST, find_free_port())
+        arguments = [
+            "-m",
+            "flamingobank_standins.upstream",
+            "--instance",
+            instance,
+            "--listen",
+            _render(address),
+            "--failure-domain",
+            failure_domain,
+            "--slots",
+            str(slots),
+        ]
+        for name, value in labels.items():
+            arguments += ["--label", f"{name}={value}"]
+        for node in self.nodes.values():
+            arguments += ["--node", _render(node.settings.servers)]
+        process = self._spawn(arguments, instance)
+        server = ServerProcess(instance, failure_domain, address, labels, process)
+        self.servers[instance] = server
+        return server
+
+    def wait_for_nodes(self) -> None:
+        """Wait until every node answers its status."""
+        for name, node in self.nodes.items():
+            wait_until(
+                lambda node=node: _accepts(node.settings.operators),
+                f"node {name} listens",
+            )
+
+    def wait_for_servers(self, expected: dict[str, int]) -> None:
+        """Wait until every node knows all servers of each service."""
+
+        def all_known() -> bool:
+            for node in self.nodes.values():
+                services = {
+                    row["service"]: row["announced"]
+                    for row in self.read_status(node)["services"]
+                }
+                for service, count in expected.items():
+                    if services.get(service) != count:
+                        return False
+            return True
+
+        wait_until(all_known, f"all nodes know the servers {expected}")
+
+    def read_status(self, node: NodeProcess) -> dict:
+        """Return a node's status."""
+        return call_json(node.settings.operators, "GET", "/status")
+
+    def control_server(self, instance: str, **fields: object) -> dict:
+        """Change a server's faults, or read its counters."""
+        method = "POST" if fields else "GET"
+        address = self.servers[instance].address
+        return call_json(address, method, "/control", fields or None)
+
+    def stop(self) -> None:
+        """End all processes that this fleet started."""
+        processes = [node.process for node in self.nodes.values()]
+        processes += [server.process for server in self.servers.values()]
+        processes += self._others
+        for process in processes:
+            if process.poll() is None:
+                process.kill()
+        for process in processes:
+            process.wait()
+        self._directory.cleanup()
+
+    def _spawn(self, arguments: list[str], name: str) -> subprocess.Popen:
+        with (self.path / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def _write_secret(self, name: str, secret: str) -> Path:
+        path = self.path / name
+        path.write_text(secret + "\n")
+        path.chmod(0o600)
+        return path
+
+
+def find_free_port() -> int:
+    """Return a port that is free now; the caller binds it soon after."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def call_json(
+    address: tuple[str, int], method: str, path: str, fields: dict | None = None
+) -> dict:
+    """Make one HTTP call and return its JSON answer."""
+    connection = http.client.HTTPConnection(*address, timeout=5)
+    with contextlib.closing(connection):
+        body = json.dumps(fields) if fields is not None else None
+        connection.request(method, path, body)
+        return json.loads(connection.getresponse().read())
+
+
+def terminate_and_wait(process: subprocess.Popen) -> int:
+    """Ask a process to leave and return its exit code."""
+    process.send_signal(signal.SIGTERM)
+    return process.wait(STOP_TIMEOUT_S)
+
+
+def wait_until(condition, what: str, timeout_s: float = READY_TIMEOUT_S) -> float:
+    """Wait for a condition and return how long it took, in seconds."""
+    started = time.monotonic()
+    while True:
+        if condition():
+            return time.monotonic() - started
+        if time.monotonic() - started > timeout_s:
+            raise TimeoutError(f"waited {timeout_s} s until {what}")
+        time.sleep(POLL_S)
+
+
+def _accepts(address: tuple[str, int]) -> bool:
+    try:
+        with socket.create_connection(address, timeout=1):
+            return True
+    except OSError:
+        return False
+
+
+def _render(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/src/flamingobank_standins/upstream/announcer.py
@@ -0,0 +1,128 @@
+"""Announce the stand-in to the fleet and keep the announcement alive."""
+
+import json
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    AnswerHandler,
+    HttpClientConnection,
+    Poller,
+    TimerHandle,
+    Timers,
+)
+
+RENEW_S = 1.0
+RETRY_S = 0.1
+TIMEOUT_S = 0.7
+MAX_REDIRECTS = 3
+
+
+class Announcer(AnswerHandler):
+    """Renew with the home node; ask any known node when it does not answer."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        nodes: list[Address],
+        describe: Callable[[], dict],
+    ) -> None:
+        self.home: str | None = None
+        self._poller = poller
+        self._timers = timers
+        self._clock = clock
+        self._nodes = nodes
+        self._describe = describe
+        self._turn = 0
+        self._address: Address | None = None
+        self._connection: HttpClientConnection | None = None
+        self._redirects = 0
+        self._status = 0
+        self._body: list[bytes] = []
+        self._timeout: TimerHandle | None = None
+        self._next: TimerHandle | None = None
+
+    def announce(self) -> None:
+        """Send an announcement now."""
+        if self._next is not None:
+            self._next.cancel()
+        if self._timeout is not None:
+            return
+        if self._address is None:
+            self._address = self._nodes[self._turn % len(self._nodes)]
+            self._turn += 1
+        if self._connection is None or not self._connection.idle:
+            self._connection = HttpClientConnection(self._poller, self._address)
+        fields = self._describe()
+        fields["final"] = self._redirects >= MAX_REDIRECTS
+        body = json.dumps(fields).encode()
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        self._body.clear()
+        self._timeout = self._timers.call_at(
+            self._clock.now() + TIMEOUT_S, self._give_up
+        )
+        self._connection.send(
+            b"POST /.flamingobank/announce HTTP/1.1\r\nhost: %s\r\n"
+            b"content-type: application/json\r\ncontent-length: %d\r\n\r\n%s"
+            % (host, len(body), body),
+            self,
+        )
+
+    def on_answer_head(self, status: int, headers: list) -> None:
+        self._status = status
+
+    def on_answer_part(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def on_answer_end(self) -> None:
+        self._timeout.cancel()
+        self._timeout = None
+        fields = _read_json(b"".join(self._body))
+        if self._status == 307 and "address" in fields:
+            self._follow(fields["address"])
+            return
+        self._redirects = 0
+        if self._status != 200:
+            self._try_another()
+            return
+        self.home = fields.get("home")
+        self._schedule(RENEW_S)
+
+    def on_answer_failed(self, reason: str, sent: bool) -> None:
+        if self._timeout is not None:
+            self._timeout.cancel()
+            self._timeout = None
+        self._try_another()
+
+    def _follow(self, text: str) -> None:
+        self._redirects += 1
+        host, _, port = text.rpartition(":")
+        self._connection.close()
+        self._connection = None
+        self._address = (host, int(port))
+        self.announce()
+
+    def _give_up(self) -> None:
+        self._timeout = None
+        self._connection.cancel()
+        self._try_another()
+
+    def _try_another(self) -> None:
+        self.home = None
+        self._address = None
+        self._connection = None
+        self._schedule(RETRY_S)
+
+    def _schedule(self, delay_s: float) -> None:
+        self._next = self._timers.call_at(self._clock.now() + delay_s, self.announce)
+
+
+def _read_json(data: bytes) -> dict:
+    try:
+        fields = json.loads(data)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- /dev/null
+++ b/src/flamingobank_standins/upstream/behavior.py
@@ -0,0 +1,92 @@
+"""Decide how the stand-in answers, including its faults."""
+
+import enum
+import random
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
+
+MAX_WORK_MS = 600_000
+MAX_PARTS = 100_000
+MAX_PART_BYTES = 1_048_576
+FLAP_PERIOD_S = 5.0
+
+
+class Mode(enum.Enum):
+    """Name a fault of the stand-in."""
+
+    HEALTHY = "healthy"
+    FAIL_HALF = "fail-half"
+    FAIL_ALL = "fail-all"
+    SLOW = "slow"
+    FLAP = "flap"
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold the faults in force; set over the control path."""
+
+    mode: Mode = Mode.HEALTHY
+    slow_factor: float = 10.0
+    # Reported load instead of the real one; None reports the real one.
+    reported_in_use: int | None = None
+    shed_all: bool = False
+    # A request whose body or target holds this text ends the process.
+    crash_text: str = ""
+    warmup_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Describe what a request asks the stand-in to do."""
+
+    work_ms: float = 0.0
+    parts: int = 0
+    part_bytes: int = 1024
+    interval_ms: float = 0.0
+    echo: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Say how a request is answered."""
+
+    status: int
+    delay_s: float
+    work: Work = field(default_factory=Work)
+
+
+def parse_work(query: str) -> Work:
+    """Read ``ms``, ``parts``, ``bytes``, ``interval`` and ``echo`` from a query."""
+    values = dict(parse_qsl(query))
+    return Work(
+        _read_number(values.get("ms"), MAX_WORK_MS),
+        int(_read_number(values.get("parts"), MAX_PARTS)),
+        int(_read_number(values.get("bytes", "1024"), MAX_PART_BYTES)),
+        _read_number(values.get("interval"), MAX_WORK_MS),
+        values.get("echo", ""),
+    )
+
+
+def make_plan(work: Work, faults: Faults, now: float, rng: random.Random) -> Plan:
+    """Decide the answer to one request of real work."""
+    factor = faults.slow_factor if faults.mode is Mode.SLOW else 1.0
+    delay_s = work.work_ms * factor / 1000
+    return Plan(500 if _fails(faults.mode, now, rng) else 200, delay_s, work)
+
+
+def _fails(mode: Mode, now: float, rng: random.Random) -> bool:
+    if mode is Mode.FAIL_ALL:
+        return True
+    if mode is Mode.FAIL_HALF:
+        return rng.random() < 0.5
+    if mode is Mode.FLAP:
+        return int(now / FLAP_PERIOD_S) % 2 == 1
+    return False
+
+
+def _read_number(text: str | None, limit: float) -> float:
+    try:
+        value = float(text or 0)
+    except ValueError:
+        return 0.0
+    return min(max(0.0, value), limit)
--- /dev/null
+++ b/src/flamingobank_standins/upstream/server.py
@@ -0,0 +1,241 @@
+"""Serve work with a few slots, announce, drain, shed and fail on request."""
+
+import dataclasses
+import json
+import os
+import random
+
+from circuits import Component, handler
+
+from flamingobank.core import Clock
+from flamingobank.loop import Address, Poller, TimerHandle, Timers
+from flamingobank.node.edge import (
+    ConnectionWatcher,
+    EdgeRequest,
+    EdgeResponse,
+    EdgeServer,
+)
+from flamingobank.settings import CallerLimits
+from flamingobank_standins.upstream.announcer import Announcer
+from flamingobank_standins.upstream.behavior import (
+    Faults,
+    Mode,
+    Plan,
+    make_plan,
+    parse_work,
+)
+
+LIMITS = CallerLimits(max_connections=1024, max_body_bytes=4_194_304)
+CRASH_EXIT = 3
+# A server that drains waits at least this long, so that work which was sent before
+# its home heard of it still arrives.
+DRAIN_WAIT_S = 3.2
+
+
+class Job(ConnectionWatcher):
+    """Run one request on a slot."""
+
+    def __init__(self, upstream: "Upstream", request: EdgeRequest, plan: Plan) -> None:
+        self._upstream = upstream
+        self._request = request
+        self._plan = plan
+        self._sent_parts = 0
+        self._timer: TimerHandle | None = None
+        request.sock.watcher = self
+        self._wait(plan.delay_s, self._answer)
+
+    def on_caller_left(self) -> None:
+        self._timer.cancel()
+        self._upstream.cancelled += 1
+        self._upstream.end_job()
+
+    def on_output_drained(self) -> None:
+        return None
+
+    def _wait(self, delay_s: float, then) -> None:
+        upstream = self._upstream
+        self._timer = upstream.timers.call_at(upstream.clock.now() + delay_s, then)
+
+    def _answer(self) -> None:
+        plan = self._plan
+        if plan.work.parts and plan.status == 200:
+            total = plan.work.parts * plan.work.part_bytes
+            self._upstream.write_head(self._request, 200, total)
+            self._send_part()
+            return
+        body = f"{self._upstream.instance} {plan.work.echo}\n".encode()
+        self._upstream.write_head(self._request, plan.status, len(body))
+        self._request.sock.write(body)
+        self._end()
+
+    def _send_part(self) -> None:
+        work = self._plan.work
+        connection = self._request.sock
+        # Waits for room, so that a slow reader does not fill the memory.
+        if connection.output_bytes < 4 * work.part_bytes + 262_144:
+            marker = f"{self._sent_parts:08d}".encode()
+            connection.write(marker + b"." * max(0, work.part_bytes - len(marker)))
+            self._sent_parts += 1
+        if self._sent_parts == work.parts:
+            self._end()
+            return
+        self._wait(work.interval_ms / 1000, self._send_part)
+
+    def _end(self) -> None:
+        self._request.sock.finish_answer(keep=True)
+        self._upstream.end_job()
+
+
+class Upstream(Component):
+    """Run one server."""
+
+    channel = "upstream"
+
+    def __init__(
+        self,
+        instance: str,
+        address: Address,
+        failure_domain: str,
+        labels: dict[str, str],
+        slots: int,
+        nodes: list[Address],
+        clock: Clock,
+        seed: int,
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.instance = instance
+        self.clock = clock
+        self.faults = Faults()
+        self.in_use = 0
+        self.cancelled = 0
+        self.draining = False
+        self.runs: dict[str, int] = {}
+        self.work_after_drain = 0
+        self.served = 0
+        self._slots = slots
+        self._labels = labels
+        self._failure_domain = failure_domain
+        self._boot = f"{os.getpid():x}-{os.urandom(4).hex()}"
+        self._rng = random.Random(seed)
+        self._started_at = clock.now()
+        self._drain_at = float("inf")
+        self.poller = Poller().register(self)
+        self.timers = Timers(clock).register(self)
+        self.edge = EdgeServer(
+            self.poller, self.timers, clock, address, LIMITS, self.channel
+        ).register(self)
+        self._announcer = Announcer(
+            self.poller, self.timers, clock, nodes, self.describe
+        )
+        if nodes:
+            self.timers.call_soon(self._announcer.announce)
+
+    def describe(self) -> dict:
+        """Return the announcement."""
+        reported = self.faults.reported_in_use
+        return {
+            "instance": self.instance,
+            "boot": self._boot,
+            "address": f"{self.edge.host}:{self.edge.port}",
+            "labels": self._labels,
+            "slots": self._slots,
+            "failure_domain": self._failure_domain,
+            "in_use": self.in_use if reported is None else reported,
+            "draining": self.draining,
+            "warm": self._compute_warmth(),
+        }
+
+    def write_head(self, request: EdgeRequest, status: int, length: int) -> None:
+        """Write the head of an answer."""
+        reported = self.faults.reported_in_use
+        in_use = self.in_use if reported is None else reported
+        request.sock.write(
+            f"HTTP/1.1 {status} -\r\ncontent-length: {length}\r\n"
+            f'content-type: text/plain\r\netag: "{self._boot}"\r\n'
+            f"flamingobank-load: {in_use}/{self._slots}\r\n\r\n".encode()
+        )
+
+    def end_job(self) -> None:
+        """Give a slot back."""
+        self.in_use -= 1
+        self.served += 1
+
+    @handler("request", priority=1)
+    def _on_request(self, event, request: EdgeRequest, response: EdgeResponse):
+        if request.path == "/healthz":
+            # Gray failures answer probes, so the probe ignores the faults.
+            response.body = "ok\n"
+            return response
+        if request.path == "/control":
+            response.body = json.dumps(self._control(request))
+            return response
+        event.success = False
+        self._start_work(request)
+        return True
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo, stack) -> None:
+        event.stop()
+        self._drain()
+
+    def _start_work(self, request: EdgeRequest) -> None:
+        text = request.target + request.content
+        crash_text = self.faults.crash_text.encode()
+        if crash_text and crash_text in text:
+            os._exit(CRASH_EXIT)
+        now = self.clock.now()
+        if now > self._drain_at + 3.0:
+            self.work_after_drain += 1
+        if self.in_use >= self._slots or self.faults.shed_all:
+            request.sock.write(
+                b"HTTP/1.1 503 -\r\nflamingobank-shed: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+            request.sock.finish_answer(keep=True)
+            return
+        self.in_use += 1
+        key = request.get_header(b"idempotency-key").decode("latin-1")
+        if key:
+            self.runs[key] = self.runs.get(key, 0) + 1
+        Job(
+            self,
+            request,
+            make_plan(parse_work(request.qs), self.faults, now, self._rng),
+        )
+
+    def _control(self, request: EdgeRequest) -> dict:
+        if request.method == "POST":
+            fields = json.loads(request.content)
+            if "mode" in fields:
+                fields["mode"] = Mode(fields["mode"])
+            if fields.pop("drain", False):
+                self._drain()
+            self.faults = dataclasses.replace(self.faults, **fields)
+        return {
+            "instance": self.instance,
+            "in_use": self.in_use,
+            "served": self.served,
+            "cancelled": self.cancelled,
+            "runs": self.runs,
+            "work_after_drain": self.work_after_drain,
+            "draining": self.draining,
+            "home": self._announcer.home,
+        }
+
+    def _drain(self) -> None:
+        if self.draining:
+            return
+        self.draining = True
+        self._drain_at = self.clock.now()
+        self._announcer.announce()
+        self.timers.call_at(self._drain_at + DRAIN_WAIT_S, self._stop_when_idle)
+
+    def _stop_when_idle(self) -> None:
+        if self.in_use == 0:
+            self.root.stop()
+            return
+        self.timers.call_at(self.clock.now() + 0.05, self._stop_when_idle)
+
+    def _compute_warmth(self) -> float:
+        if not self.faults.warmup_s:
+            return 1.0
+        return min(1.0, (self.clock.now() - self._started_at) / self.faults.warmup_s)
