Add the store client, leases and the blocking client

Cause: nodes and the command line read and write the platform's store, which loses answers after the write, slows down and goes away for hours.

Change: reads and writes are pure operations that turn answers into the next call; StoreClient runs them on the loop within a call budget, shares identical reads, opens a circuit in an outage and sends one call at a time while the store is slow. BlockingStore runs the same operations on http.client. Lease holds a lease with a fencing token; its object holds a term because clocks of two nodes cannot be compared. A creation whose answer is lost is read back but not sent again, except for audit and key objects: the random test found that a creation sent twice takes effect twice when the object is removed in between.

--- /dev/null
+++ b/src/flamingobank/store/__init__.py
@@ -0,0 +1,50 @@
+"""Call the platform's object API, hold leases, stay within the call budget."""
+
+from flamingobank.store.backoff import Backoff
+from flamingobank.store.blocking import BlockingStore
+from flamingobank.store.budget import CallBudget, GroupBudget
+from flamingobank.store.calls import Answer, CallFailed, StoreAnswer, StoreCall
+from flamingobank.store.circuit import Circuit, CircuitState
+from flamingobank.store.client import StoreClient
+from flamingobank.store.interfaces import ClientCounters, Scheduler, Transport
+from flamingobank.store.lease import Lease, LeaseAction, LeaseActionKind
+from flamingobank.store.values import (
+    Listing,
+    ObjectChange,
+    Removed,
+    Spec,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+    WatchAnswer,
+    Written,
+)
+
+__all__ = [
+    "Answer",
+    "Backoff",
+    "BlockingStore",
+    "CallBudget",
+    "CallFailed",
+    "Circuit",
+    "CircuitState",
+    "ClientCounters",
+    "GroupBudget",
+    "Lease",
+    "LeaseAction",
+    "LeaseActionKind",
+    "Listing",
+    "ObjectChange",
+    "Removed",
+    "Scheduler",
+    "Spec",
+    "StoreAnswer",
+    "StoreCall",
+    "StoreClient",
+    "StoreError",
+    "StoreErrorKind",
+    "StoredObject",
+    "Transport",
+    "WatchAnswer",
+    "Written",
+]
--- /dev/null
+++ b/src/flamingobank/store/calls.py
@@ -0,0 +1,144 @@
+"""Encode calls to the store and decode its answers."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from urllib.parse import quote, urlencode
+
+from flamingobank.core import Revision
+from flamingobank.store.values import ObjectChange, Spec, StoredObject
+
+CALL_TIMEOUT_S = 2.0
+# The store may use the whole time of a watch; its answer needs time on top.
+WATCH_GRACE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """Hold one HTTP request to the store."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    timeout_s: float = CALL_TIMEOUT_S
+
+    @property
+    def is_write(self) -> bool:
+        """Tell whether the call can change the store."""
+        return self.method != "GET"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Hold one HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """Say that no answer came; sent tells whether the call may take effect."""
+
+    reason: str
+    sent: bool
+
+
+Answer = StoreAnswer | CallFailed
+
+
+def build_get(kind: str, name: str) -> StoreCall:
+    """Build the call that reads one object."""
+    return StoreCall("GET", _get_target(kind, name))
+
+
+def build_put(
+    kind: str, name: str, spec: Spec, write_id: str, expected: Revision | None
+) -> StoreCall:
+    """Build a write that needs a revision, or that no such object exists."""
+    if expected is None:
+        condition = ("If-None-Match", "*")
+    else:
+        condition = ("If-Match", str(expected))
+    body = json.dumps({"spec": dict(spec), "write_id": write_id}).encode()
+    return StoreCall("PUT", _get_target(kind, name), (condition,), body)
+
+
+def build_delete(kind: str, name: str, write_id: str, expected: Revision) -> StoreCall:
+    """Build the removal of one revision of an object."""
+    target = f"{_get_target(kind, name)}?{urlencode({'write_id': write_id})}"
+    return StoreCall("DELETE", target, (("If-Match", str(expected)),))
+
+
+def build_list(kind: str, after: str, limit: int) -> StoreCall:
+    """Build the read of one page; an empty kind lists the configuration."""
+    query = {"after": after, "limit": str(limit)}
+    if kind:
+        query["kind"] = kind
+    return StoreCall("GET", f"/v1/objects?{urlencode(query)}")
+
+
+def build_watch(after: Revision, timeout_s: float) -> StoreCall:
+    """Build a call that waits for changes after a revision."""
+    query = urlencode({"after": after, "timeout_ms": int(timeout_s * 1000)})
+    timeout_s += WATCH_GRACE_S
+    return StoreCall("GET", f"/v1/watch?{query}", timeout_s=timeout_s)
+
+
+def encode_http(call: StoreCall, host: str, token: str) -> bytes:
+    """Write a call as an HTTP/1.1 request."""
+    lines = [
+        f"{call.method} {call.target} HTTP/1.1",
+        f"Host: {host}",
+        f"Authorization: Bearer {token}",
+    ]
+    lines += [f"{name}: {value}" for name, value in call.headers]
+    if call.is_write:
+        lines.append(f"Content-Length: {len(call.body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + call.body
+
+
+def decode_json(answer: StoreAnswer) -> dict | None:
+    """Return the JSON object of an answer, None for anything else."""
+    try:
+        value = json.loads(answer.body)
+    except ValueError:
+        return None
+    return value if isinstance(value, dict) else None
+
+
+def decode_object(value: object) -> StoredObject | None:
+    """Return an object of the store, None when a field is missing or wrong."""
+    if not isinstance(value, dict):
+        return None
+    texts = [value.get("kind"), value.get("name"), value.get("write_id")]
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    revision, spec = value.get("revision"), value.get("spec")
+    if not is_revision(revision) or not isinstance(spec, dict):
+        return None
+    return StoredObject(texts[0], texts[1], Revision(revision), texts[2], spec)
+
+
+def decode_change(value: object) -> ObjectChange | None:
+    """Return a change seen by a watch, None when a field is missing or wrong."""
+    if not isinstance(value, dict):
+        return None
+    kind, name = value.get("kind"), value.get("name")
+    revision, spec = value.get("revision"), value.get("spec")
+    if not isinstance(kind, str) or not isinstance(name, str):
+        return None
+    if not is_revision(revision) or not isinstance(spec, dict | None):
+        return None
+    return ObjectChange(kind, name, Revision(revision), spec)
+
+
+def is_revision(value: object) -> bool:
+    """Tell whether a value is a revision: a whole number from 0."""
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def _get_target(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind)}/{quote(name)}"
--- /dev/null
+++ b/src/flamingobank/store/client.py
@@ -0,0 +1,299 @@
+"""Call the store from the loop within a budget."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from expression import Result
+
+from flamingobank.core import Clock, Revision
+from flamingobank.store.budget import CallBudget
+from flamingobank.store.calls import Answer, CallFailed, StoreCall
+from flamingobank.store.circuit import Circuit, CircuitState
+from flamingobank.store.interfaces import ClientCounters, Scheduler, Transport
+from flamingobank.store.operations import (
+    Finished,
+    GetOperation,
+    ListOperation,
+    Operation,
+    SendCall,
+    Step,
+    WatchOperation,
+)
+from flamingobank.store.reverts import check_result
+from flamingobank.store.revisions import Mark, RevisionGuard
+from flamingobank.store.values import (
+    Listing,
+    Removed,
+    Spec,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+    WatchAnswer,
+    Written,
+)
+from flamingobank.store.writes import DeleteOperation, PutOperation
+
+OPERATION_TIMEOUT_S = 5.0
+# A node's fair share is about 0.5 reads/s (2,000/s among 3,700 nodes).
+CALLS_PER_S = 0.5
+CALL_BURST = 20.0
+MAX_QUEUED = 256
+
+Callback = Callable[[Result], None]
+
+
+@dataclass(slots=True)
+class Active:
+    """Hold an operation under way."""
+
+    operation: Operation
+    mark: Mark
+    callbacks: list[Callback]
+    key: tuple | None = None
+    subject: tuple[str, str] = ("", "")
+    is_watch: bool = False
+    sent_at: float = 0.0
+
+
+class StoreClient:
+    """Read and write objects; each callback gets one Result.
+
+    ``writer`` is unique for each process, because write ids are made from it.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        scheduler: Scheduler,
+        clock: Clock,
+        rng: random.Random,
+        writer: str,
+        calls_per_s: float = CALLS_PER_S,
+        burst: float = CALL_BURST,
+        on_revert: Callable[[StoreError], None] | None = None,
+    ) -> None:
+        self.circuit = Circuit(rng)
+        self.counters = ClientCounters()
+        self.guard = RevisionGuard()
+        self._transport = transport
+        self._scheduler = scheduler
+        self._clock = clock
+        self._rng = rng
+        self._writer = writer
+        self._write_count = 0
+        self._budget = CallBudget(calls_per_s, burst, clock.now())
+        self._on_revert = on_revert
+        self._reads: dict[tuple, Active] = {}
+        self._queue: deque[tuple[Active, StoreCall]] = deque()
+        self._in_flight = 0
+        self._sending_queued = False
+
+    def new_write_id(self) -> str:
+        """Return an id that no other write has."""
+        self._write_count += 1
+        return f"{self._writer}-{self._write_count}"
+
+    def get(
+        self,
+        kind: str,
+        name: str,
+        callback: Callable[[Result[StoredObject, StoreError]], None],
+        timeout_s: float = OPERATION_TIMEOUT_S,
+    ) -> None:
+        """Read one object; identical reads in flight share one call."""
+        operation = GetOperation(kind, name, self._get_deadline(timeout_s), self._rng)
+        self._read(("get", kind, name), operation, callback, (kind, name))
+
+    def list_all(
+        self,
+        kind: str,
+        callback: Callable[[Result[Listing, StoreError]], None],
+        after: str = "",
+        timeout_s: float = OPERATION_TIMEOUT_S,
+    ) -> None:
+        """Read all pages of a kind; an empty kind lists the configuration."""
+        deadline = self._get_deadline(timeout_s)
+        operation = ListOperation(kind, after, deadline, self._rng)
+        self._read(("list", kind, after), operation, callback)
+
+    def watch(
+        self,
+        after: Revision,
+        callback: Callable[[Result[WatchAnswer, StoreError]], None],
+        timeout_s: float = 30.0,
+    ) -> None:
+        """Wait once for changes; call again with the revision of the answer."""
+        deadline = self._get_deadline(timeout_s + OPERATION_TIMEOUT_S)
+        operation = WatchOperation(after, timeout_s, deadline, self._rng)
+        self._read(("watch", after), operation, callback, is_watch=True)
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        spec: Spec,
+        callback: Callable[[Result[Written, StoreError]], None],
+        expected: Revision | None = None,
+        write_id: str = "",
+        timeout_s: float = OPERATION_TIMEOUT_S,
+    ) -> None:
+        """Write an object at an expected revision; None means it must not exist."""
+        operation = PutOperation(
+            kind,
+            name,
+            spec,
+            write_id or self.new_write_id(),
+            expected,
+            self._get_deadline(timeout_s),
+            self._rng,
+        )
+        self._write(operation, callback, (kind, name))
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        expected: Revision,
+        callback: Callable[[Result[Removed, StoreError]], None],
+        write_id: str = "",
+        timeout_s: float = OPERATION_TIMEOUT_S,
+    ) -> None:
+        """Remove an object at an expected revision."""
+        operation = DeleteOperation(
+            kind,
+            name,
+            write_id or self.new_write_id(),
+            expected,
+            self._get_deadline(timeout_s),
+            self._rng,
+        )
+        self._write(operation, callback, (kind, name))
+
+    def _get_deadline(self, timeout_s: float) -> float:
+        return self._clock.now() + timeout_s
+
+    def _read(
+        self,
+        key: tuple,
+        operation: Operation,
+        callback: Callback,
+        subject: tuple[str, str] = ("", ""),
+        is_watch: bool = False,
+    ) -> None:
+        shared = self._reads.get(key)
+        mark = self.guard.mark(*subject)
+        # A read sent before this client saw a newer revision may miss it.
+        if shared is not None and shared.mark == mark:
+            self.counters.coalesced += 1
+            shared.callbacks.append(callback)
+            return
+        active = Active(operation, mark, [callback], key, subject, is_watch)
+        self._reads[key] = active
+        self._submit(active, operation.begin().call)
+
+    def _write(
+        self, operation: Operation, callback: Callback, subject: tuple[str, str]
+    ) -> None:
+        mark = self.guard.mark(*subject)
+        active = Active(operation, mark, [callback], subject=subject)
+        self._submit(active, operation.begin().call)
+
+    def _submit(self, active: Active, call: StoreCall) -> None:
+        now = self._clock.now()
+        if not active.is_watch and self._in_flight >= self.circuit.in_flight_limit:
+            if len(self._queue) < MAX_QUEUED:
+                self._queue.append((active, call))
+                return
+            self._refuse(active, StoreErrorKind.BUDGET, f"{MAX_QUEUED} calls wait")
+            return
+        max_wait_s = active.operation.deadline - now
+        if max_wait_s <= 0:
+            self._refuse(active, StoreErrorKind.AWAY, "the deadline passed")
+            return
+        wait_s = self._budget.reserve(now, max_wait_s)
+        if wait_s is None:
+            self._refuse(active, StoreErrorKind.BUDGET, "the call budget is used up")
+            return
+        if not active.is_watch:
+            self._in_flight += 1
+        if wait_s > 0:
+            self._scheduler.call_at(now + wait_s, partial(self._send, active, call))
+            return
+        self._send(active, call)
+
+    def _send(self, active: Active, call: StoreCall) -> None:
+        now = self._clock.now()
+        if not self._may_send(active, now):
+            self._leave_flight(active)
+            wait_s = self.circuit.get_wait(now)
+            self._refuse(active, StoreErrorKind.AWAY, "the circuit is open", wait_s)
+            self._send_queued()
+            return
+        self.counters.calls += 1
+        active.sent_at = now
+        self._transport.send(call, partial(self._on_answer, active))
+
+    def _may_send(self, active: Active, now: float) -> bool:
+        # A watch stays unanswered for long, so it cannot show that the store is back.
+        if active.is_watch and self.circuit.state is not CircuitState.CLOSED:
+            return False
+        return self.circuit.allow(now)
+
+    def _on_answer(self, active: Active, answer: Answer) -> None:
+        now = self._clock.now()
+        if isinstance(answer, CallFailed) or answer.status == 503:
+            self.circuit.record_failure(now)
+        else:
+            latency_s = 0.0 if active.is_watch else now - active.sent_at
+            self.circuit.record_answer(latency_s)
+        self._leave_flight(active)
+        self._advance(active, active.operation.take(answer, now))
+        self._send_queued()
+
+    def _leave_flight(self, active: Active) -> None:
+        if not active.is_watch:
+            self._in_flight -= 1
+
+    def _send_queued(self) -> None:
+        if self._sending_queued:
+            return
+        self._sending_queued = True
+        while self._queue and self._in_flight < self.circuit.in_flight_limit:
+            active, call = self._queue.popleft()
+            self._submit(active, call)
+        self._sending_queued = False
+
+    def _refuse(
+        self, active: Active, kind: StoreErrorKind, detail: str, wait_s: float = 0.0
+    ) -> None:
+        self.counters.refused += 1
+        error = active.operation.fail(kind, detail, wait_s=wait_s)
+        self._advance(active, active.operation.refuse(error, self._clock.now()))
+
+    def _advance(self, active: Active, step: Step) -> None:
+        if isinstance(step, SendCall):
+            submit = partial(self._submit, active, step.call)
+            self._scheduler.call_at(self._clock.now() + step.delay_s, submit)
+            return
+        self._finish(active, step)
+
+    def _finish(self, active: Active, step: Finished) -> None:
+        if active.key is not None and self._reads.get(active.key) is active:
+            del self._reads[active.key]
+        result = check_result(self.guard, active.mark, active.subject, step.result)
+        if result.is_error():
+            self._count_error(result.error)
+        for callback in active.callbacks:
+            callback(result)
+
+    def _count_error(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
+            self.counters.unknown_writes += 1
+        if error.kind is not StoreErrorKind.REVERTED:
+            return
+        self.counters.reverts += 1
+        if self._on_revert is not None:
+            self._on_revert(error)
--- /dev/null
+++ b/src/flamingobank/store/lease.py
@@ -0,0 +1,173 @@
+"""Hold a lease in the store with a fencing token.
+
+The clocks of two nodes cannot be compared, so the object holds the lease's term.
+The holder counts it from before it sent the write, a contender from when it read
+the write: the holder's deadline always ends first.
+"""
+
+import enum
+import random
+from dataclasses import dataclass
+
+from expression import Result
+
+from flamingobank.core import Revision
+from flamingobank.store.values import Spec, StoredObject, StoreErrorKind, Written
+
+KIND = "lease"
+TERM_S = 15.0
+# Renewing at a third of the term leaves two more attempts before it ends.
+RENEW_SHARE = 1 / 3
+# Clocks of two nodes may run at rates that differ by this share.
+DRIFT_SHARE = 0.01
+
+
+class LeaseActionKind(enum.Enum):
+    """Name what the node must do at the store for a lease."""
+
+    READ = "read"
+    WRITE = "write"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAction:
+    """Ask for one call; its result goes back with the time of its start."""
+
+    kind: LeaseActionKind
+    name: str
+    expected: Revision | None = None
+    spec: Spec | None = None
+    started_at: float = 0.0
+
+
+class Lease:
+    """Acquire, renew and give up one lease; ``now`` is monotonic, in seconds.
+
+    ``holder`` is unique for each start of a process.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        address: str,
+        rng: random.Random,
+        term_s: float = TERM_S,
+    ) -> None:
+        self.name = name
+        # Grows with each acquisition; receivers refuse a lower one.
+        self.token: Revision | None = None
+        self._holder = holder
+        self._address = address
+        self._rng = rng
+        self._term_s = term_s
+        self._deadline = 0.0
+        self._revision: Revision | None = None
+        self._busy = False
+        self._next_at = 0.0
+        self._seen: StoredObject | None = None
+        self._seen_at = 0.0
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether the lease is held; ask again after any stall."""
+        return self.token is not None and now < self._deadline
+
+    def get_other_holder(self) -> Spec | None:
+        """Return the spec of the last holder seen that is not this one."""
+        if self._seen is None or self._seen.spec.get("holder") == self._holder:
+            return None
+        return self._seen.spec
+
+    def tick(self, now: float) -> LeaseAction | None:
+        """Return the next call to make, None when there is none yet."""
+        if self.token is not None and now >= self._deadline:
+            self._lose(now)
+        if self._busy or now < self._next_at:
+            return None
+        if self.token is not None:
+            return self._write(self._revision, now)
+        if self._seen is None or not self._may_take(now):
+            self._busy = True
+            return LeaseAction(LeaseActionKind.READ, self.name, started_at=now)
+        return self._write(self._seen.revision, now)
+
+    def on_read(
+        self, result: Result[StoredObject, object], now: float
+    ) -> LeaseAction | None:
+        """Take the result of a read; return the write that it allows."""
+        self._busy = False
+        self._next_at = now + self._term_s * (0.2 + 0.3 * self._rng.random())
+        if result.is_error():
+            self._seen = None
+            if result.error.kind is StoreErrorKind.NOT_FOUND:
+                return self._write(None, now)
+            return None
+        if self._seen is None or self._seen.revision != result.ok.revision:
+            self._seen = result.ok
+            self._seen_at = now
+        if self._may_take(now):
+            return self._write(self._seen.revision, now)
+        return None
+
+    def on_written(
+        self, action: LeaseAction, result: Result[Written, object], now: float
+    ) -> None:
+        """Take the result of a write; the term counts from its start."""
+        self._busy = False
+        if result.is_error():
+            self._on_write_failed(result.error.kind, now)
+            return
+        revision = result.ok.revision
+        deadline = action.started_at + self._term_s * (1 - DRIFT_SHARE)
+        if self.token is None:
+            # So is a renewal that ends after the lease lapsed here.
+            self.token = revision
+        self._revision = revision
+        self._deadline = deadline
+        self._next_at = action.started_at + self._term_s * RENEW_SHARE
+        if now >= deadline:
+            self._lose(now)
+
+    def release(self, now: float) -> LeaseAction | None:
+        """Give the lease up; return the removal to make."""
+        if self.token is None or self._revision is None:
+            return None
+        revision = self._revision
+        self._lose(now)
+        self._next_at = now + self._term_s
+        return LeaseAction(LeaseActionKind.RELEASE, self.name, revision)
+
+    def _may_take(self, now: float) -> bool:
+        if self._seen.spec.get("holder") == self._holder:
+            return True
+        term_ms = self._seen.spec.get("term_ms")
+        term_s = term_ms / 1000 if isinstance(term_ms, int) else self._term_s
+        return now >= self._seen_at + term_s * (1 + DRIFT_SHARE)
+
+    def _write(self, expected: Revision | None, now: float) -> LeaseAction:
+        spec = {
+            "holder": self._holder,
+            "address": self._address,
+            "term_ms": int(self._term_s * 1000),
+            "token": self.token,
+        }
+        self._busy = True
+        return LeaseAction(LeaseActionKind.WRITE, self.name, expected, spec, now)
+
+    def _on_write_failed(self, kind: StoreErrorKind, now: float) -> None:
+        if kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
+            self._lose(now)
+            return
+        # The write may have taken effect; the lease is kept to its old deadline and
+        # the revision is read before the next write.
+        self._next_at = now + self._term_s * 0.1 * self._rng.random()
+        if kind is StoreErrorKind.OUTCOME_UNKNOWN:
+            self._lose(now)
+
+    def _lose(self, now: float) -> None:
+        self.token = None
+        self._revision = None
+        self._deadline = 0.0
+        self._seen = None
+        self._next_at = now + self._term_s * 0.1 * self._rng.random()
--- /dev/null
+++ b/src/flamingobank/store/operations.py
@@ -0,0 +1,224 @@
+"""Decide each next step of a read: another call, or the result."""
+
+import abc
+import random
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from expression import Error, Ok, Result
+
+from flamingobank.core import Revision
+from flamingobank.store.backoff import Backoff
+from flamingobank.store.calls import (
+    Answer,
+    CallFailed,
+    StoreAnswer,
+    StoreCall,
+    build_get,
+    build_list,
+    build_watch,
+    decode_change,
+    decode_json,
+    decode_object,
+    is_revision,
+)
+from flamingobank.store.values import (
+    Listing,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+    WatchAnswer,
+)
+
+T = TypeVar("T")
+
+PAGE_ITEMS = 500
+# The store's pages hold up to 1 MB, so a listing of this many is out of bounds.
+MAX_PAGES = 2000
+# Delays between attempts inside one operation stay well below its deadline.
+ATTEMPT_MAX_DELAY_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendCall:
+    """Ask for a call after a delay in seconds."""
+
+    call: StoreCall
+    delay_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Finished(Generic[T]):
+    """Hold the result of an operation."""
+
+    result: Result[T, StoreError]
+
+
+Step = SendCall | Finished
+
+
+class Operation(abc.ABC, Generic[T]):
+    """Turn answers into calls until there is a result or the deadline passes."""
+
+    def __init__(self, subject: str, deadline: float, rng: random.Random) -> None:
+        self.subject = subject
+        self.deadline = deadline
+        self._backoff = Backoff(rng, max_s=ATTEMPT_MAX_DELAY_S)
+
+    @abc.abstractmethod
+    def begin(self) -> SendCall:
+        """Return the first call."""
+
+    @abc.abstractmethod
+    def _decide(self, answer: StoreAnswer, now: float) -> Step:
+        """Return the next step after an answer that is no refusal."""
+
+    @abc.abstractmethod
+    def _get_call(self) -> StoreCall:
+        """Return the call to repeat."""
+
+    def take(self, answer: Answer, now: float) -> Step:
+        """Return the next step after an answer, or after a call that failed."""
+        if isinstance(answer, CallFailed):
+            return self.retry(self.fail(StoreErrorKind.AWAY, answer.reason), now)
+        if answer.status == 503:
+            return self.retry(self.fail(StoreErrorKind.AWAY, "answer 503"), now)
+        if answer.status == 429:
+            wait_s = _read_seconds(answer.headers.get("retry-after", ""))
+            error = self.fail(StoreErrorKind.THROTTLED, "answer 429", wait_s=wait_s)
+            return self.retry(error, now)
+        return self._decide(answer, now)
+
+    def refuse(self, error: StoreError, now: float) -> Step:
+        """Return the next step when the client does not send the call."""
+        return Finished(Error(error))
+
+    def retry(self, error: StoreError, now: float) -> Step:
+        """Repeat the call later, or end with the error when the deadline is near."""
+        # A random part follows the store's hint, so that nodes do not return at once.
+        delay_s = error.retry_after_s + self._backoff.get_delay()
+        if now + delay_s >= self.deadline:
+            return Finished(Error(self.give_up(error)))
+        return SendCall(self._get_call(), delay_s)
+
+    def give_up(self, error: StoreError) -> StoreError:
+        """Return the error to report when no attempt is left."""
+        return error
+
+    def fail(
+        self,
+        kind: StoreErrorKind,
+        detail: str,
+        current: StoredObject | None = None,
+        wait_s: float = 0.0,
+    ) -> StoreError:
+        """Describe a failure of this operation."""
+        return StoreError(kind, self.subject, detail, current, wait_s)
+
+    def reject(self, answer: StoreAnswer) -> Finished:
+        """End with an answer that the API does not define here."""
+        detail = f"answer {answer.status} {answer.body[:200]!r}"
+        known = answer.status in (400, 401, 403, 404, 405, 428)
+        kind = StoreErrorKind.REJECTED if known else StoreErrorKind.MALFORMED
+        return Finished(Error(self.fail(kind, detail)))
+
+
+class GetOperation(Operation[StoredObject]):
+    """Read one object."""
+
+    def __init__(self, kind: str, name: str, deadline: float, rng: random.Random):
+        super().__init__(f"get {kind} {name}", deadline, rng)
+        self._call = build_get(kind, name)
+
+    def begin(self) -> SendCall:
+        """Return the first call."""
+        return SendCall(self._call)
+
+    def _get_call(self) -> StoreCall:
+        return self._call
+
+    def _decide(self, answer: StoreAnswer, now: float) -> Step:
+        if answer.status == 404:
+            return Finished(Error(self.fail(StoreErrorKind.NOT_FOUND, "no object")))
+        if answer.status != 200:
+            return self.reject(answer)
+        found = decode_object(decode_json(answer))
+        if found is None:
+            return self.reject(answer)
+        return Finished(Ok(found))
+
+
+class ListOperation(Operation[Listing]):
+    """Read all pages of a listing; an empty kind lists the configuration."""
+
+    def __init__(self, kind: str, after: str, deadline: float, rng: random.Random):
+        super().__init__(f"list {kind or 'configuration'}", deadline, rng)
+        self._kind = kind
+        self._after = after
+        self._revision: Revision | None = None
+        self._items: list[StoredObject] = []
+        self._pages = 0
+
+    def begin(self) -> SendCall:
+        """Return the first call."""
+        return SendCall(self._get_call())
+
+    def _get_call(self) -> StoreCall:
+        return build_list(self._kind, self._after, PAGE_ITEMS)
+
+    def _decide(self, answer: StoreAnswer, now: float) -> Step:
+        value = decode_json(answer) if answer.status == 200 else None
+        if value is None or not is_revision(value.get("revision")):
+            return self.reject(answer)
+        items = [decode_object(item) for item in value.get("items", ())]
+        following = value.get("next")
+        if None in items or not isinstance(following, str | None):
+            return self.reject(answer)
+        self._items += items
+        if self._revision is None:
+            self._revision = Revision(value["revision"])
+        if value["revision"] < self._revision:
+            detail = f"page at {value['revision']}, first page at {self._revision}"
+            return Finished(Error(self.fail(StoreErrorKind.REVERTED, detail)))
+        if not following:
+            return Finished(Ok(Listing(self._revision, tuple(self._items))))
+        self._pages += 1
+        if self._pages >= MAX_PAGES:
+            detail = f"{self._pages} pages, at most {MAX_PAGES} are read"
+            return Finished(Error(self.fail(StoreErrorKind.TOO_LARGE, detail)))
+        self._after = following
+        self._backoff.reset()
+        return SendCall(self._get_call())
+
+
+class WatchOperation(Operation[WatchAnswer]):
+    """Wait once for changes after a revision; the caller watches again."""
+
+    def __init__(
+        self, after: Revision, timeout_s: float, deadline: float, rng: random.Random
+    ) -> None:
+        super().__init__(f"watch after {after}", deadline, rng)
+        self._call = build_watch(after, timeout_s)
+
+    def begin(self) -> SendCall:
+        """Return the first call."""
+        return SendCall(self._call)
+
+    def _get_call(self) -> StoreCall:
+        return self._call
+
+    def _decide(self, answer: StoreAnswer, now: float) -> Step:
+        if answer.status == 410:
+            return Finished(Error(self.fail(StoreErrorKind.COMPACTED, "answer 410")))
+        value = decode_json(answer) if answer.status == 200 else None
+        if value is None or not is_revision(value.get("revision")):
+            return self.reject(answer)
+        changes = [decode_change(change) for change in value.get("events", ())]
+        if None in changes:
+            return self.reject(answer)
+        revision = Revision(value["revision"])
+        return Finished(Ok(WatchAnswer(revision, tuple(changes))))
+
+
+def _read_seconds(text: str) -> float:
+    return float(text) if text.isdecimal() else 1.0
--- /dev/null
+++ b/src/flamingobank/store/transport.py
@@ -0,0 +1,127 @@
+"""Carry calls to the store over connections of the circuits loop."""
+
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    AnswerHandler,
+    HttpClientConnection,
+    Poller,
+    Timers,
+)
+from flamingobank.store.calls import (
+    Answer,
+    CallFailed,
+    StoreAnswer,
+    StoreCall,
+    encode_http,
+)
+from flamingobank.store.interfaces import Transport
+
+MAX_IDLE_CONNECTIONS = 2
+# Pages and values hold up to 1 MB; JSON escapes can triple that.
+MAX_ANSWER_BYTES = 4_000_000
+
+
+class LoopTransport(Transport):
+    """Send each call on an idle connection or on a new one."""
+
+    def __init__(
+        self, poller: Poller, timers: Timers, clock: Clock, address: Address, token: str
+    ) -> None:
+        self._poller = poller
+        self._timers = timers
+        self._clock = clock
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}"
+        self._token = token
+        self._idle: list[HttpClientConnection] = []
+
+    def send(self, call: StoreCall, on_answer: Callable[[Answer], None]) -> None:
+        """Send a call; the answer or the failure arrives once, within its timeout."""
+        exchange = StoreExchange(self, self._take_connection(), on_answer)
+        exchange.timeout = self._timers.call_at(
+            self._clock.now() + call.timeout_s, exchange.on_timeout
+        )
+        request = encode_http(call, self._host, self._token)
+        exchange.connection.send(request, exchange)
+
+    def keep(self, connection: HttpClientConnection) -> None:
+        """Keep a connection for a later call."""
+        if connection.idle and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+            return
+        connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take_connection(self) -> HttpClientConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle:
+                return connection
+        return HttpClientConnection(self._poller, self._address)
+
+
+class StoreExchange(AnswerHandler):
+    """Collect the answer to one call."""
+
+    def __init__(
+        self,
+        transport: LoopTransport,
+        connection: HttpClientConnection,
+        on_answer: Callable[[Answer], None],
+    ) -> None:
+        self.connection = connection
+        self.timeout = None
+        self._transport = transport
+        self._on_answer = on_answer
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def on_answer_head(self, status: int, headers) -> None:
+        self._status = status
+        self._headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in headers
+        }
+
+    def on_answer_part(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._give_up(f"answer over {MAX_ANSWER_BYTES} bytes")
+            return
+        self._body.append(data)
+
+    def on_answer_end(self) -> None:
+        body = b"".join(self._body)
+        if self._finish(StoreAnswer(self._status, self._headers, body)):
+            self._transport.keep(self.connection)
+
+    def on_answer_failed(self, reason: str, sent: bool) -> None:
+        self._finish(CallFailed(reason, sent))
+
+    def on_timeout(self) -> None:
+        """Give up when the call's time is over."""
+        self._give_up("no answer in time")
+
+    def _give_up(self, reason: str) -> None:
+        sent = self.connection.connected
+        self.connection.cancel()
+        self._finish(CallFailed(reason, sent))
+
+    def _finish(self, answer: Answer) -> bool:
+        """Report once; tell whether this was the first report."""
+        if self._on_answer is None:
+            return False
+        if self.timeout is not None:
+            self.timeout.cancel()
+        on_answer, self._on_answer = self._on_answer, None
+        on_answer(answer)
+        return True
