Detect gray servers by sequential tests on real work

Cause: a fixed count of consecutive failures misses a server that fails half of its work, and finds nothing at all in slow work that has not ended yet.

--- /dev/null
+++ b/benchmarks/naive_health.py
@@ -0,0 +1,45 @@
+"""Hold the plain versions that the product's decisions are compared with."""
+
+from flamingobank.health import Cusum
+
+CONSECUTIVE_FAILURES = 5
+EJECTION_S = 30.0
+
+
+def count_in_order(test: Cusum, misses: int) -> None:
+    """Add observations that did not happen one by one."""
+    for _ in range(misses):
+        test.add(False, 0.0)
+
+
+class NaiveFleet:
+    """Send round robin and eject after 5 consecutive failures without a floor."""
+
+    def __init__(self, servers: int) -> None:
+        self._next = 0
+        self._failures = [0] * servers
+        self.ejected_until = [0.0] * servers
+
+    def choose(self, now: float) -> int | None:
+        """Return the next server that is not ejected."""
+        size = len(self._failures)
+        for _ in range(size):
+            index = self._next
+            self._next = (index + 1) % size
+            if self.ejected_until[index] <= now:
+                return index
+        return None
+
+    def record(self, index: int, failed: bool, now: float) -> bool:
+        """Add an outcome; tell whether it ejects the server."""
+        if not failed:
+            self._failures[index] = 0
+            return False
+        self._failures[index] += 1
+        if self._failures[index] < CONSECUTIVE_FAILURES:
+            return False
+        self._failures[index] = 0
+        if self.ejected_until[index] > now:
+            return False
+        self.ejected_until[index] = now + EJECTION_S
+        return True
--- /dev/null
+++ b/src/flamingobank/health/__init__.py
@@ -0,0 +1,51 @@
+"""Judge servers by their real work and eject none below the floor."""
+
+from flamingobank.health.cusum import (
+    FAILURE_LLR,
+    SLOW_LLR,
+    Cusum,
+    expect_false_alarms,
+)
+from flamingobank.health.detector import SLOW_FACTOR, ServerHealth
+from flamingobank.health.evidence import (
+    DEFAULT_BASELINE,
+    FAILURE_RATE_FLOOR,
+    SLOW_RATE_FLOOR,
+    Assessment,
+    Baseline,
+    Cause,
+    Condition,
+    Finding,
+    Outcome,
+    ServerSummary,
+    Verdict,
+)
+from flamingobank.health.outliers import derive_baseline, judge_outlier
+from flamingobank.health.paths import PathDecision, judge_path
+from flamingobank.health.readmission import Readmission, Stage
+
+__all__ = [
+    "DEFAULT_BASELINE",
+    "FAILURE_LLR",
+    "FAILURE_RATE_FLOOR",
+    "SLOW_FACTOR",
+    "SLOW_LLR",
+    "SLOW_RATE_FLOOR",
+    "Assessment",
+    "Baseline",
+    "Cause",
+    "Condition",
+    "Cusum",
+    "Finding",
+    "Outcome",
+    "PathDecision",
+    "Readmission",
+    "ServerHealth",
+    "ServerSummary",
+    "Stage",
+    "Verdict",
+    "derive_baseline",
+    "expect_false_alarms",
+    "judge_outlier",
+    "judge_path",
+]
--- /dev/null
+++ b/src/flamingobank/health/cusum.py
@@ -0,0 +1,79 @@
+"""Accumulate log-likelihood ratios of yes-or-no observations."""
+
+import math
+
+# Log-likelihood ratios at which a server is suspected. At a true rate equal to the
+# default baseline, expect_false_alarms() gives 6.8e-10 alarms per piece of work for
+# failures and 1.4e-9 for slowness.
+FAILURE_LLR = 19.0
+# Four slots stuck at once are all the evidence that a server ten times slower can
+# give before the first of them ends; 18.4 is reached by exactly four.
+SLOW_LLR = 18.4
+
+
+class Cusum:
+    """Test sequentially whether a rate has risen above its baseline."""
+
+    __slots__ = ("hit", "miss", "score", "since")
+
+    def __init__(self, rate: float) -> None:
+        self.score = 0.0
+        self.since = 0.0
+        self.set_rate(rate)
+
+    def set_rate(self, rate: float) -> None:
+        """Set the baseline rate and start over.
+
+        The alternative is half way from the baseline to one: a gray server that
+        fails half of its work is the case to detect, and one that fails all of it
+        is detected sooner still.
+        """
+        raised = 1.0 - (1.0 - rate) / 2.0
+        self.hit = math.log(raised / rate)
+        self.miss = math.log((1.0 - raised) / (1.0 - rate))
+        self.score = 0.0
+
+    def add(self, happened: bool, now: float) -> None:
+        """Add one observation made at a reading in seconds."""
+        score = self.score
+        if happened:
+            if score <= 0.0:
+                self.since = now
+            self.score = score + self.hit
+            return
+        if score > 0.0:
+            score += self.miss
+            self.score = score if score > 0.0 else 0.0
+
+    def add_misses(self, count: int) -> None:
+        """Add observations that did not happen; equal to add() that often."""
+        self.score = max(0.0, self.score + count * self.miss)
+
+
+def expect_false_alarms(
+    baseline_rate: float, true_rate: float, threshold: float
+) -> float:
+    """Return the false alarms per observation, counted exactly.
+
+    Every alarm ends an excursion of the score from zero that began with a hit. The
+    sum runs over all (hits, misses) an excursion can hold.
+    """
+    test = Cusum(baseline_rate)
+    reached = {(1, 0): true_rate}
+    alarms = 0.0
+    while reached:
+        following: dict[tuple[int, int], float] = {}
+        for (hits, misses), mass in reached.items():
+            score = hits * test.hit + misses * test.miss
+            if score >= threshold:
+                alarms += mass
+                continue
+            if score <= 0.0 or mass < 1e-30:
+                continue
+            for key, share in (
+                ((hits + 1, misses), true_rate),
+                ((hits, misses + 1), 1.0 - true_rate),
+            ):
+                following[key] = following.get(key, 0.0) + mass * share
+        reached = following
+    return alarms
--- /dev/null
+++ b/src/flamingobank/health/detector.py
@@ -0,0 +1,207 @@
+"""Test one server's real work sequentially for failures and slowness."""
+
+import math
+from collections import deque
+from collections.abc import Hashable
+
+from flamingobank.health.cusum import FAILURE_LLR, SLOW_LLR, Cusum
+from flamingobank.health.evidence import (
+    DEFAULT_BASELINE,
+    FAILURE_RATE_FLOOR,
+    SLOW_RATE_FLOOR,
+    Assessment,
+    Baseline,
+    Cause,
+    Condition,
+    Outcome,
+    ServerSummary,
+    clamp_rate,
+)
+
+# Work that runs longer than this many times its route's expectation is slow. A
+# lower factor meets the ordinary spread of work, a higher one delays detection.
+SLOW_FACTOR = 3.0
+# Log ratios are bounded so that one piece of very long work cannot outweigh the
+# rest of a summary.
+LOG_RATIO_BOUND = math.log(16.0)
+RECENT_OUTCOMES = 256
+# A summary covers at least this many outcomes, so that it also holds work from
+# before a sudden change and a chance run weighs less.
+SUMMARY_OUTCOMES = 16
+SUMMARY_WINDOW_MAX_S = 60.0
+# A longer time without any call means that the home was paused.
+CALL_GAP_S = 1.5
+EXPECTED_MIN_S = 0.001
+DEFAULT_EXPECTED_S = 0.05
+
+_FAILURES = frozenset((Outcome.FAILED, Outcome.TIMED_OUT))
+_NO_EVIDENCE = frozenset((Outcome.SHED, Outcome.UNREACHABLE))
+
+
+class _OpenWork:
+    """Hold the start of work in progress and whether it already counts as slow."""
+
+    __slots__ = ("expected_s", "slow_at", "started_at")
+
+    def __init__(self, expected_s: float, now: float) -> None:
+        self.expected_s = expected_s
+        self.started_at = now
+        self.slow_at = now + SLOW_FACTOR * expected_s
+
+
+class ServerHealth:
+    """Judge one server by its real work; lives on the server's home."""
+
+    __slots__ = (
+        "_baseline",
+        "_failures",
+        "_jumped",
+        "_latest",
+        "_open",
+        "_recent",
+        "_slow",
+    )
+
+    def __init__(self, now: float = 0.0) -> None:
+        self._baseline = DEFAULT_BASELINE
+        self._failures = Cusum(FAILURE_RATE_FLOOR)
+        self._slow = Cusum(SLOW_RATE_FLOOR)
+        self._open: dict[Hashable, _OpenWork] = {}
+        self._recent: deque[tuple[float, bool, bool, float]] = deque(
+            maxlen=RECENT_OUTCOMES
+        )
+        self._latest = now
+        self._jumped = False
+
+    def start(self, request: Hashable, expected_s: float, now: float) -> None:
+        """Note that work was sent to the server; expected_s is its route's."""
+        self._read_clock(now)
+        if not EXPECTED_MIN_S <= expected_s < math.inf:
+            expected_s = DEFAULT_EXPECTED_S
+        self._open[request] = _OpenWork(expected_s, now)
+
+    def record(
+        self,
+        outcome: Outcome,
+        latency_s: float,
+        now: float,
+        request: Hashable = None,
+        expected_s: float = DEFAULT_EXPECTED_S,
+    ) -> None:
+        """Add the end of work; expected_s is only used for unknown requests."""
+        self._read_clock(now)
+        work = self._open.pop(request, None)
+        counted = False
+        if work is not None:
+            expected_s = work.expected_s
+            counted = work.slow_at == math.inf
+        if outcome in _NO_EVIDENCE:
+            return
+        ratio = latency_s / expected_s if expected_s > 0.0 else 1.0
+        if not 0.0 < ratio < math.inf:
+            ratio = 1.0
+        slow = ratio > SLOW_FACTOR
+        if not counted and (slow or outcome is not Outcome.CANCELLED):
+            self._slow.add(slow, now)
+        if outcome is Outcome.CANCELLED:
+            return
+        failed = outcome in _FAILURES
+        self._failures.add(failed, now)
+        log_ratio = math.log(ratio)
+        bounded = min(max(log_ratio, -LOG_RATIO_BOUND), LOG_RATIO_BOUND)
+        self._recent.append((now, failed, slow, bounded))
+
+    def assess(self, baseline: Baseline, now: float) -> Assessment:
+        """Return the condition under the baseline in force."""
+        self._read_clock(now)
+        if baseline.deadline <= now:
+            baseline = DEFAULT_BASELINE
+        if baseline != self._baseline:
+            self._use_baseline(baseline)
+        self._count_overdue(now)
+        failures, slow = self._failures.score, self._slow.score
+        score = max(failures, slow)
+        if failures >= FAILURE_LLR:
+            return Assessment(Condition.SUSPECT, score, Cause.FAILURES)
+        if slow >= SLOW_LLR:
+            return Assessment(Condition.SUSPECT, score, Cause.LATENCY)
+        cause = Cause.CLOCK_JUMP if self._jumped else Cause.NONE
+        self._jumped = False
+        return Assessment(Condition.HEALTHY, score, cause)
+
+    def summarize(self, now: float, window_s: float | None = None) -> ServerSummary:
+        """Sum up recent work, over the asker's window or the suspicion's own."""
+        window_s = self._choose_window(now) if window_s is None else window_s
+        if not 0.0 < window_s <= SUMMARY_WINDOW_MAX_S:
+            window_s = SUMMARY_WINDOW_MAX_S
+        n = failures = slow_count = 0
+        log_sum = log_squares = 0.0
+        for at, failed, slow, log_ratio in reversed(self._recent):
+            if at < now - window_s:
+                break
+            n += 1
+            failures += failed
+            slow_count += slow
+            log_sum += log_ratio
+            log_squares += log_ratio * log_ratio
+        for work in self._open.values():
+            ratio = (now - work.started_at) / work.expected_s
+            if ratio <= SLOW_FACTOR:
+                continue
+            log_ratio = min(math.log(ratio), LOG_RATIO_BOUND)
+            n += 1
+            slow_count += 1
+            log_sum += log_ratio
+            log_squares += log_ratio * log_ratio
+        return ServerSummary(n, failures, slow_count, log_sum, log_squares, window_s)
+
+    def reset(self, now: float) -> None:
+        """Forget evidence, for a server that starts again or is readmitted."""
+        self._failures.score = 0.0
+        self._slow.score = 0.0
+        self._recent.clear()
+        self._age_anew(now)
+
+    def _use_baseline(self, baseline: Baseline) -> None:
+        """Start both tests over: scores under different baselines do not add up."""
+        self._baseline = baseline
+        self._failures.set_rate(clamp_rate(baseline.failure_rate, FAILURE_RATE_FLOOR))
+        self._slow.set_rate(clamp_rate(baseline.slow_rate, SLOW_RATE_FLOOR))
+
+    def _count_overdue(self, now: float) -> None:
+        """Count open work as slow once, when it has become slow."""
+        for work in self._open.values():
+            if work.slow_at <= now:
+                self._slow.add(True, work.slow_at)
+                work.slow_at = math.inf
+
+    def _choose_window(self, now: float) -> float:
+        since = now
+        for test in (self._failures, self._slow):
+            if test.score > 0.0:
+                since = min(since, test.since)
+        window_s = 2.0 * (now - since)
+        recent = self._recent
+        if recent:
+            oldest = recent[-min(SUMMARY_OUTCOMES, len(recent))][0]
+            window_s = max(window_s, now - oldest)
+        return min(max(window_s, 0.05), SUMMARY_WINDOW_MAX_S)
+
+    def _read_clock(self, now: float) -> None:
+        """Age open work anew after a pause: the home stood still, not the server."""
+        step = now - self._latest
+        self._latest = now
+        if 0.0 <= step <= CALL_GAP_S:
+            return
+        if not self._open and step >= 0.0:
+            return
+        self._jumped = True
+        if step < 0.0:
+            self._recent.clear()
+        self._age_anew(now)
+
+    def _age_anew(self, now: float) -> None:
+        for work in self._open.values():
+            work.started_at = now
+            if work.slow_at != math.inf:
+                work.slow_at = now + SLOW_FACTOR * work.expected_s
--- /dev/null
+++ b/src/flamingobank/health/outliers.py
@@ -0,0 +1,112 @@
+"""Tell a bad server from a cause that all servers of a service share."""
+
+import math
+import statistics
+from collections.abc import Sequence
+
+from flamingobank.health.evidence import (
+    FAILURE_RATE_FLOOR,
+    SLOW_RATE_FLOOR,
+    Baseline,
+    Cause,
+    Finding,
+    ServerSummary,
+    Verdict,
+    clamp_rate,
+)
+
+# Generalized log-likelihood ratio at which a server differs from its peers. It is
+# below FAILURE_LLR because the summary also holds work from before the change.
+OUTLIER_LLR = 10.0
+# A slow server must also be slower than its peers by this log ratio in the mean.
+LATENCY_GAP = math.log(1.5)
+PEERS_MIN = 2
+PEER_OUTCOMES_MIN = 8
+# Standard errors added to the peers' rate. The median of few outcomes is uncertain.
+PEER_RATE_ERRORS = 2.0
+# Ratio of the standard error of a median to that of a mean.
+MEDIAN_ERROR_RATIO = 1.25
+# A common cause is looked at again after this time.
+BASELINE_LIFE_S = 30.0
+
+
+def judge_outlier(own: ServerSummary, peers: Sequence[ServerSummary]) -> Verdict:
+    """Compare a suspect with the median of its peers.
+
+    The median stays at the good servers' rate while fewer than half are bad.
+    """
+    seen = [peer for peer in peers if _is_usable(peer)]
+    total = sum(peer.n for peer in seen)
+    if not _is_usable(own) or len(seen) < PEERS_MIN or total < PEER_OUTCOMES_MIN:
+        return Verdict(Finding.TOO_LITTLE_EVIDENCE)
+    failures = _compare(
+        Cause.FAILURES,
+        own.failures / own.n,
+        [peer.failures / peer.n for peer in seen],
+        (own.n, total, FAILURE_RATE_FLOOR),
+    )
+    latency = _compare(
+        Cause.LATENCY,
+        own.slow / own.n,
+        [peer.slow / peer.n for peer in seen],
+        (own.n, total, SLOW_RATE_FLOOR),
+    )
+    gap = own.log_mean - statistics.median(peer.log_mean for peer in seen)
+    if failures.finding is Finding.OUTLIER:
+        return failures
+    if latency.finding is Finding.OUTLIER and gap >= LATENCY_GAP:
+        return latency
+    worse = max(failures, latency, key=lambda verdict: verdict.own_rate)
+    return Verdict(
+        Finding.COMMON_CAUSE,
+        worse.cause,
+        worse.own_rate,
+        worse.peer_rate,
+        worse.strength,
+    )
+
+
+def derive_baseline(peers: Sequence[ServerSummary], now: float) -> Baseline:
+    """Take the peers' median rates as normal for a while."""
+    seen = [peer for peer in peers if _is_usable(peer)]
+    if not seen:
+        return Baseline(deadline=now)
+    failure_rate = statistics.median(peer.failures / peer.n for peer in seen)
+    slow_rate = statistics.median(peer.slow / peer.n for peer in seen)
+    return Baseline(
+        clamp_rate(failure_rate, FAILURE_RATE_FLOOR),
+        clamp_rate(slow_rate, SLOW_RATE_FLOOR),
+        now + BASELINE_LIFE_S,
+    )
+
+
+def _is_usable(summary: ServerSummary) -> bool:
+    """Tell whether counts received from another node make sense."""
+    return (
+        summary.n > 0
+        and 0 <= summary.failures <= summary.n
+        and 0 <= summary.slow <= summary.n
+        and math.isfinite(summary.log_sum)
+    )
+
+
+def _compare(
+    cause: Cause, own_rate: float, peer_rates: list[float], sizes: tuple
+) -> Verdict:
+    own_n, peers_n, floor = sizes
+    median = statistics.median(peer_rates)
+    error = MEDIAN_ERROR_RATIO * math.sqrt(median * (1.0 - median) / peers_n)
+    peer_rate = clamp_rate(median + PEER_RATE_ERRORS * error, floor)
+    strength = 0.0
+    if own_rate > peer_rate:
+        strength = own_n * _diverge(own_rate, peer_rate)
+    finding = Finding.OUTLIER if strength >= OUTLIER_LLR else Finding.COMMON_CAUSE
+    return Verdict(finding, cause, own_rate, peer_rate, strength)
+
+
+def _diverge(rate: float, reference: float) -> float:
+    """Return the Kullback-Leibler divergence of two yes-or-no distributions."""
+    divergence = rate * math.log(rate / reference) if rate > 0.0 else 0.0
+    if rate < 1.0:
+        divergence += (1.0 - rate) * math.log((1.0 - rate) / (1.0 - reference))
+    return divergence
--- /dev/null
+++ b/src/flamingobank/health/readmission.py
@@ -0,0 +1,81 @@
+"""Bring an ejected server back with a trickle of real work."""
+
+import enum
+
+from flamingobank.health.evidence import Outcome
+
+FIRST_WAIT_S = 2.0
+LONGEST_WAIT_S = 300.0
+# Good service for this long makes the next wait short again.
+RESET_AFTER_S = 600.0
+TRICKLE_SHARE = 0.1
+# Each success adds this share of work, so full service takes 30 in a row.
+SHARE_STEP = 0.03
+
+
+class Stage(enum.Enum):
+    """Say how much work a server may get."""
+
+    IN_SERVICE = "in-service"
+    EJECTED = "ejected"
+    TRICKLE = "trickle"
+
+
+class Readmission:
+    """Hold one server's way back into service."""
+
+    __slots__ = ("_in_service_since", "_stage", "_wait_s", "retry_at", "share")
+
+    def __init__(self, now: float) -> None:
+        self._stage = Stage.IN_SERVICE
+        self._wait_s = FIRST_WAIT_S
+        self._in_service_since = now
+        self.retry_at = now
+        self.share = 1.0
+
+    @property
+    def wait_s(self) -> float:
+        """Return how long the next ejection will last, in seconds."""
+        return self._wait_s
+
+    def get_stage(self, now: float) -> Stage:
+        """Return the stage; an ejection whose wait is over becomes a trickle."""
+        if self._stage is Stage.EJECTED and now >= self.retry_at:
+            self._stage = Stage.TRICKLE
+            self.share = TRICKLE_SHARE
+        return self._stage
+
+    def eject(self, now: float) -> None:
+        """Begin an ejection; each one lasts twice as long as the one before."""
+        if self._stage is Stage.EJECTED:
+            return
+        served_s = now - self._in_service_since
+        if self._stage is Stage.IN_SERVICE and served_s >= RESET_AFTER_S:
+            self._wait_s = FIRST_WAIT_S
+        self._stage = Stage.EJECTED
+        self.share = 0.0
+        self.retry_at = now + self._wait_s
+        self._wait_s = min(2.0 * self._wait_s, LONGEST_WAIT_S)
+
+    def reverse(self, now: float) -> None:
+        """Return the server at once, because the floor needs its capacity."""
+        if self._stage is Stage.IN_SERVICE:
+            return
+        self._stage = Stage.IN_SERVICE
+        self._in_service_since = now
+        self.share = 1.0
+
+    def record(self, outcome: Outcome, now: float) -> Stage:
+        """Add the end of trickled work; a failure ejects again."""
+        if self.get_stage(now) is not Stage.TRICKLE:
+            return self._stage
+        if outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
+            self.eject(now)
+            return self._stage
+        if outcome is not Outcome.SUCCEEDED:
+            return self._stage
+        self.share = min(1.0, self.share + SHARE_STEP)
+        if self.share >= 1.0:
+            self._stage = Stage.IN_SERVICE
+            self._in_service_since = now
+        return self._stage
