Cover every ejection by floor leases of other servers

Cause: homes that eject on their own respect a service's floor each and break it together. Change: FloorLedger asks the other servers' homes for leases, grants, renews, replaces and gives them up; a lease ends before its promise, a new home waits until promises of the former one have lapsed, and a pause ends all leases.

--- a/src/flamingobank/health/__init__.py
+++ b/src/flamingobank/health/__init__.py
@@ -20,6 +20,18 @@
     ServerSummary,
     Verdict,
 )
+from flamingobank.health.floor import FloorLedger
+from flamingobank.health.floor_messages import (
+    DenialReason,
+    EjectionDecision,
+    EjectionState,
+    FloorDenial,
+    FloorGrant,
+    FloorMessage,
+    FloorRelease,
+    FloorRequest,
+    FloorRevocation,
+)
 from flamingobank.health.outliers import derive_baseline, judge_outlier
 from flamingobank.health.paths import PathDecision, judge_path
 from flamingobank.health.readmission import Readmission, Stage
@@ -36,7 +48,17 @@
     "Cause",
     "Condition",
     "Cusum",
+    "DenialReason",
+    "EjectionDecision",
+    "EjectionState",
     "Finding",
+    "FloorDenial",
+    "FloorGrant",
+    "FloorLedger",
+    "FloorMessage",
+    "FloorRelease",
+    "FloorRequest",
+    "FloorRevocation",
     "Outcome",
     "PathDecision",
     "Readmission",
--- a/src/flamingobank/health/cusum.py
+++ b/src/flamingobank/health/cusum.py
@@ -3,8 +3,8 @@
 import math
 
 # Log-likelihood ratios at which a server is suspected. At a true rate equal to the
-# default baseline, expect_false_alarms() gives 6.8e-10 alarms per piece of work for
-# failures and 1.4e-9 for slowness.
+# default baseline, expect_false_alarms() gives 6.7e-10 alarms per piece of work for
+# failures and 1.3e-9 for slowness.
 FAILURE_LLR = 19.0
 # Four slots stuck at once are all the evidence that a server ten times slower can
 # give before the first of them ends; 18.4 is reached by exactly four.
--- /dev/null
+++ b/src/flamingobank/health/floor.py
@@ -0,0 +1,301 @@
+"""Eject servers only while enough others are promised to stay in service."""
+
+import math
+
+from flamingobank.core import (
+    InstanceId,
+    Invariant,
+    NodeId,
+    ServiceName,
+    check_invariant,
+)
+from flamingobank.health.evidence import ServerSummary
+from flamingobank.health.floor_leases import LeaseBook
+from flamingobank.health.floor_messages import (
+    DenialReason,
+    EjectionDecision,
+    EjectionState,
+    FloorDenial,
+    FloorGrant,
+    FloorMessage,
+    FloorRelease,
+    FloorRequest,
+    FloorRevocation,
+)
+from flamingobank.health.floor_promises import PromiseBook
+from flamingobank.health.floor_records import CALL_GAP_S, Ejection, ServiceView
+from flamingobank.objects import Floor
+
+_NO_EJECTION = EjectionDecision(EjectionState.NONE)
+_KEEPS_ONLY_FLOOR = (
+    EjectionState.EJECTED,
+    EjectionState.PROMISED,
+    EjectionState.QUIET,
+)
+
+
+class FloorLedger:
+    """Hold and grant floor leases for the servers whose home is this node."""
+
+    def __init__(self, node_id: NodeId, epoch: int, now: float) -> None:
+        self._latest = now
+        self._promises = PromiseBook(now)
+        self._leases = LeaseBook(node_id, epoch)
+
+    def set_service(
+        self, service: ServiceName, floor: Floor, servers: dict[InstanceId, NodeId]
+    ) -> None:
+        """Set the floor and the announced servers with their homes."""
+        self._leases.services[service] = ServiceView(floor, dict(servers))
+
+    def announce(self, service: ServiceName, instance: InstanceId, now: float) -> None:
+        """Note an announcement; only a recent one allows promises."""
+        self._read_clock(now)
+        self._promises.announce(service, instance, now)
+
+    def remove(self, instance: InstanceId, now: float) -> list[FloorMessage]:
+        """Forget a server that is gone or has another home."""
+        self._promises.remove(instance)
+        return self.cancel(instance, now)
+
+    def set_in_service(
+        self, instance: InstanceId, in_service: bool, now: float
+    ) -> list[FloorMessage]:
+        """Note a drain, a crash or a return; holders of promises are told."""
+        self._read_clock(now)
+        local = self._promises.find(instance)
+        if local is None:
+            return []
+        local.in_service = in_service
+        if in_service:
+            return []
+        return self._promises.list_revocations(instance) + self.cancel(instance, now)
+
+    def request_leases(
+        self,
+        service: ServiceName,
+        instance: InstanceId,
+        score: float,
+        now: float,
+        summary: ServerSummary | None = None,
+    ) -> list[FloorRequest]:
+        """Want a server ejected; return the requests to the other servers' homes.
+
+        Empty when the node is not its home, the floor leaves no server to eject, or
+        the last requests are too recent.
+        """
+        self._read_clock(now)
+        local = self._promises.find(instance)
+        if local is None or local.service != service or not local.in_service:
+            return []
+        if service not in self._leases.services or math.isnan(score):
+            return []
+        ejection = self._leases.ejections.get(instance)
+        if ejection is None:
+            ejection = Ejection(service, score, summary or ServerSummary())
+            self._leases.ejections[instance] = ejection
+        if not ejection.judged:
+            ejection.score = score
+            ejection.summary = summary or ejection.summary
+        return self._ask_missing(instance, now)
+
+    def answer(
+        self, request: FloorRequest, now: float, summary: ServerSummary | None = None
+    ) -> FloorGrant | FloorDenial:
+        """Promise that the request's target stays in service, or say why not."""
+        self._read_clock(now)
+        summary = summary or ServerSummary()
+        reason = self._find_denial(request, now)
+        if reason is not None:
+            return FloorDenial(request, reason, request.holder, summary)
+        ejection = self._leases.ejections.get(request.target)
+        check_invariant(
+            Invariant.FLOOR,
+            ejection is None or not ejection.ejected,
+            granted_for=request.target,
+            requester=request.instance,
+        )
+        self._promises.promise(request, now)
+        view = self._leases.services.get(request.service)
+        return FloorGrant(
+            request,
+            0.0 if ejection is None else ejection.score,
+            0 if view is None else len(view.servers),
+            ejection is not None,
+            request.holder,
+            summary,
+        )
+
+    def accept(self, grant: FloorGrant, now: float) -> EjectionDecision:
+        """Add a lease; say whether enough servers are promised."""
+        self._read_clock(now)
+        instance = grant.request.instance
+        sent_at = self._leases.take_answer(grant.request, grant.summary)
+        if sent_at is None:
+            return self.decide(instance, now)
+        self._leases.hold(grant, sent_at)
+        self._settle(now)
+        decision = self.decide(instance, now)
+        judged = self._leases.ejections[instance].judged
+        if judged and decision.state is EjectionState.COVERED:
+            return self.eject(instance, now)
+        if decision.state in _KEEPS_ONLY_FLOOR:
+            return self._drop_surplus(instance, decision)
+        return decision
+
+    def decline(self, denial: FloorDenial, now: float) -> EjectionDecision:
+        """Note a denial; a lease held so far ends at its deadline."""
+        self._read_clock(now)
+        request = denial.request
+        if self._leases.take_answer(request, denial.summary) is not None:
+            ejection = self._leases.ejections[request.instance]
+            ejection.weaken(request.target)
+        return self.decide(request.instance, now)
+
+    def release(self, release: FloorRelease, now: float) -> None:
+        """End a promise that its holder no longer needs."""
+        self._read_clock(now)
+        self._promises.release(release)
+
+    def revoke(self, revocation: FloorRevocation, now: float) -> EjectionDecision:
+        """Drop a lease on a server that crashed or drains."""
+        self._read_clock(now)
+        ejection = self._leases.ejections.get(revocation.instance)
+        if ejection is not None:
+            ejection.forget(revocation.target)
+        self._settle(now)
+        return self.decide(revocation.instance, now)
+
+    def eject(self, instance: InstanceId, now: float) -> EjectionDecision:
+        """Eject a covered server whose peers show that it is an outlier.
+
+        The judgement holds until cancel(): after a shortage of leases the server
+        is ejected again without another one.
+        """
+        self._read_clock(now)
+        decision = self.decide(instance, now)
+        if decision.state is EjectionState.NONE:
+            return decision
+        ejection = self._leases.ejections[instance]
+        ejection.judged = True
+        if decision.state is not EjectionState.COVERED:
+            return decision
+        check_invariant(
+            Invariant.FLOOR,
+            ejection.count_valid(now) >= decision.required
+            and not self._promises.is_promised(instance, now),
+            ejected=instance,
+            leases=decision.leases,
+            required=decision.required,
+        )
+        ejection.ejected = True
+        return self._drop_surplus(instance, self.decide(instance, now))
+
+    def cancel(self, instance: InstanceId, now: float) -> list[FloorMessage]:
+        """Return a server to service, or no longer want it ejected."""
+        self._read_clock(now)
+        return self._leases.release_all(instance)
+
+    def decide(self, instance: InstanceId, now: float) -> EjectionDecision:
+        """Return the state of an ejection without changing it."""
+        ejection = self._leases.ejections.get(instance)
+        local = self._promises.find(instance)
+        if ejection is None or local is None:
+            return _NO_EJECTION
+        view = self._leases.services[ejection.service]
+        required = view.count_required(ejection.count_announced())
+        leases = ejection.count_valid(now)
+        if ejection.ejected and leases >= required and self._is_steady(now):
+            return EjectionDecision(EjectionState.EJECTED, leases, required)
+        if required > len(view.servers.keys() - {instance}):
+            return EjectionDecision(EjectionState.FLOOR_FULL, leases, required)
+        state = EjectionState.COVERED
+        if leases < required:
+            state = EjectionState.WAITING
+        elif now < local.quiet_until or not self._promises.is_home(instance, now):
+            state = EjectionState.QUIET
+        elif self._promises.is_promised(instance, now):
+            state = EjectionState.PROMISED
+        return EjectionDecision(state, leases, required)
+
+    def is_ejected(self, instance: InstanceId, now: float) -> bool:
+        """Tell whether a server gets no work; ends with its leases at once."""
+        return self.decide(instance, now).state is EjectionState.EJECTED
+
+    def is_promised(self, instance: InstanceId, now: float) -> bool:
+        """Tell whether another home counts on a server of this node."""
+        return self._promises.is_promised(instance, now)
+
+    def get_summaries(self, instance: InstanceId) -> list[ServerSummary]:
+        """Return what the peers' homes said about their servers."""
+        ejection = self._leases.ejections.get(instance)
+        return [] if ejection is None else list(ejection.summaries.values())
+
+    def tick(self, now: float) -> list[FloorMessage]:
+        """Renew, replace and expire leases; call at least every 100 ms."""
+        self._read_clock(now)
+        self._settle(now)
+        sends: list[FloorMessage] = []
+        for instance, ejection in self._leases.ejections.items():
+            sends += self._leases.ask_renewals(instance, now)
+            covered = self.decide(instance, now).state is EjectionState.COVERED
+            if covered and ejection.judged:
+                sends += self.eject(instance, now).sends
+            if not covered:
+                sends += self._ask_missing(instance, now)
+        return sends
+
+    def _find_denial(self, request: FloorRequest, now: float) -> DenialReason | None:
+        local = self._promises.find(request.target)
+        if local is None or local.service != request.service:
+            return DenialReason.NOT_HOME
+        if not self._promises.is_home(request.target, now):
+            return DenialReason.NOT_HOME
+        if not local.in_service:
+            return DenialReason.NOT_IN_SERVICE
+        ejection = self._leases.ejections.get(request.target)
+        if ejection is None:
+            return None
+        if self.is_ejected(request.target, now):
+            # The requester wants to be ejected, so another server must replace it.
+            ejection.weaken(request.instance)
+            return DenialReason.EJECTED
+        ejection.ejected = False
+        own = (ejection.score, request.target)
+        if (request.score, request.instance) > own:
+            return None
+        return DenialReason.PENDING
+
+    def _ask_missing(self, instance: InstanceId, now: float) -> list[FloorRequest]:
+        decision = self.decide(instance, now)
+        if decision.state is EjectionState.FLOOR_FULL:
+            return []
+        return self._leases.ask_missing(instance, decision.required, now)
+
+    def _drop_surplus(
+        self, instance: InstanceId, decision: EjectionDecision
+    ) -> EjectionDecision:
+        sends = self._leases.release_surplus(instance, decision.required)
+        leases = decision.leases - len(sends)
+        return EjectionDecision(decision.state, leases, decision.required, tuple(sends))
+
+    def _settle(self, now: float) -> None:
+        """Expire leases and promises and end ejections that are not covered."""
+        self._promises.expire(now)
+        for instance, ejection in self._leases.ejections.items():
+            ejection.drop_expired(now)
+            if not self.is_ejected(instance, now):
+                ejection.ejected = False
+
+    def _is_steady(self, now: float) -> bool:
+        return 0.0 <= now - self._latest <= CALL_GAP_S
+
+    def _read_clock(self, now: float) -> None:
+        """Trust no lease and no home after a pause or a jump of the clock."""
+        steady = self._is_steady(now)
+        self._latest = now
+        if steady:
+            return
+        self._promises.restart_clock(now)
+        for ejection in self._leases.ejections.values():
+            ejection.drop_all()
--- /dev/null
+++ b/src/flamingobank/health/floor_leases.py
@@ -0,0 +1,151 @@
+"""Ask for, renew and give up floor leases on other homes' servers."""
+
+from flamingobank.core import InstanceId, NodeId, ServiceName
+from flamingobank.health.evidence import ServerSummary
+from flamingobank.health.floor_messages import (
+    FloorGrant,
+    FloorRelease,
+    FloorRequest,
+)
+from flamingobank.health.floor_records import (
+    HOLD_S,
+    RENEW_S,
+    REPEAT_S,
+    Ejection,
+    Lease,
+    ServiceView,
+)
+
+
+class LeaseBook:
+    """Hold the wanted and current ejections of a node with their leases."""
+
+    def __init__(self, node_id: NodeId, epoch: int) -> None:
+        self._node_id = node_id
+        self._epoch = epoch
+        self._number = 0
+        self.services: dict[ServiceName, ServiceView] = {}
+        self.ejections: dict[InstanceId, Ejection] = {}
+
+    def take_answer(
+        self, request: FloorRequest, summary: ServerSummary
+    ) -> float | None:
+        """Return when an open request of this process was sent."""
+        ejection = self.ejections.get(request.instance)
+        if ejection is None or request.epoch != self._epoch:
+            return None
+        sent = ejection.pending.pop(request.number, None)
+        if sent is None:
+            return None
+        ejection.summaries[request.target] = summary
+        return sent[1]
+
+    def hold(self, grant: FloorGrant, sent_at: float) -> None:
+        """Add or renew a lease; its life counts from the sending."""
+        leases = self.ejections[grant.request.instance].leases
+        target = grant.request.target
+        held = leases.get(target)
+        if held is not None and held.deadline >= sent_at + HOLD_S:
+            return
+        leases[target] = Lease(
+            sent_at + HOLD_S,
+            grant.score,
+            grant.announced,
+            sent_at + RENEW_S,
+            grant.pending,
+        )
+
+    def ask_renewals(self, instance: InstanceId, now: float) -> list[FloorRequest]:
+        """Return requests for leases that are due for renewal."""
+        ejection = self.ejections[instance]
+        due = [t for t, lease in ejection.leases.items() if lease.renew_at <= now]
+        for target in due:
+            ejection.leases[target].renew_at = now + REPEAT_S
+        return self._ask(instance, due, now)
+
+    def ask_missing(
+        self, instance: InstanceId, required: int, now: float
+    ) -> list[FloorRequest]:
+        """Return requests to all other servers while leases are too few."""
+        ejection = self.ejections[instance]
+        if ejection.count_lasting(now) >= required:
+            return []
+        if now - ejection.asked_at < REPEAT_S:
+            return []
+        ejection.asked_at = now
+        servers = self.services[ejection.service].servers
+        missing = [t for t in servers if t != instance and t not in ejection.leases]
+        return self._ask(instance, missing, now)
+
+    def release_surplus(
+        self, instance: InstanceId, required: int
+    ) -> list[FloorRelease]:
+        """Give up leases above the floor, so that more servers may be ejected."""
+        leases = self.ejections[instance].leases
+        ranked = sorted(
+            leases,
+            key=lambda target: (leases[target].weak, leases[target].score, target),
+        )
+        return self.release(instance, ranked[required:])
+
+    def release_all(self, instance: InstanceId) -> list[FloorRelease]:
+        """Give up an ejection with all leases and open requests."""
+        ejection = self.ejections.get(instance)
+        if ejection is None:
+            return []
+        releases = self.release(instance, list(ejection.latest_number))
+        del self.ejections[instance]
+        return releases
+
+    def release(
+        self, instance: InstanceId, targets: list[InstanceId]
+    ) -> list[FloorRelease]:
+        """Give up leases on targets and forget open requests to them."""
+        ejection = self.ejections[instance]
+        servers = self.services[ejection.service].servers
+        releases = []
+        for target in targets:
+            number = ejection.forget(target)
+            destination = servers.get(target)
+            if destination is None:
+                continue
+            releases.append(
+                FloorRelease(
+                    ejection.service,
+                    instance,
+                    target,
+                    self._node_id,
+                    self._epoch,
+                    number,
+                    destination,
+                )
+            )
+        return releases
+
+    def _ask(
+        self, instance: InstanceId, targets: list[InstanceId], now: float
+    ) -> list[FloorRequest]:
+        ejection = self.ejections[instance]
+        servers = self.services[ejection.service].servers
+        requests = []
+        for target in targets:
+            destination = servers.get(target)
+            if destination is None:
+                continue
+            self._number += 1
+            ejection.pending[self._number] = (target, now)
+            ejection.latest_number[target] = self._number
+            requests.append(
+                FloorRequest(
+                    ejection.service,
+                    instance,
+                    target,
+                    self._node_id,
+                    self._epoch,
+                    self._number,
+                    ejection.score,
+                    destination,
+                    ejection.summary,
+                )
+            )
+        return requests
