Check the cover of every ejection in the random floor runs

Cause: mutations of the lease times passed a test that only counted ejections. Change: list_covering() names the servers an ejection counts on; the random runs fail when one of them is ejected.

--- a/benchmarks/floor_network.py
+++ b/benchmarks/floor_network.py
@@ -184,12 +184,23 @@
                 delay_s, lambda home=home: home.run(lambda: self.publish(home))
             )
 
-    def count_ejected(self) -> int:
-        """Count servers that their present homes give no work."""
-        return sum(
-            self.homes[home].ledger.is_ejected(instance, self.homes[home].now())
+    def list_ejected(self) -> list[InstanceId]:
+        """Return the servers that their present homes give no work."""
+        return [
+            instance
             for instance, home in self.home_of.items()
-        )
+            if self.homes[home].ledger.is_ejected(instance, self.homes[home].now())
+        ]
+
+    def list_uncovered(self) -> list[tuple[InstanceId, InstanceId]]:
+        """Return ejected servers with an ejected server that they count on."""
+        ejected = set(self.list_ejected())
+        pairs = []
+        for instance in ejected:
+            home = self.homes[self.home_of[instance]]
+            covering = home.ledger.list_covering(instance, home.now())
+            pairs += [(instance, target) for target in covering if target in ejected]
+        return pairs
 
     def eject_covered(
         self, home: Home, instance: InstanceId, decision: EjectionDecision
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -53,8 +53,11 @@
         if fleet.rng.random() < 0.4:
             _disturb(fleet)
         fleet.events.run_until(WARM_UP_S + step * STEP_S)
-        ejected = fleet.count_ejected()
+        ejected = len(fleet.list_ejected())
         assert ejected <= allowed, (ejected, allowed, fleet.events.clock.now())
+        # A lease on an ejected server is the first step to a broken floor.
+        uncovered = fleet.list_uncovered()
+        assert not uncovered, (uncovered, fleet.events.clock.now())
         peak = max(peak, ejected)
     return peak
 
@@ -106,7 +109,7 @@
 def step_crash(context):
     fleet = context.fleet
     fleet.events.run_until(WARM_UP_S + 5.0)
-    assert fleet.count_ejected() == len(context.wanted), fleet.count_ejected()
+    assert fleet.list_ejected() == context.wanted, fleet.list_ejected()
     fleet.set_in_service(list(fleet.home_of)[-1], False)
 
 
--- a/src/flamingobank/health/floor.py
+++ b/src/flamingobank/health/floor.py
@@ -148,8 +148,7 @@
         self._read_clock(now)
         request = denial.request
         if self._leases.take_answer(request, denial.summary) is not None:
-            ejection = self._leases.ejections[request.instance]
-            ejection.weaken(request.target)
+            self._leases.ejections[request.instance].weaken(request.target)
         return self.decide(request.instance, now)
 
     def release(self, release: FloorRelease, now: float) -> None:
@@ -160,9 +159,7 @@
     def revoke(self, revocation: FloorRevocation, now: float) -> EjectionDecision:
         """Drop a lease on a server that crashed or drains."""
         self._read_clock(now)
-        ejection = self._leases.ejections.get(revocation.instance)
-        if ejection is not None:
-            ejection.forget(revocation.target)
+        self._leases.forget(revocation.instance, revocation.target)
         self._settle(now)
         return self.decide(revocation.instance, now)
 
@@ -226,6 +223,11 @@
         """Tell whether another home counts on a server of this node."""
         return self._promises.is_promised(instance, now)
 
+    def list_covering(self, instance: InstanceId, now: float) -> list[InstanceId]:
+        """Return the servers whose unexpired leases cover a server."""
+        ejection = self._leases.ejections.get(instance)
+        return [] if ejection is None else ejection.list_valid(now)
+
     def get_summaries(self, instance: InstanceId) -> list[ServerSummary]:
         """Return what the peers' homes said about their servers."""
         ejection = self._leases.ejections.get(instance)
@@ -247,9 +249,8 @@
 
     def _find_denial(self, request: FloorRequest, now: float) -> DenialReason | None:
         local = self._promises.find(request.target)
-        if local is None or local.service != request.service:
-            return DenialReason.NOT_HOME
-        if not self._promises.is_home(request.target, now):
+        is_home = self._promises.is_home(request.target, now)
+        if local is None or local.service != request.service or not is_home:
             return DenialReason.NOT_HOME
         if not local.in_service:
             return DenialReason.NOT_IN_SERVICE
--- a/src/flamingobank/health/floor_leases.py
+++ b/src/flamingobank/health/floor_leases.py
@@ -77,6 +77,12 @@
         missing = [t for t in servers if t != instance and t not in ejection.leases]
         return self._ask(instance, missing, now)
 
+    def forget(self, instance: InstanceId, target: InstanceId) -> None:
+        """Drop a lease whose target has left service."""
+        ejection = self.ejections.get(instance)
+        if ejection is not None:
+            ejection.forget(target)
+
     def release_surplus(
         self, instance: InstanceId, required: int
     ) -> list[FloorRelease]:
--- a/src/flamingobank/health/floor_records.py
+++ b/src/flamingobank/health/floor_records.py
@@ -80,9 +80,13 @@
     judged: bool = False
     ejected: bool = False
 
+    def list_valid(self, now: float) -> list[InstanceId]:
+        """Return the targets of unexpired leases."""
+        return [t for t, lease in self.leases.items() if lease.deadline > now]
+
     def count_valid(self, now: float) -> int:
         """Return the number of unexpired leases."""
-        return sum(lease.deadline > now for lease in self.leases.values())
+        return len(self.list_valid(now))
 
     def count_lasting(self, now: float) -> int:
         """Return the number of leases that need no replacement yet."""
