Choose homes and servers by load that is known or exact

Cause: reported load lags, misleads or is nonsense, and cold, draining, shedding and readmitted servers must each be filled differently. The readmission trickle tolerates a common cause.

--- a/benchmarks/naive_health.py
+++ b/benchmarks/naive_health.py
@@ -1,5 +1,7 @@
 """Hold the plain versions that the product's decisions are compared with."""
 
+from flamingobank.balancing import ServerSlots
+from flamingobank.core import InstanceId
 from flamingobank.health import Cusum
 
 CONSECUTIVE_FAILURES = 5
@@ -43,3 +45,13 @@
             return False
         self.ejected_until[index] = now + EJECTION_S
         return True
+
+
+def list_allowed_servers(servers: list[ServerSlots], now: float) -> list[InstanceId]:
+    """Return the least loaded servers that may get work, by plain search."""
+    shares = {
+        server.instance: server.in_use / server.count_usable(now)
+        for server in servers
+        if server.in_use < server.count_usable(now)
+    }
+    return [name for name, share in shares.items() if share == min(shares.values())]
--- a/features/health.feature
+++ b/features/health.feature
@@ -32,4 +32,5 @@
 
   Scenario: A broken path moves the home and ejects nothing
     Then a live server that cannot be connected to gets another home
+    And a server that acknowledges nothing is suspended until it announces
     And a silent server is removed
--- /dev/null
+++ b/src/flamingobank/balancing/__init__.py
@@ -0,0 +1,41 @@
+"""Choose the home and the server of a request."""
+
+from flamingobank.balancing.homes import (
+    HomeCandidate,
+    choose_home,
+    has_room,
+    rank_home,
+)
+from flamingobank.balancing.load import (
+    LOAD_LIFE_S,
+    HomeLoad,
+    LoadProblem,
+    check_age,
+    read_home_load,
+)
+from flamingobank.balancing.servers import (
+    DRAIN_GRACE_S,
+    RAMP_S,
+    ServerSlots,
+    SlotProblem,
+    Work,
+    choose_server,
+)
+
+__all__ = [
+    "DRAIN_GRACE_S",
+    "LOAD_LIFE_S",
+    "RAMP_S",
+    "HomeCandidate",
+    "HomeLoad",
+    "LoadProblem",
+    "ServerSlots",
+    "SlotProblem",
+    "Work",
+    "check_age",
+    "choose_home",
+    "choose_server",
+    "has_room",
+    "rank_home",
+    "read_home_load",
+]
--- /dev/null
+++ b/src/flamingobank/balancing/servers.py
@@ -0,0 +1,174 @@
+"""Choose one of a home's servers for a request, by exact slots."""
+
+import enum
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from flamingobank.core import InstanceId, Invariant, check_invariant
+from flamingobank.health import Stage
+
+# No new work reaches a server that has been draining for longer than this.
+DRAIN_GRACE_S = 3.0
+# A server that shed work gets none for this time, doubled each time in a row.
+SHED_WAIT_S = 0.05
+SHED_WAIT_MAX_S = 1.0
+# A cold server reaches its full slots this long after its first announcement, or
+# earlier as far as it says that it is warm.
+RAMP_S = 10.0
+TRICKLE_SLOTS = 1
+
+
+class SlotProblem(enum.Enum):
+    """Say why announced slots are not used."""
+
+    NOT_A_NUMBER = "not-a-number"
+    OUT_OF_RANGE = "out-of-range"
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Describe a request as far as the choice of a server depends on it."""
+
+    idempotent: bool
+    # Servers that already failed this request.
+    tried: frozenset[InstanceId] = frozenset()
+
+
+class ServerSlots:
+    """Count one server's slots on its home; only the home changes them."""
+
+    __slots__ = (
+        "_shed_wait_s",
+        "draining_since",
+        "in_use",
+        "instance",
+        "limit",
+        "ready_at",
+        "share",
+        "shed_until",
+        "slots",
+        "stage",
+        "warm",
+    )
+
+    def __init__(
+        self, instance: InstanceId, slots: int, now: float, warm: float = 0.0
+    ) -> None:
+        self.instance = instance
+        self.in_use = 0
+        # The announced limit; slots stays above it while older work ends.
+        self.limit = self.slots = 1
+        self.set_slots(slots)
+        self.ready_at = now
+        self.warm = warm if 0.0 <= warm <= 1.0 else 0.0
+        self.draining_since: float | None = None
+        self.shed_until = -math.inf
+        self._shed_wait_s = SHED_WAIT_S
+        # Set from Readmission: its stage and its share of ordinary work.
+        self.stage = Stage.IN_SERVICE
+        self.share = 1.0
+
+    def take_slot(self, now: float) -> None:
+        """Use a slot for work that is sent now."""
+        draining_s = 0.0
+        if self.draining_since is not None:
+            draining_s = now - self.draining_since
+        check_invariant(
+            Invariant.DRAINED,
+            draining_s <= DRAIN_GRACE_S,
+            instance=self.instance,
+            draining_s=draining_s,
+        )
+        self.in_use += 1
+        self._check_slots()
+
+    def give_slot(self) -> None:
+        """Return the slot of work that ended."""
+        self.in_use -= 1
+        self.slots = max(self.limit, self.in_use)
+        self._check_slots()
+
+    def shed(self, now: float) -> None:
+        """Note that the server did not run work; this is no failure."""
+        self.shed_until = now + self._shed_wait_s
+        self._shed_wait_s = min(2.0 * self._shed_wait_s, SHED_WAIT_MAX_S)
+
+    def succeed(self) -> None:
+        """Note that the server ran work, so its next shedding waits briefly."""
+        self._shed_wait_s = SHED_WAIT_S
+
+    def drain(self, now: float) -> None:
+        """Note that the server is leaving; repeated notes change nothing."""
+        if self.draining_since is None:
+            self.draining_since = now
+
+    def set_slots(self, slots: float) -> SlotProblem | None:
+        """Change the limit; work above a lower limit ends before new work starts."""
+        if not isinstance(slots, int | float) or not math.isfinite(slots):
+            return SlotProblem.NOT_A_NUMBER
+        if not 1 <= slots <= 4096:
+            return SlotProblem.OUT_OF_RANGE
+        self.limit = int(slots)
+        self.slots = max(self.limit, self.in_use)
+        return None
+
+    def count_usable(self, now: float) -> int:
+        """Return how many slots new work may fill now, counting those in use."""
+        if self.stage is Stage.EJECTED or self.draining_since is not None:
+            return 0
+        if now < self.shed_until:
+            return 0
+        if self.stage is Stage.TRICKLE:
+            return max(TRICKLE_SLOTS, int(self.share * self.limit))
+        # A reading before the start comes from a clock that jumped.
+        grown = min(max((now - self.ready_at) / RAMP_S, 0.0), 1.0)
+        part = max(grown, self.warm)
+        return max(1, math.ceil(part * self.limit))
+
+    def _check_slots(self) -> None:
+        check_invariant(
+            Invariant.SLOTS,
+            0 <= self.in_use <= self.slots,
+            instance=self.instance,
+            in_use=self.in_use,
+            slots=self.slots,
+        )
+
+
+def choose_server(
+    servers: Sequence[ServerSlots], work: Work, rng: random.Random, now: float
+) -> InstanceId | None:
+    """Take the server with the smallest share of its usable slots in use.
+
+    None means that nothing may start now; the caller queues or refuses the work.
+    """
+    best: list[ServerSlots] = []
+    best_rank = (2, math.inf)
+    for server in servers:
+        usable = server.count_usable(now)
+        if server.in_use >= usable:
+            continue
+        tried = server.instance in work.tried
+        if server.stage is Stage.TRICKLE:
+            if not tried and work.idempotent and _draw_trickle(server, servers, rng):
+                return server.instance
+            continue
+        rank = (int(tried), server.in_use / usable)
+        if rank < best_rank:
+            best_rank = rank
+            best = [server]
+        elif rank == best_rank:
+            best.append(server)
+    if not best:
+        return None
+    return best[0].instance if len(best) == 1 else rng.choice(best).instance
+
+
+def _draw_trickle(
+    server: ServerSlots, servers: Sequence[ServerSlots], rng: random.Random
+) -> bool:
+    """Draw whether this piece of work is in the server's reduced share."""
+    total = sum(other.limit for other in servers)
+    return rng.random() < server.share * server.limit / total
--- a/src/flamingobank/health/__init__.py
+++ b/src/flamingobank/health/__init__.py
@@ -33,7 +33,7 @@
     FloorRevocation,
 )
 from flamingobank.health.outliers import derive_baseline, judge_outlier
-from flamingobank.health.paths import PathDecision, judge_path
+from flamingobank.health.paths import PathDecision, PathEvidence, judge_path
 from flamingobank.health.readmission import Readmission, Stage
 
 __all__ = [
@@ -61,6 +61,7 @@
     "FloorRevocation",
     "Outcome",
     "PathDecision",
+    "PathEvidence",
     "Readmission",
     "ServerHealth",
     "ServerSummary",
--- a/src/flamingobank/health/readmission.py
+++ b/src/flamingobank/health/readmission.py
@@ -9,8 +9,10 @@
 # Good service for this long makes the next wait short again.
 RESET_AFTER_S = 600.0
 TRICKLE_SHARE = 0.1
-# Each success adds this share of work, so full service takes 30 in a row.
-SHARE_STEP = 0.03
+# Successes, less FAILURE_COST for each failure, that end the trickle. A service that
+# fails a tenth of its work for a cause of its own still gets its servers back.
+FULL_CREDIT = 30
+FAILURE_COST = 5
 
 
 class Stage(enum.Enum):
@@ -24,12 +26,20 @@
 class Readmission:
     """Hold one server's way back into service."""
 
-    __slots__ = ("_in_service_since", "_stage", "_wait_s", "retry_at", "share")
+    __slots__ = (
+        "_credit",
+        "_in_service_since",
+        "_stage",
+        "_wait_s",
+        "retry_at",
+        "share",
+    )
 
     def __init__(self, now: float) -> None:
         self._stage = Stage.IN_SERVICE
         self._wait_s = FIRST_WAIT_S
         self._in_service_since = now
+        self._credit = 0
         self.retry_at = now
         self.share = 1.0
 
@@ -42,6 +52,7 @@
         """Return the stage; an ejection whose wait is over becomes a trickle."""
         if self._stage is Stage.EJECTED and now >= self.retry_at:
             self._stage = Stage.TRICKLE
+            self._credit = 0
             self.share = TRICKLE_SHARE
         return self._stage
 
@@ -58,24 +69,26 @@
         self._wait_s = min(2.0 * self._wait_s, LONGEST_WAIT_S)
 
     def reverse(self, now: float) -> None:
-        """Return the server at once, because the floor needs its capacity."""
+        """Return the server at once, as when the floor needs its capacity."""
         if self._stage is Stage.IN_SERVICE:
             return
         self._stage = Stage.IN_SERVICE
         self._in_service_since = now
         self.share = 1.0
 
-    def record(self, outcome: Outcome, now: float) -> Stage:
-        """Add the end of trickled work; a failure ejects again."""
+    def record(self, outcome: Outcome, now: float, slow: bool = False) -> Stage:
+        """Add the end of trickled work; slow work counts as failed."""
         if self.get_stage(now) is not Stage.TRICKLE:
             return self._stage
-        if outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
+        if slow or outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
+            self._credit -= FAILURE_COST
+        elif outcome is Outcome.SUCCEEDED:
+            self._credit += 1
+        if self._credit <= -FAILURE_COST:
             self.eject(now)
             return self._stage
-        if outcome is not Outcome.SUCCEEDED:
-            return self._stage
-        self.share = min(1.0, self.share + SHARE_STEP)
-        if self.share >= 1.0:
-            self._stage = Stage.IN_SERVICE
-            self._in_service_since = now
+        earned = max(self._credit, 0) / FULL_CREDIT
+        self.share = TRICKLE_SHARE + (1.0 - TRICKLE_SHARE) * earned
+        if self._credit >= FULL_CREDIT:
+            self.reverse(now)
         return self._stage
