--- /dev/null
+++ b/src/flamingobank/quarantine/ledger.py
@@ -0,0 +1,189 @@
+"""Collect crash reports and decide which requests are refused.
+
+The state is a set of reports and a set of clearances; both only grow until they
+expire. So nodes that received the same messages agree, whatever the order and
+however often a message arrived.
+"""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NewType
+
+from flamingobank.core import Fingerprint, InstanceId
+
+CrashId = NewType("CrashId", str)
+
+QUARANTINE_EXPIRY_S = 600.0
+SERVERS_TO_QUARANTINE = 2
+# Requests that were in flight in the same two crashes cannot be told apart; a
+# third crash means that refusing both costs less than further servers.
+SERVERS_WHEN_AMBIGUOUS = 3
+MAX_REPORTS = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Say that a request was in flight on a server when it crashed."""
+
+    fingerprint: Fingerprint
+    instance: InstanceId
+    crash_id: CrashId
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """Say that a request completed after a crash that it was in flight in."""
+
+    fingerprint: Fingerprint
+    crash_id: CrashId
+
+
+class CrashLedger:
+    """Hold the crash reports of the last 10 minutes; one per node."""
+
+    def __init__(
+        self, expiry_s: float = QUARANTINE_EXPIRY_S, max_reports: int = MAX_REPORTS
+    ) -> None:
+        self._expiry_s = expiry_s
+        self._max_reports = max(1, max_reports)
+        self._now = -math.inf
+        # Both are ordered by the first receipt, so the oldest comes first.
+        self._reports: OrderedDict[CrashReport, float] = OrderedDict()
+        self._clearances: OrderedDict[Clearance, float] = OrderedDict()
+        # A late copy of an expired report must not start a new quarantine.
+        self._expired: OrderedDict[CrashReport, float] = OrderedDict()
+        # Reports that are neither expired nor cleared.
+        self._active: dict[Fingerprint, dict[CrashId, InstanceId]] = {}
+        self._in_crash: dict[CrashId, set[Fingerprint]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of remembered messages."""
+        return len(self._reports) + len(self._clearances) + len(self._expired)
+
+    def record_crash(
+        self,
+        fingerprint: Fingerprint,
+        instance: InstanceId,
+        crash_id: CrashId,
+        now: float,
+    ) -> bool:
+        """Add a report; return whether it is new and must be passed on."""
+        self._expire(now)
+        report = CrashReport(fingerprint, instance, crash_id)
+        if report in self._reports or report in self._expired:
+            return False
+        self._reports[report] = self._now
+        if Clearance(fingerprint, crash_id) not in self._clearances:
+            self._active.setdefault(fingerprint, {})[crash_id] = instance
+            self._in_crash.setdefault(crash_id, set()).add(fingerprint)
+        while len(self._reports) > self._max_reports:
+            self._forget_report(next(iter(self._reports)))
+        return True
+
+    def record_completion(
+        self, fingerprint: Fingerprint, now: float
+    ) -> list[Clearance]:
+        """Clear a request that completed; return what must be passed on.
+
+        Only a completion that started after the crash may be recorded.
+        """
+        self._expire(now)
+        crashes = self._active.get(fingerprint)
+        if crashes is None:
+            return []
+        cleared = [Clearance(fingerprint, crash_id) for crash_id in list(crashes)]
+        for clearance in cleared:
+            self.record_clearance(clearance, now)
+        return cleared
+
+    def record_clearance(self, clearance: Clearance, now: float) -> bool:
+        """Add a clearance; return whether it is new and must be passed on."""
+        self._expire(now)
+        if clearance in self._clearances:
+            return False
+        self._clearances[clearance] = self._now
+        self._deactivate(clearance.fingerprint, clearance.crash_id)
+        while len(self._clearances) > self._max_reports:
+            self._clearances.popitem(last=False)
+        return True
+
+    def is_suspect(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a request was in flight in a crash and is not cleared."""
+        self._expire(now)
+        return fingerprint in self._active
+
+    def is_quarantined(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a request must be refused as not run."""
+        self._expire(now)
+        crashes = self._active.get(fingerprint)
+        if crashes is None:
+            return False
+        servers = len(set(crashes.values()))
+        if servers < SERVERS_TO_QUARANTINE:
+            return False
+        for other in self._list_companions(fingerprint, crashes):
+            if len(self._active[other]) > len(crashes):
+                return False
+            if servers < SERVERS_WHEN_AMBIGUOUS:
+                return False
+        return True
+
+    def list_reports(self, now: float) -> list[CrashReport]:
+        """Return all reports, for a node that has just joined."""
+        self._expire(now)
+        return list(self._reports)
+
+    def list_clearances(self, now: float) -> list[Clearance]:
+        """Return all clearances, for a node that has just joined."""
+        self._expire(now)
+        return list(self._clearances)
+
+    def _list_companions(
+        self, fingerprint: Fingerprint, crashes: dict[CrashId, InstanceId]
+    ) -> set[Fingerprint]:
+        """Return the other requests that were in flight in all these crashes."""
+        groups = sorted((self._in_crash[crash_id] for crash_id in crashes), key=len)
+        companions = set(groups[0])
+        for group in groups[1:]:
+            companions &= group
+        companions.discard(fingerprint)
+        return companions
+
+    def _expire(self, now: float) -> None:
+        # A reading that jumped back must not extend or revive a report.
+        if now > self._now:
+            self._now = now
+        oldest = self._now - self._expiry_s
+        while self._reports:
+            report, recorded_at = next(iter(self._reports.items()))
+            if recorded_at > oldest:
+                break
+            self._forget_report(report)
+            self._expired[report] = recorded_at
+        # A clearance outlives the reports it clears, which may arrive later.
+        _drop_older(self._clearances, oldest - self._expiry_s)
+        _drop_older(self._expired, oldest - self._expiry_s)
+        while len(self._expired) > self._max_reports:
+            self._expired.popitem(last=False)
+
+    def _forget_report(self, report: CrashReport) -> None:
+        del self._reports[report]
+        self._deactivate(report.fingerprint, report.crash_id)
+
+    def _deactivate(self, fingerprint: Fingerprint, crash_id: CrashId) -> None:
+        crashes = self._active.get(fingerprint)
+        if crashes is None or crash_id not in crashes:
+            return
+        del crashes[crash_id]
+        if not crashes:
+            del self._active[fingerprint]
+        group = self._in_crash[crash_id]
+        group.discard(fingerprint)
+        if not group:
+            del self._in_crash[crash_id]
+
+
+def _drop_older(items: OrderedDict, oldest: float) -> None:
+    while items and next(iter(items.values())) <= oldest:
+        items.popitem(last=False)
