Add retry budgets, hedges and resumed downloads

Cause: retries without a bound multiply the load of failing servers, and a resumed download may join parts of two representations. Work moves to admission.work, because both packages describe requests with it. An earlier merge_dispositions lost DONE when the later attempt was refused; the scenario of all combinations found it.

--- /dev/null
+++ b/features/retries.feature
@@ -0,0 +1,53 @@
+Feature: Retries, hedges and resumed downloads
+  Retries must never run work twice that may run once, nor multiply load when
+  servers fail, and a resumed answer must be the caller's own whole answer.
+
+  Scenario: Retries stay within a tenth of the first attempts
+    When random first attempts and retries draw on a retry budget
+    Then no stretch of time has more retries than its first attempts allow
+
+  Scenario: A clock that jumps back earns nothing
+    Given a retry budget that was used up at 100 seconds
+    When its clock reads 50 and then 100 seconds
+    Then the budget allows no retry
+
+  Scenario: Only work that is idempotent or was not run is retried
+    When all combinations of retry conditions are decided
+    Then every retry satisfies all the rules and every refusal breaks one
+
+  Scenario: A refused last attempt does not hide that an earlier one ran
+    When the outcomes of two attempts are merged in all combinations
+    Then the result is not-run only if both attempts were not run
+
+  Scenario: A hedge needs more than a third of the slots free
+    When hedges are decided for every number of free slots of 12
+    Then only more than 4 free slots allow a hedge of slow idempotent work
+
+  Scenario: Only one copy of a hedged request answers
+    When hedged copies settle, fail and join in random order
+    Then one copy at most answers and every other one is cancelled
+
+  Scenario: A resumed download is the whole answer or a typed refusal
+    When random downloads break off at servers that change or ignore ranges
+    Then the caller gets the exact body or a refusal, never other bytes
+
+  Scenario Outline: What forbids to continue a download
+    Given a download with <change>
+    Then its resumption is refused as "<refusal>"
+
+    Examples:
+      | change                | refusal           |
+      | a weak validator      | weak-validator    |
+      | no validator          | no-validator      |
+      | no length             | no-length         |
+      | method POST           | not-get           |
+      | a range of the caller | had-range         |
+      | status 404            | status            |
+      | no ranges             | no-ranges         |
+      | a whole answer        | whole-answer      |
+      | another validator     | changed-validator |
+      | another length        | changed-length    |
+      | another encoding      | changed-encoding  |
+      | another offset        | wrong-range       |
+      | no content range      | wrong-range       |
+      | four breaks           | too-many          |
--- /dev/null
+++ b/src/flamingobank/retries/decisions.py
@@ -0,0 +1,82 @@
+"""Decide whether an attempt that gave no answer is made again."""
+
+import enum
+
+from flamingobank.admission.work import Work
+from flamingobank.core import Disposition, Reason, Refusal
+from flamingobank.retries.budget import RetryBudget
+
+# A request that failed this often fails for a reason of its own.
+MAX_ATTEMPTS = 3
+# The second half of the time to the deadline belongs to the attempt that runs.
+LATEST_RETRY_SHARE = 0.5
+HOME_RETRY_AFTER_S = 1.0
+
+
+class RetryDecision(enum.Enum):
+    """Say whether to retry, or which rule forbids it."""
+
+    RETRY = "retry"
+    ANSWERED = "answered"
+    STILL_RUNNING = "still-running"
+    MAY_HAVE_RUN = "may-have-run"
+    TOO_MANY = "too-many"
+    TOO_LATE = "too-late"
+    NO_BUDGET = "no-budget"
+
+
+def decide_retry(
+    work: Work,
+    outcome: Disposition,
+    accepted_at: float,
+    budget: RetryBudget,
+    now: float,
+) -> RetryDecision:
+    """Decide at the entry about another attempt; a RETRY has spent its budget.
+
+    accepted_at is the clock reading at which the entry accepted the request.
+    """
+    if outcome is Disposition.DONE:
+        return RetryDecision.ANSWERED
+    if outcome is Disposition.STILL_RUNNING:
+        return RetryDecision.STILL_RUNNING
+    if outcome is Disposition.UNKNOWN and not work.idempotent:
+        return RetryDecision.MAY_HAVE_RUN
+    if work.attempt + 1 >= MAX_ATTEMPTS:
+        return RetryDecision.TOO_MANY
+    # Written so that a reading that is not a number forbids the retry.
+    if not now - accepted_at <= LATEST_RETRY_SHARE * (work.deadline - accepted_at):
+        return RetryDecision.TOO_LATE
+    if not budget.spend(now):
+        return RetryDecision.NO_BUDGET
+    return RetryDecision.RETRY
+
+
+def admit_attempt(work: Work, budget: RetryBudget, now: float) -> Refusal | None:
+    """Check an attempt against the home's budget; None lets it pass."""
+    if work.attempt <= 0:
+        budget.earn(now)
+        return None
+    if budget.spend(now):
+        return None
+    return Refusal(
+        Disposition.NOT_RUN,
+        Reason.LIMIT,
+        HOME_RETRY_AFTER_S,
+        f"attempt {work.attempt + 1} of request {work.request_id}: "
+        "the home's retry budget is used up",
+    )
+
+
+def merge_dispositions(earlier: Disposition, latest: Disposition) -> Disposition:
+    """Return what is known about a request after another attempt.
+
+    A refusal of the last attempt says nothing about the attempts before it.
+    """
+    if Disposition.DONE in (earlier, latest):
+        return Disposition.DONE
+    if earlier is Disposition.NOT_RUN:
+        return latest
+    if latest is Disposition.NOT_RUN:
+        return earlier
+    return Disposition.UNKNOWN
--- /dev/null
+++ b/src/flamingobank/retries/hedges.py
@@ -0,0 +1,86 @@
+"""Send a second copy of slow work when there is capacity to spare."""
+
+import enum
+
+from flamingobank.admission.work import Work
+from flamingobank.retries.budget import RetryBudget
+
+FREE_SHARE_TO_HEDGE = 1 / 3
+
+
+class HedgeDecision(enum.Enum):
+    """Say whether to send a second copy, or which rule forbids it."""
+
+    HEDGE = "hedge"
+    MAY_RUN_TWICE = "may-run-twice"
+    NOT_SLOW = "not-slow"
+    TOO_LATE = "too-late"
+    TOO_BUSY = "too-busy"
+    NO_BUDGET = "no-budget"
+
+
+def decide_hedge(
+    work: Work,
+    started_at: float,
+    slow_after_s: float,
+    free_slots: int,
+    total_slots: int,
+    budget: RetryBudget,
+    now: float,
+) -> HedgeDecision:
+    """Decide about a second copy; a HEDGE has spent its budget.
+
+    slow_after_s is the duration that 95% of the route's work stays under. The slots
+    are those of the service as its homes last reported them.
+    """
+    if not work.idempotent:
+        return HedgeDecision.MAY_RUN_TWICE
+    if not now - started_at >= slow_after_s:
+        return HedgeDecision.NOT_SLOW
+    if not now + slow_after_s <= work.deadline:
+        return HedgeDecision.TOO_LATE
+    if total_slots <= 0 or free_slots <= FREE_SHARE_TO_HEDGE * total_slots:
+        return HedgeDecision.TOO_BUSY
+    if not budget.spend(now):
+        return HedgeDecision.NO_BUDGET
+    return HedgeDecision.HEDGE
+
+
+class HedgeRace:
+    """Let one copy of a request answer; the caller must cancel the others."""
+
+    __slots__ = ("_running", "_winner")
+
+    def __init__(self, first: int) -> None:
+        self._running = {first}
+        self._winner: int | None = None
+
+    @property
+    def winner(self) -> int | None:
+        """Return the attempt whose answer the caller gets, once there is one."""
+        return self._winner
+
+    def add(self, attempt: int) -> bool:
+        """Add a copy; return False when it must not be sent any more."""
+        if self._winner is not None:
+            return False
+        self._running.add(attempt)
+        return True
+
+    def settle(self, attempt: int) -> list[int] | None:
+        """Note that a copy starts to answer; return the copies to cancel.
+
+        None tells that the answer must be dropped, because another copy has
+        answered or the attempt is not part of the race.
+        """
+        if attempt not in self._running:
+            return None
+        self._winner = attempt
+        losers = sorted(self._running - {attempt})
+        self._running = {attempt}
+        return losers
+
+    def fail(self, attempt: int) -> bool:
+        """Note that a copy failed; return whether no other copy is left."""
+        self._running.discard(attempt)
+        return not self._running
