Add the admission queue and the long-work policy

Cause: work needs an order, a bound by deadline and slots kept for short work. Change: AdmissionQueue with two traffic classes, each with a short and a long lane; deficit round robin over seconds of slot time between workspaces, deadline order within one; refusal at the offer and at the latest start; slot counts with the invariants slots and not_run.

--- a/src/flamingobank/admission/__init__.py
+++ b/src/flamingobank/admission/__init__.py
@@ -1,5 +1,29 @@
 """Decide which work starts, waits or is refused as not run."""
 
-from flamingobank.admission.work import Lane, Work
+from flamingobank.admission.long_work import LongWorkPolicy
+from flamingobank.admission.queue import AdmissionQueue
+from flamingobank.admission.work import (
+    Admitted,
+    CancelOutcome,
+    Lane,
+    Refused,
+    ServerChange,
+    ServiceLoad,
+    StartOutcome,
+    Taken,
+    Work,
+)
 
-__all__ = ["Lane", "Work"]
+__all__ = [
+    "Admitted",
+    "AdmissionQueue",
+    "CancelOutcome",
+    "Lane",
+    "LongWorkPolicy",
+    "Refused",
+    "ServerChange",
+    "ServiceLoad",
+    "StartOutcome",
+    "Taken",
+    "Work",
+]
--- /dev/null
+++ b/src/flamingobank/admission/entries.py
@@ -0,0 +1,52 @@
+"""Hold what the queue knows about one piece of work."""
+
+import enum
+
+from flamingobank.admission.slots import Server, SlotLimit
+from flamingobank.admission.work import Lane, Work
+
+
+class State(enum.Enum):
+    """Say where a piece of work is."""
+
+    QUEUED = "queued"
+    TAKEN = "taken"
+    RUNNING = "running"
+    GONE = "gone"
+
+
+class Entry:
+    """Follow one piece of work from its offer to its end."""
+
+    __slots__ = (
+        "cost_s",
+        "lane",
+        "latest_start",
+        "limit",
+        "sequence",
+        "server",
+        "slot_lane",
+        "started_at",
+        "state",
+        "work",
+    )
+
+    def __init__(
+        self,
+        work: Work,
+        lane: Lane,
+        cost_s: float,
+        latest_start: float,
+        sequence: int,
+    ) -> None:
+        self.work = work
+        self.lane = lane
+        self.cost_s = cost_s
+        self.latest_start = latest_start
+        self.sequence = sequence
+        self.state = State.QUEUED
+        self.limit = SlotLimit.ALL
+        self.server: Server | None = None
+        self.started_at: float | None = None
+        # Differs from the lane when short work turned out to run long.
+        self.slot_lane = lane
--- /dev/null
+++ b/src/flamingobank/admission/expiry.py
@@ -0,0 +1,41 @@
+"""Find waiting work that can no longer finish by its deadline."""
+
+import heapq
+import itertools
+import math
+
+from flamingobank.admission.entries import Entry, State
+
+MAX_DEAD = 64
+
+
+class ExpiryHeap:
+    """Order waiting entries by their latest start."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Entry]] = []
+        self._order = itertools.count()
+
+    def push(self, entry: Entry) -> None:
+        """Add a waiting entry."""
+        heapq.heappush(self._heap, (entry.latest_start, next(self._order), entry))
+
+    def get_first(self) -> float:
+        """Return the earliest latest start, infinite when nothing waits."""
+        while self._heap and self._heap[0][2].state is not State.QUEUED:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else math.inf
+
+    def pop_due(self, now: float) -> Entry | None:
+        """Take out an entry whose latest start has passed."""
+        # The first item may be dead, so this is checked before dropping such items.
+        if not self._heap or self._heap[0][0] >= now or self.get_first() >= now:
+            return None
+        return heapq.heappop(self._heap)[2]
+
+    def compact(self, waiting: int) -> None:
+        """Drop the entries that left the queue once they are the majority."""
+        if len(self._heap) <= 2 * waiting + MAX_DEAD:
+            return
+        self._heap = [item for item in self._heap if item[2].state is State.QUEUED]
+        heapq.heapify(self._heap)
--- /dev/null
+++ b/src/flamingobank/admission/fair_queue.py
@@ -0,0 +1,155 @@
+"""Share starts between workspaces, and order each one's work by deadline."""
+
+import heapq
+from collections import deque
+
+from flamingobank.admission.entries import Entry, State
+from flamingobank.core import WorkspaceId
+
+# Backlog is summed per quarter second of deadline, so that the work ahead of a
+# deadline is known without a walk over the queue.
+BUCKET_S = 0.25
+MAX_BUCKETS_SUMMED = 64
+# Dead entries are dropped once they outnumber the live ones by this many.
+MAX_DEAD = 32
+
+
+class _WorkspaceQueue:
+    """Hold the waiting work of one workspace."""
+
+    __slots__ = ("backlog_s", "buckets", "count", "deficit_s", "heap", "visited")
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Entry]] = []
+        self.count = 0
+        self.backlog_s = 0.0
+        self.buckets: dict[int, list] = {}
+        self.deficit_s = 0.0
+        self.visited = False
+
+    def push(self, entry: Entry) -> None:
+        deadline = entry.work.deadline
+        heapq.heappush(self.heap, (deadline, entry.sequence, entry))
+        self.count += 1
+        self.backlog_s += entry.cost_s
+        bucket = self.buckets.setdefault(int(deadline / BUCKET_S), [0, 0.0])
+        bucket[0] += 1
+        bucket[1] += entry.cost_s
+
+    def peek(self) -> Entry:
+        while self.heap[0][2].state is not State.QUEUED:
+            heapq.heappop(self.heap)
+        return self.heap[0][2]
+
+    def discount(self, entry: Entry) -> None:
+        self.count -= 1
+        self.backlog_s -= entry.cost_s
+        number = int(entry.work.deadline / BUCKET_S)
+        bucket = self.buckets[number]
+        bucket[0] -= 1
+        bucket[1] -= entry.cost_s
+        if not bucket[0]:
+            del self.buckets[number]
+        if len(self.heap) > 2 * self.count + MAX_DEAD:
+            self.heap = [item for item in self.heap if item[2].state is State.QUEUED]
+            heapq.heapify(self.heap)
+
+    def sum_ahead(self, deadline: float) -> float:
+        """Return the seconds of work with a deadline not after this one."""
+        if len(self.buckets) > MAX_BUCKETS_SUMMED:
+            return self.backlog_s
+        last = int(deadline / BUCKET_S)
+        ahead_s = 0.0
+        for number, bucket in self.buckets.items():
+            if number <= last:
+                ahead_s += bucket[1]
+        return ahead_s
+
+
+class FairQueue:
+    """Serve workspaces by deficit round robin over seconds of slot time."""
+
+    def __init__(self) -> None:
+        self._workspaces: dict[WorkspaceId, _WorkspaceQueue] = {}
+        self._ring: deque[_WorkspaceQueue] = deque()
+        # At least the largest cost, so that each visit starts some work.
+        self._quantum_s = 0.0
+        # Waiting entries, and the seconds of slot time that they need.
+        self.count = 0
+        self.backlog_s = 0.0
+
+    def push(self, entry: Entry) -> None:
+        """Add an entry in the state QUEUED."""
+        queue = self._workspaces.get(entry.work.workspace)
+        if queue is None:
+            queue = self._workspaces[entry.work.workspace] = _WorkspaceQueue()
+            self._ring.append(queue)
+        queue.push(entry)
+        self._quantum_s = max(self._quantum_s, entry.cost_s)
+        self.count += 1
+        self.backlog_s += entry.cost_s
+
+    def pop(self) -> Entry:
+        """Take the next entry out; the queue must not be empty."""
+        while True:
+            queue = self._ring[0]
+            if not queue.count:
+                self._ring.popleft()
+                continue
+            entry = queue.peek()
+            if queue.deficit_s >= entry.cost_s:
+                break
+            if queue.visited:
+                queue.visited = False
+                self._ring.rotate(-1)
+                continue
+            queue.visited = True
+            queue.deficit_s += self._quantum_s
+        queue.deficit_s -= entry.cost_s
+        heapq.heappop(queue.heap)
+        entry.state = State.TAKEN
+        self.discount(entry)
+        return entry
+
+    def put_back(self, entry: Entry) -> None:
+        """Return an entry that was popped and could not be started."""
+        entry.state = State.QUEUED
+        self.push(entry)
+        queue = self._workspaces[entry.work.workspace]
+        if self._ring[-1] is queue and queue.count == 1:
+            self._ring.rotate(1)
+        queue.deficit_s += entry.cost_s
+
+    def discount(self, entry: Entry) -> None:
+        """Forget an entry that has just left the state QUEUED."""
+        queue = self._workspaces[entry.work.workspace]
+        queue.discount(entry)
+        self.count -= 1
+        self.backlog_s -= entry.cost_s
+        if not queue.count:
+            # An idle workspace saves no claim; that is the rule of the discipline.
+            del self._workspaces[entry.work.workspace]
+        if not self.count:
+            self.backlog_s = 0.0
+            self._quantum_s = 0.0
+            self._ring.clear()
+            return
+        if len(self._ring) > 2 * len(self._workspaces) + MAX_DEAD:
+            self._ring = deque([queue for queue in self._ring if queue.count])
+
+    def estimate_ahead(
+        self, workspace: WorkspaceId, deadline: float, cost_s: float
+    ) -> float:
+        """Return how much slot time at most is served before a new entry.
+
+        The workspace gets at least its equal share, so work of others counts at
+        most as much as its own for each of them.
+        """
+        queue = self._workspaces.get(workspace)
+        if queue is None:
+            others = len(self._workspaces)
+            return min(self.backlog_s, cost_s * others)
+        others = len(self._workspaces) - 1
+        ahead_s = queue.sum_ahead(deadline)
+        foreign_s = self.backlog_s - queue.backlog_s
+        return ahead_s + min(foreign_s, (ahead_s + cost_s) * others)
--- /dev/null
+++ b/src/flamingobank/admission/lanes.py
@@ -0,0 +1,230 @@
+"""Order the four lanes of a service: two traffic classes, short and long work."""
+
+import math
+
+from flamingobank.admission.entries import Entry, State
+from flamingobank.admission.expiry import ExpiryHeap
+from flamingobank.admission.fair_queue import FairQueue
+from flamingobank.admission.long_work import LongWorkPolicy
+from flamingobank.admission.meters import LoadMeter
+from flamingobank.admission.slots import SlotLimit, SlotTable
+from flamingobank.admission.work import Lane, Work
+from flamingobank.objects import TrafficClass
+
+# Internal work gets one start in 20, 5%, while customers wait.
+CUSTOMER_STARTS_PER_INTERNAL = 19
+INTERNAL_SHARE = 0.05
+# Waits are estimated from means; real ones exceed them now and then.
+WAIT_MARGIN = 1.25
+# A customer who was refused shows that the next ones are in danger too.
+DANGER_AFTER_REFUSAL_S = 1.0
+# Long work may fill the slots kept for short work only when none has come for this
+# time, because a slot that it takes cannot be had back.
+SHORT_QUIET_S = 5.0
+# Waiting long work holds at least one in four of the slots, so that it moves on.
+LONG_GUARANTEE = 0.25
+SHORT_HEADROOM_DEVIATIONS = 2.0
+
+
+class ClassLanes:
+    """Hold the waiting work of one traffic class."""
+
+    __slots__ = ("expiry", "internal", "long", "long_load", "short", "short_load")
+
+    def __init__(self, internal: bool) -> None:
+        self.internal = internal
+        self.short = FairQueue()
+        self.long = FairQueue()
+        self.expiry = ExpiryHeap()
+        # Admitted work, in slots.
+        self.short_load = LoadMeter()
+        self.long_load = LoadMeter()
+
+    @property
+    def count(self) -> int:
+        """Return how many entries wait."""
+        return self.short.count + self.long.count
+
+    def get_queue(self, lane: Lane) -> FairQueue:
+        """Return the queue of a lane."""
+        return self.short if lane is Lane.SHORT else self.long
+
+    def measure_load(self, now: float) -> float:
+        """Return the number of slots that the admitted work keeps in use."""
+        return self.short_load.measure(now) + self.long_load.measure(now)
+
+
+class Lanes:
+    """Hold the waiting work and decide whose turn it is."""
+
+    def __init__(self, slots: SlotTable, policy: LongWorkPolicy) -> None:
+        self._slots = slots
+        self._policy = policy
+        self.customer = ClassLanes(internal=False)
+        self.internal = ClassLanes(internal=True)
+        self._last_short_at = -math.inf
+        self._refused_customer_at = -math.inf
+        self._customer_starts = 0
+
+    @property
+    def count(self) -> int:
+        """Return how many entries wait."""
+        return self.customer.count + self.internal.count
+
+    @property
+    def long_waits(self) -> bool:
+        """Tell whether long work waits."""
+        return self.customer.long.count > 0 or self.internal.long.count > 0
+
+    def get_group(self, work: Work) -> ClassLanes:
+        """Return the lanes of the work's traffic class."""
+        if work.traffic_class is TrafficClass.CUSTOMER:
+            return self.customer
+        return self.internal
+
+    def push(self, entry: Entry, now: float) -> None:
+        """Add a new entry and measure the load it brings."""
+        group = self.get_group(entry.work)
+        if entry.lane is Lane.SHORT:
+            group.short.push(entry)
+            group.short_load.add(entry.cost_s, now)
+            self._last_short_at = now
+        else:
+            group.long.push(entry)
+            group.long_load.add(entry.cost_s, now)
+        group.expiry.push(entry)
+
+    def pop(self, group: ClassLanes, lane: Lane) -> Entry:
+        """Take the next entry of a lane that holds work."""
+        entry = group.get_queue(lane).pop()
+        group.expiry.compact(group.count)
+        return entry
+
+    def put_back(self, entry: Entry) -> None:
+        """Return an entry that could not be started."""
+        group = self.get_group(entry.work)
+        group.get_queue(entry.lane).put_back(entry)
+        group.expiry.push(entry)
+
+    def remove(self, entry: Entry) -> None:
+        """Take out an entry that has not started."""
+        was_queued = entry.state is State.QUEUED
+        entry.state = State.GONE
+        if not was_queued:
+            return
+        group = self.get_group(entry.work)
+        group.get_queue(entry.lane).discount(entry)
+        group.expiry.compact(group.count)
+
+    def note_refusal(self, work: Work, now: float) -> None:
+        """Remember that work was refused for lack of capacity."""
+        if work.traffic_class is TrafficClass.CUSTOMER:
+            self._refused_customer_at = now
+
+    def note_start(self, work: Work) -> None:
+        """Count a start for the share of internal work."""
+        if work.traffic_class is TrafficClass.INTERNAL:
+            self._customer_starts = 0
+            return
+        # Starts only count while internal work waits, so no claim is saved up.
+        if self.internal.count:
+            self._customer_starts += 1
+
+    def rank(self, now: float) -> list[tuple[ClassLanes, Lane]]:
+        """Return the lanes that hold work, the first to be served first."""
+        ranked = []
+        groups = (self.customer, self.internal)
+        if self._is_internal_due(now):
+            groups = (self.internal, self.customer)
+        long_first = self._slots.long_in_use < self._count_guaranteed_slots()
+        for group in groups:
+            if long_first and group.long.count:
+                ranked.append((group, Lane.LONG))
+            if group.short.count:
+                ranked.append((group, Lane.SHORT))
+            if not long_first and group.long.count:
+                ranked.append((group, Lane.LONG))
+        return ranked
+
+    def get_limit(self, group: ClassLanes, lane: Lane, now: float) -> SlotLimit | None:
+        """Return how far a lane may fill servers, None when it must wait."""
+        if lane is Lane.SHORT or self.is_short_quiet(now):
+            return SlotLimit.ALL
+        if self._slots.long_in_use >= self._count_long_slots(group, now):
+            return None
+        return SlotLimit.LONG_SHARE
+
+    def is_short_quiet(self, now: float) -> bool:
+        """Tell whether no short work waits or has come for some seconds."""
+        if now - self._last_short_at < SHORT_QUIET_S:
+            return False
+        return not (self.customer.short.count or self.internal.short.count)
+
+    def get_quiet_at(self) -> float:
+        """Return when long work that waits may take more slots."""
+        return self._last_short_at + SHORT_QUIET_S if self.long_waits else math.inf
+
+    def estimate_wait(self, work: Work, lane: Lane, cost_s: float, now: float) -> float:
+        """Return the seconds that new work waits before its start."""
+        group = self.get_group(work)
+        queue = group.get_queue(lane)
+        ahead_s = queue.estimate_ahead(work.workspace, work.deadline, cost_s)
+        slots = self._count_serving_slots(group, lane, now)
+        if group.internal:
+            ahead_s += self.customer.get_queue(lane).backlog_s
+            left = self._slots.usable - self.customer.measure_load(now)
+            slots = max(INTERNAL_SHARE * self._slots.usable, min(slots, left))
+        if self._slots.free <= 0:
+            # The first slot to get free is one of all that are in use.
+            ahead_s += self._policy.short_mean_s
+        return ahead_s / max(slots, INTERNAL_SHARE)
+
+    def estimate_short_delay(self, now: float) -> float:
+        """Return how long a customer's short work waits, in seconds."""
+        ahead_s = self.customer.short.backlog_s
+        if self._slots.free <= 0:
+            ahead_s += self._policy.short_mean_s
+        return ahead_s / self._count_serving_slots(self.customer, Lane.SHORT, now)
+
+    def is_customer_in_danger(self, now: float) -> bool:
+        """Tell whether a customer's deadline leaves no room for internal work."""
+        if now - self._refused_customer_at < DANGER_AFTER_REFUSAL_S:
+            return True
+        customer = self.customer
+        wait_s = 0.0
+        for lane in (Lane.SHORT, Lane.LONG):
+            slots = self._count_serving_slots(customer, lane, now)
+            wait_s = max(wait_s, customer.get_queue(lane).backlog_s / slots)
+        return now + WAIT_MARGIN * wait_s > customer.expiry.get_first()
+
+    def _is_internal_due(self, now: float) -> bool:
+        if self._customer_starts < CUSTOMER_STARTS_PER_INTERNAL:
+            return False
+        return self.internal.count > 0 and not self.is_customer_in_danger(now)
+
+    def _count_serving_slots(self, group: ClassLanes, lane: Lane, now: float) -> int:
+        """Return how many slots serve a lane, at least 1."""
+        usable = self._slots.usable
+        if lane is Lane.LONG:
+            if self.is_short_quiet(now):
+                return max(1, usable)
+            return self._count_long_slots(group, now)
+        held = self._slots.long_in_use
+        if self.long_waits:
+            held = max(held, self._count_guaranteed_slots())
+        return max(1, usable - held)
+
+    def _count_guaranteed_slots(self) -> int:
+        return max(1, int(LONG_GUARANTEE * self._slots.usable))
+
+    def _count_long_slots(self, group: ClassLanes, now: float) -> int:
+        """Return how many of all slots long work may hold beside short work.
+
+        One in four of each server is not enough when the service's short work needs
+        more; internal short work does not count against customers' long work.
+        """
+        load = self.customer.short_load.measure(now)
+        if group.internal:
+            load += self.internal.short_load.measure(now)
+        reserve = math.ceil(load + SHORT_HEADROOM_DEVIATIONS * math.sqrt(load))
+        return max(self._count_guaranteed_slots(), self._slots.usable - reserve)
--- /dev/null
+++ b/src/flamingobank/admission/slots.py
@@ -0,0 +1,163 @@
+"""Count the slots in use on each server of a service."""
+
+import enum
+import math
+
+from flamingobank.admission.work import Lane, ServerChange
+from flamingobank.core import InstanceId, Invariant, check_invariant
+
+# More is a mistake in the announcement: a server of 1.3 has 4 slots.
+MAX_SLOTS = 1024
+
+
+class SlotLimit(enum.Enum):
+    """Say how far work may fill a server."""
+
+    ALL = "all"
+    LONG_SHARE = "long-share"
+
+
+class Server:
+    """Hold the slots of one server."""
+
+    __slots__ = ("attached", "in_use", "instance", "long_in_use", "slots", "usable")
+
+    def __init__(self, instance: InstanceId, slots: int) -> None:
+        self.instance = instance
+        # Announced slots, and how many of them health and warm-up leave.
+        self.slots = slots
+        self.usable = slots
+        self.in_use = 0
+        self.long_in_use = 0
+        self.attached = True
+
+    @property
+    def free(self) -> int:
+        """Return how many slots may be taken now."""
+        return max(0, self.usable - self.in_use)
+
+
+class SlotTable:
+    """Hold the servers of one service on their home."""
+
+    def __init__(self, long_share: float) -> None:
+        self._long_share = long_share
+        self._servers: dict[InstanceId, Server] = {}
+        self.usable = 0
+        self.free = 0
+        self.long_in_use = 0
+
+    def set_slots(self, instance: InstanceId, slots: int) -> ServerChange:
+        """Set what a server announced; work in its slots is not affected."""
+        if not isinstance(slots, int) or not 0 <= slots <= MAX_SLOTS:
+            return ServerChange.REJECTED
+        server = self._servers.get(instance)
+        if server is not None and server.slots == slots:
+            return ServerChange.UNCHANGED
+        change = ServerChange.CHANGED
+        if server is None:
+            server = self._servers[instance] = Server(instance, slots)
+            change = ServerChange.ADDED
+        server.slots = slots
+        server.usable = slots
+        self._recount()
+        return change if slots else ServerChange.WITHOUT_SLOTS
+
+    def set_usable(self, instance: InstanceId, usable: int) -> ServerChange:
+        """Bound the slots that may be taken, for a drain, an ejection or a ramp."""
+        server = self._servers.get(instance)
+        if server is None or not isinstance(usable, int) or usable < 0:
+            return ServerChange.REJECTED
+        usable = min(usable, server.slots)
+        if server.usable == usable:
+            return ServerChange.UNCHANGED
+        server.usable = usable
+        self._recount()
+        return ServerChange.CHANGED
+
+    def remove(self, instance: InstanceId) -> bool:
+        """Forget a server; slots still in use on it are released by themselves."""
+        server = self._servers.pop(instance, None)
+        if server is None:
+            return False
+        server.attached = False
+        self._recount()
+        return True
+
+    def list_free(self, lane: Lane, limit: SlotLimit) -> tuple[InstanceId, ...]:
+        """Return the servers that may start work, fewest slots in use first."""
+        open_servers = [
+            server
+            for server in self._servers.values()
+            if self._is_open(server, lane, limit)
+        ]
+        open_servers.sort(key=lambda server: server.in_use)
+        return tuple([server.instance for server in open_servers])
+
+    def acquire(
+        self, instance: InstanceId, lane: Lane, limit: SlotLimit
+    ) -> Server | None:
+        """Take a slot; None when the server has none for this work."""
+        server = self._servers.get(instance)
+        if server is None or not self._is_open(server, lane, limit):
+            return None
+        server.in_use += 1
+        self.free -= 1
+        if lane is Lane.LONG:
+            server.long_in_use += 1
+            self.long_in_use += 1
+        check_invariant(
+            Invariant.SLOTS,
+            0 < server.in_use <= server.slots and self.free >= 0,
+            instance=instance,
+            in_use=server.in_use,
+            slots=server.slots,
+            free=self.free,
+        )
+        return server
+
+    def release(self, server: Server, lane: Lane) -> None:
+        """Give a slot back."""
+        was_free = server.free
+        server.in_use -= 1
+        if lane is Lane.LONG:
+            server.long_in_use -= 1
+        check_invariant(
+            Invariant.SLOTS,
+            0 <= server.long_in_use <= server.in_use,
+            instance=server.instance,
+            in_use=server.in_use,
+            long_in_use=server.long_in_use,
+        )
+        if not server.attached:
+            return
+        self.free += server.free - was_free
+        if lane is Lane.LONG:
+            self.long_in_use -= 1
+
+    def promote(self, server: Server) -> None:
+        """Count a slot as held by long work from now on."""
+        server.long_in_use += 1
+        if server.attached:
+            self.long_in_use += 1
+
+    def count_long_slots(self, usable: int) -> int:
+        """Return how many slots of a server long work may hold.
+
+        A server of one slot takes long work, or a service of such servers would
+        never run any.
+        """
+        return max(1, math.floor(usable * self._long_share + 1e-9))
+
+    def _is_open(self, server: Server, lane: Lane, limit: SlotLimit) -> bool:
+        if server.in_use >= server.usable:
+            return False
+        if lane is Lane.SHORT or limit is SlotLimit.ALL:
+            return True
+        return server.long_in_use < self.count_long_slots(server.usable)
+
+    def _recount(self) -> None:
+        servers = self._servers.values()
+        self.usable = sum(server.usable for server in servers)
+        self.free = sum(server.free for server in servers)
+        self.long_in_use = sum(server.long_in_use for server in servers)
