Add the benchmarks crest, head_of_line and retry_storm

Change: benchmarks/service_model holds entries, homes, servers and gossip in virtual time, the product's built on the packages and naive twins. The retry budget saves at most 5 tokens and its minimum only refills when work is rare.

--- /dev/null
+++ b/benchmarks/crest.py
@@ -0,0 +1,140 @@
+"""Measure how customers are served while demand swings to twice the capacity.
+
+Demand rises from half to twice the capacity within 1 s and stays for 10 s; a third
+of it is internal. Durations are exponential.
+"""
+
+import argparse
+import random
+from collections.abc import Iterator
+
+from benchmarks.service_model import (
+    Outcome,
+    Request,
+    Shape,
+    build_fleet,
+    compute_percentile,
+    find_recovery,
+)
+from flamingobank.core import RequestId, RouteName, WorkspaceId
+from flamingobank.objects import TrafficClass
+
+SHAPE = Shape()
+RUN_S = 0.05
+CALM_S = 5.0
+RAMP_S = 1.0
+CREST_S = 10.0
+AFTER_S = 15.0
+CALM_LOAD = 0.5
+CREST_LOAD = 2.0
+INTERNAL_SHARE = 1 / 3
+DEADLINES_S = {TrafficClass.CUSTOMER: 1.0, TrafficClass.INTERNAL: 2.0}
+WORKSPACES = 40
+CAPACITY_PER_S = SHAPE.slots / RUN_S
+CREST_END_S = CALM_S + RAMP_S + CREST_S
+STEP_S = 0.01
+
+
+def measure(options: argparse.Namespace) -> dict:
+    """Run both versions on the same requests."""
+    return {
+        "seed": options.seed,
+        "capacity_per_s": CAPACITY_PER_S,
+        "naive": measure_version(False, options.seed),
+        "product": measure_version(True, options.seed),
+    }
+
+
+def measure_version(product: bool, seed: int) -> dict:
+    """Return the figures of one version."""
+    fleet = build_fleet(product, SHAPE, seed)
+    end_s = CREST_END_S + AFTER_S
+    requests = fleet.run(generate_requests(seed), end_s + 5.0)
+    customers = [
+        request
+        for request in requests
+        if request.traffic_class is TrafficClass.CUSTOMER
+    ]
+    crest = [each for each in customers if CALM_S <= each.arrival_s < CREST_END_S]
+    internal = [
+        each
+        for each in requests
+        if each.traffic_class is TrafficClass.INTERNAL
+        and CALM_S <= each.arrival_s < CREST_END_S
+    ]
+    waits = [
+        each.finished_s - each.arrival_s
+        for each in crest
+        if each.outcome is Outcome.DONE
+    ]
+    return {
+        "customer_goodput_ratio": round(
+            count_served(customers, CALM_S, CREST_END_S) / compute_servable(), 4
+        ),
+        "customer_p99_s": compute_percentile(waits, 99),
+        "customer_deadline_s": DEADLINES_S[TrafficClass.CUSTOMER],
+        "false_not_run": count_false_not_run(requests),
+        "recovery_s": find_recovery(customers, CREST_END_S),
+        "customers_offered": len(crest),
+        "customers_refused": sum(each.outcome is Outcome.NOT_RUN for each in crest),
+        "internal_served_ratio": round(
+            sum(each.in_time for each in internal) / len(internal), 4
+        ),
+    }
+
+
+def count_served(requests: list[Request], start_s: float, end_s: float) -> int:
+    """Count answers in time that came in a stretch of time.
+
+    Counting by arrival would add what the queue still holds at its end.
+    """
+    return sum(each.in_time and start_s <= each.finished_s < end_s for each in requests)
+
+
+def count_false_not_run(requests: list[Request]) -> int:
+    """Count requests that ran although their callers were told that they did not."""
+    return sum(
+        each.outcome is Outcome.NOT_RUN and bool(each.ran_on) for each in requests
+    )
+
+
+def get_load(time_s: float) -> float:
+    """Return the demand as a share of the capacity."""
+    if time_s < CALM_S or time_s >= CREST_END_S:
+        return CALM_LOAD
+    risen = min(1.0, (time_s - CALM_S) / RAMP_S)
+    return CALM_LOAD + risen * (CREST_LOAD - CALM_LOAD)
+
+
+def compute_servable() -> float:
+    """Return the lesser of customers' demand and capacity, over the crest."""
+    steps = round((RAMP_S + CREST_S) / STEP_S)
+    loads = (get_load(CALM_S + step * STEP_S) for step in range(steps))
+    shares = (min(1.0, load * (1 - INTERNAL_SHARE)) for load in loads)
+    return sum(shares) * STEP_S * CAPACITY_PER_S
+
+
+def generate_requests(seed: int) -> Iterator[Request]:
+    """Generate arrivals whose rate follows the load."""
+    rng = random.Random(f"crest {seed}")
+    time_s = 0.0
+    number = 0
+    while True:
+        time_s += rng.expovariate(CREST_LOAD * CAPACITY_PER_S)
+        if time_s >= CREST_END_S + AFTER_S:
+            return
+        if rng.random() * CREST_LOAD >= get_load(time_s):
+            continue
+        internal = rng.random() < INTERNAL_SHARE
+        traffic_class = TrafficClass.INTERNAL if internal else TrafficClass.CUSTOMER
+        number += 1
+        yield Request(
+            RequestId(f"request-{number}"),
+            RouteName(traffic_class.value),
+            WorkspaceId(f"workspace-{rng.randrange(WORKSPACES)}"),
+            traffic_class,
+            time_s,
+            time_s + DEADLINES_S[traffic_class],
+            rng.expovariate(1 / RUN_S),
+            RUN_S,
+        )
--- /dev/null
+++ b/benchmarks/head_of_line.py
@@ -0,0 +1,128 @@
+"""Measure how long short checks wait behind long archive pulls.
+
+Pulls take 50 times as long as checks and are offered at half of the capacity. The
+same checks without pulls give the ratio.
+"""
+
+import argparse
+import heapq
+import random
+
+from benchmarks.service_model import (
+    Request,
+    Shape,
+    build_fleet,
+    compute_percentile,
+)
+from flamingobank.core import RequestId, RouteName, WorkspaceId
+from flamingobank.objects import TrafficClass
+
+SHAPE = Shape()
+SHORT_RUN_S = 0.02
+LONG_FACTOR = 50
+SHORT_LOAD = 0.2
+LONG_LOAD = 0.5
+DURATION_S = 60.0
+# Checks of the first seconds meet servers that are not yet filled with pulls.
+WARM_UP_S = 5.0
+SHORT_DEADLINE_S = 2.0
+LONG_DEADLINE_S = 120.0
+SETTLE_S = 5.0
+WORKSPACES = 40
+CHECK = RouteName("status-check")
+PULL = RouteName("archive-pull")
+
+
+def measure(options: argparse.Namespace) -> dict:
+    """Run both versions on the same requests."""
+    return {
+        "seed": options.seed,
+        "short_load": SHORT_LOAD,
+        "long_load": LONG_LOAD,
+        "naive": measure_version(False, options.seed),
+        "product": measure_version(True, options.seed),
+    }
+
+
+def measure_version(product: bool, seed: int) -> dict:
+    """Return the figures of one version."""
+    alone_s = run_version(product, seed, with_pulls=False)[0]
+    mixed_s, long_work_s, failed = run_version(product, seed, with_pulls=True)
+    possible_s = schedule_work_conserving(generate_mix(seed, with_pulls=True))
+    return {
+        "short_p99_ratio": round(mixed_s / alone_s, 3),
+        "short_p99_s": mixed_s,
+        "short_p99_alone_s": alone_s,
+        "long_throughput_ratio": round(long_work_s / possible_s, 3),
+        "failed": failed,
+    }
+
+
+def run_version(product: bool, seed: int, with_pulls: bool) -> tuple[float, float, int]:
+    """Return the checks' p99, the pulls' slot time and the number not in time."""
+    fleet = build_fleet(product, SHAPE, seed)
+    requests = fleet.run(generate_mix(seed, with_pulls), DURATION_S + SETTLE_S)
+    waits = []
+    long_work_s = 0.0
+    failed = 0
+    for request in requests:
+        if request.route == PULL:
+            if request.in_time and request.finished_s <= DURATION_S:
+                long_work_s += request.run_s
+            continue
+        if not request.in_time:
+            failed += 1
+        if request.arrival_s < WARM_UP_S:
+            continue
+        # A check without an answer in time counts with its whole deadline.
+        end_s = request.finished_s if request.in_time else request.deadline_s
+        waits.append(end_s - request.arrival_s)
+    return compute_percentile(waits, 99), long_work_s, failed
+
+
+def schedule_work_conserving(requests: list[Request]) -> float:
+    """Return the slot time of the pulls that one common queue completes.
+
+    Any free slot of the service starts the first request in order of arrival.
+    """
+    free_at = [0.0] * SHAPE.slots
+    long_work_s = 0.0
+    for request in requests:
+        end_s = max(request.arrival_s, heapq.heappop(free_at)) + request.run_s
+        heapq.heappush(free_at, end_s)
+        if request.route == PULL and end_s <= DURATION_S:
+            long_work_s += request.run_s
+    return long_work_s
+
+
+def generate_mix(seed: int, with_pulls: bool) -> list[Request]:
+    """Generate checks, and pulls among them; the checks are always the same."""
+    requests = generate_route(CHECK, SHORT_RUN_S, SHORT_LOAD, SHORT_DEADLINE_S, seed)
+    if with_pulls:
+        run_s = SHORT_RUN_S * LONG_FACTOR
+        requests += generate_route(PULL, run_s, LONG_LOAD, LONG_DEADLINE_S, seed)
+    return sorted(requests, key=lambda request: request.arrival_s)
+
+
+def generate_route(
+    route: RouteName, run_s: float, load: float, deadline_s: float, seed: int
+) -> list[Request]:
+    """Generate the requests of one route with exponential durations."""
+    rng = random.Random(f"{route} {seed}")
+    rate_per_s = load * SHAPE.slots / run_s
+    requests = []
+    time_s = rng.expovariate(rate_per_s)
+    while time_s < DURATION_S:
+        request = Request(
+            RequestId(f"{route}-{len(requests)}"),
+            route,
+            WorkspaceId(f"workspace-{rng.randrange(WORKSPACES)}"),
+            TrafficClass.CUSTOMER,
+            time_s,
+            time_s + deadline_s,
+            rng.expovariate(1 / run_s),
+            run_s,
+        )
+        requests.append(request)
+        time_s += rng.expovariate(rate_per_s)
+    return requests
--- /dev/null
+++ b/benchmarks/retry_storm.py
@@ -0,0 +1,96 @@
+"""Measure what retries add while a third of the servers fail for 30 s.
+
+Failing servers err after the usual time and are not ejected in either version, so
+that only the retry rules hold the load down.
+"""
+
+import argparse
+import random
+
+from benchmarks.service_model import (
+    Fleet,
+    Outcome,
+    Request,
+    Shape,
+    build_fleet,
+    find_recovery,
+)
+from flamingobank.core import RequestId, RouteName, WorkspaceId
+from flamingobank.objects import TrafficClass
+
+SHAPE = Shape(nodes=4, servers_per_home=3)
+RUN_S = 0.05
+LOAD = 0.75
+STORM_START_S = 5.0
+STORM_S = 30.0
+STORM_END_S = STORM_START_S + STORM_S
+AFTER_S = 15.0
+DEADLINE_S = 1.0
+NON_IDEMPOTENT_SHARE = 0.1
+WORKSPACES = 40
+
+
+def measure(options: argparse.Namespace) -> dict:
+    """Run both versions on the same requests."""
+    return {
+        "seed": options.seed,
+        "naive": measure_version(False, options.seed),
+        "product": measure_version(True, options.seed),
+    }
+
+
+def measure_version(product: bool, seed: int) -> dict:
+    """Return the figures of one version."""
+    fleet = build_fleet(product, SHAPE, seed)
+    plan_storm(fleet, seed)
+    requests = fleet.run(generate_requests(seed), STORM_END_S + AFTER_S + 5.0)
+    storm = [each for each in requests if STORM_START_S <= each.arrival_s < STORM_END_S]
+    attempts = sum(each.attempts for each in storm)
+    return {
+        "load_ratio": round(attempts / len(storm), 4),
+        "started_ratio": round(sum(len(e.ran_on) for e in storm) / len(storm), 4),
+        "recovery_s": find_recovery(requests, STORM_END_S),
+        "storm_served_ratio": round(sum(e.in_time for e in storm) / len(storm), 4),
+        "false_not_run": sum(
+            each.outcome is Outcome.NOT_RUN and bool(each.ran_on) for each in requests
+        ),
+        "ran_twice": sum(
+            len(each.ran_on) > 1 and not each.idempotent for each in requests
+        ),
+    }
+
+
+def plan_storm(fleet: Fleet, seed: int) -> None:
+    """Let a third of the servers fail between two times."""
+    rng = random.Random(f"storm {seed}")
+    failing = rng.sample(fleet.servers, len(fleet.servers) // 3)
+
+    def set_failing(value: bool) -> None:
+        for server in failing:
+            server.failing = value
+
+    fleet.events.call_at(STORM_START_S, lambda: set_failing(True))
+    fleet.events.call_at(STORM_END_S, lambda: set_failing(False))
+
+
+def generate_requests(seed: int) -> list[Request]:
+    """Generate arrivals at a constant rate with exponential durations."""
+    rng = random.Random(f"retry_storm {seed}")
+    rate_per_s = LOAD * SHAPE.slots / RUN_S
+    requests = []
+    time_s = rng.expovariate(rate_per_s)
+    while time_s < STORM_END_S + AFTER_S:
+        request = Request(
+            RequestId(f"request-{len(requests)}"),
+            RouteName("order"),
+            WorkspaceId(f"workspace-{rng.randrange(WORKSPACES)}"),
+            TrafficClass.CUSTOMER,
+            time_s,
+            time_s + DEADLINE_S,
+            rng.expovariate(1 / RUN_S),
+            RUN_S,
+            idempotent=rng.random() >= NON_IDEMPOTENT_SHARE,
+        )
+        requests.append(request)
+        time_s += rng.expovariate(rate_per_s)
+    return requests
--- /dev/null
+++ b/benchmarks/service_model/__init__.py
@@ -0,0 +1,17 @@
+"""Model one service with its homes and entries in virtual time."""
+
+from benchmarks.service_model.figures import compute_percentile, find_recovery
+from benchmarks.service_model.fleet import Fleet, Shape, build_fleet
+from benchmarks.service_model.requests import Outcome, Request
+from benchmarks.service_model.servers import ModelServer
+
+__all__ = [
+    "Fleet",
+    "ModelServer",
+    "Outcome",
+    "Request",
+    "Shape",
+    "build_fleet",
+    "compute_percentile",
+    "find_recovery",
+]
--- /dev/null
+++ b/benchmarks/service_model/entries.py
@@ -0,0 +1,165 @@
+"""Model entries: the product's choice and retries, and immediate retries."""
+
+import abc
+import itertools
+import random
+
+from benchmarks.events import EventQueue
+from benchmarks.service_model.gossip import CrashGossip
+from benchmarks.service_model.homes import Home
+from benchmarks.service_model.requests import Attempt, Outcome, Reply, Request
+from flamingobank.admission import ServiceLoad
+from flamingobank.core import Disposition, Reason
+from flamingobank.retries import (
+    RetryBudget,
+    RetryDecision,
+    decide_retry,
+    merge_dispositions,
+)
+
+HOP_S = 0.001
+LOAD_EXPIRY_S = 2.0
+NAIVE_ATTEMPTS = 4
+# A naive entry gives an attempt half of the time to the deadline.
+NAIVE_TIMEOUT_SHARE = 0.5
+
+
+class Entry(abc.ABC):
+    """Accept requests of callers."""
+
+    def __init__(
+        self, events: EventQueue, homes: list[Home], rng: random.Random
+    ) -> None:
+        self.events = events
+        self.homes = homes
+        self.rng = rng
+        self.attempts_sent = 0
+
+    @abc.abstractmethod
+    def accept(self, request: Request) -> None:
+        """Serve a request; its outcome is set once."""
+
+    def send(self, request: Request, home: Home, on_reply) -> None:
+        """Send the next attempt to a home; the reply takes a hop back."""
+
+        def deliver_reply(reply: Reply) -> None:
+            self.events.call_after(HOP_S, lambda: on_reply(reply))
+
+        work = request.make_work(request.attempts)
+        attempt = Attempt(request, work, deliver_reply)
+        request.attempts += 1
+        self.attempts_sent += 1
+        self.events.call_after(HOP_S, lambda: home.receive(attempt))
+
+    def end(self, request: Request, outcome: Outcome) -> None:
+        """Answer the caller, unless it was answered before."""
+        if request.outcome is not Outcome.WAITING:
+            return
+        request.outcome = outcome
+        request.finished_s = self.events.clock.now()
+
+
+class NaiveEntry(Entry):
+    """Go round the homes; retry at once after an error or a timeout."""
+
+    def __init__(
+        self, events: EventQueue, homes: list[Home], rng: random.Random
+    ) -> None:
+        super().__init__(events, homes, rng)
+        self._turn = itertools.cycle(homes)
+
+    def accept(self, request: Request) -> None:
+        self._try(request)
+
+    def _try(self, request: Request) -> None:
+        settled: list[bool] = []
+        timeout_s = NAIVE_TIMEOUT_SHARE * (request.deadline_s - request.arrival_s)
+
+        def handle(done: bool) -> None:
+            if request.outcome is not Outcome.WAITING:
+                return
+            if done:
+                self.end(request, Outcome.DONE)
+                return
+            if settled:
+                return
+            settled.append(True)
+            self._handle_failure(request)
+
+        self.send(
+            request,
+            next(self._turn),
+            lambda reply: handle(reply.disposition is Disposition.DONE),
+        )
+        self.events.call_after(timeout_s, lambda: handle(False))
+
+    def _handle_failure(self, request: Request) -> None:
+        late = self.events.clock.now() >= request.deadline_s
+        if late or request.attempts >= NAIVE_ATTEMPTS or not request.idempotent:
+            self.end(request, Outcome.FAILED)
+            return
+        self._try(request)
+
+
+class ProductEntry(Entry):
+    """Choose the less loaded of two homes; retry within the budget."""
+
+    def __init__(
+        self,
+        events: EventQueue,
+        homes: list[Home],
+        rng: random.Random,
+        gossip: CrashGossip,
+    ) -> None:
+        super().__init__(events, homes, rng)
+        self._gossip = gossip
+        self._budget = RetryBudget()
+        self._loads: dict[Home, tuple[ServiceLoad, float]] = {}
+
+    def accept(self, request: Request) -> None:
+        self._budget.earn(self.events.clock.now())
+        self._try(request, Disposition.NOT_RUN, None)
+
+    def _try(self, request: Request, known: Disposition, avoid: Home | None) -> None:
+        if self._gossip.is_quarantined(request.fingerprint):
+            request.reason = Reason.QUARANTINED
+            self._give_up(request, known)
+            return
+        home = self._choose_home(avoid)
+        self.send(
+            request, home, lambda reply: self._handle(request, known, home, reply)
+        )
+
+    def _handle(
+        self, request: Request, known: Disposition, home: Home, reply: Reply
+    ) -> None:
+        now = self.events.clock.now()
+        self._loads[home] = (reply.load, now)
+        merged = merge_dispositions(known, reply.disposition)
+        if merged is Disposition.DONE:
+            self.end(request, Outcome.DONE)
+            return
+        request.reason = reply.reason
+        work = request.make_work(request.attempts - 1)
+        decision = RetryDecision.NO_BUDGET
+        if reply.reason is not Reason.QUARANTINED:
+            decision = decide_retry(work, merged, request.arrival_s, self._budget, now)
+        if decision is RetryDecision.RETRY:
+            self._try(request, merged, home)
+            return
+        self._give_up(request, merged)
+
+    def _give_up(self, request: Request, known: Disposition) -> None:
+        not_run = known is Disposition.NOT_RUN
+        self.end(request, Outcome.NOT_RUN if not_run else Outcome.FAILED)
+
+    def _choose_home(self, avoid: Home | None) -> Home:
+        choices = [home for home in self.homes if home is not avoid] or self.homes
+        pair = self.rng.sample(choices, min(2, len(choices)))
+        return min(pair, key=self._rate)
+
+    def _rate(self, home: Home) -> tuple[float, int]:
+        load, told_s = self._loads.get(home, (None, 0.0))
+        if load is None or self.events.clock.now() - told_s > LOAD_EXPIRY_S:
+            return 0.0, 0
+        return load.queue_delay_s, -load.free_slots
--- /dev/null
+++ b/benchmarks/service_model/fleet.py
@@ -0,0 +1,74 @@
+"""Put entries, homes and servers together."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from benchmarks.events import EventQueue
+from benchmarks.service_model.entries import Entry, NaiveEntry, ProductEntry
+from benchmarks.service_model.gossip import CrashGossip
+from benchmarks.service_model.homes import Home, NaiveHome, ProductHome
+from benchmarks.service_model.requests import Request
+from benchmarks.service_model.servers import SLOTS, ModelServer
+from flamingobank.core import InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Say how large the fleet is."""
+
+    nodes: int = 4
+    servers_per_home: int = 4
+
+    @property
+    def slots(self) -> int:
+        """Return the number of slots of the service."""
+        return self.nodes * self.servers_per_home * SLOTS
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Hold one model; each node is an entry and a home."""
+
+    events: EventQueue
+    entries: list[Entry]
+    homes: list[Home]
+    servers: list[ModelServer]
+
+    def run(self, requests: Iterable[Request], end_s: float) -> list[Request]:
+        """Offer requests to random entries and run to the end."""
+        requests = list(requests)
+        rng = random.Random(len(requests))
+        for request in requests:
+            self.schedule(request, rng)
+        self.events.run_until(end_s)
+        return requests
+
+    def schedule(self, request: Request, rng: random.Random) -> None:
+        """Offer one request at its arrival."""
+        entry = rng.choice(self.entries)
+        self.events.call_at(request.arrival_s, lambda: entry.accept(request))
+
+
+def build_fleet(product: bool, shape: Shape, seed: int) -> Fleet:
+    """Build the product or the naive fleet."""
+    rng = random.Random(seed)
+    events = EventQueue()
+    servers = [
+        ModelServer(InstanceId(f"server-{index}"), events)
+        for index in range(shape.nodes * shape.servers_per_home)
+    ]
+    shares = [servers[index :: shape.nodes] for index in range(shape.nodes)]
+    if not product:
+        homes: list[Home] = [NaiveHome(events, share) for share in shares]
+        entries: list[Entry] = [NaiveEntry(events, homes, rng) for _ in shares]
+        return Fleet(events, entries, homes, servers)
+    nodes = [CrashGossip(events, rng) for _ in shares]
+    for node in nodes:
+        node.peers = nodes
+    homes = [
+        ProductHome(events, share, node)
+        for share, node in zip(shares, nodes, strict=True)
+    ]
+    entries = [ProductEntry(events, homes, rng, node) for node in nodes]
+    return Fleet(events, entries, homes, servers)
--- /dev/null
+++ b/benchmarks/service_model/homes.py
@@ -0,0 +1,193 @@
+"""Model homes: the product's admission and one queue in order of arrival."""
+
+import abc
+from collections import deque
+
+from benchmarks.events import EventQueue
+from benchmarks.service_model.gossip import CrashGossip
+from benchmarks.service_model.requests import Attempt, Reply
+from benchmarks.service_model.servers import SLOTS, ModelServer
+from flamingobank.admission import AdmissionQueue, Admitted, StartOutcome, Work
+from flamingobank.core import Disposition, InstanceId, Reason, ServiceName
+from flamingobank.retries import RetryBudget, admit_attempt
+
+
+class Home(abc.ABC):
+    """Dispatch attempts to a share of the servers."""
+
+    def __init__(self, events: EventQueue, servers: list[ModelServer]) -> None:
+        self.events = events
+        self.servers = {server.instance: server for server in servers}
+        for server in servers:
+            server.on_crash = self.handle_crash
+            server.on_restart = self.handle_restart
+
+    @abc.abstractmethod
+    def receive(self, attempt: Attempt) -> None:
+        """Take over an attempt from an entry."""
+
+    @abc.abstractmethod
+    def handle_crash(self, server: ModelServer, lost: list[Attempt]) -> None:
+        """React to a crash, before the lost attempts end."""
+
+    @abc.abstractmethod
+    def handle_restart(self, server: ModelServer) -> None:
+        """React to a server that announces again."""
+
+
+class NaiveHome(Home):
+    """Start work in order of arrival on any free slot."""
+
+    def __init__(self, events: EventQueue, servers: list[ModelServer]) -> None:
+        super().__init__(events, servers)
+        self._queue: deque[Attempt] = deque()
+        self._in_use = {server.instance: 0 for server in servers}
+
+    def receive(self, attempt: Attempt) -> None:
+        self._queue.append(attempt)
+        self._pump()
+
+    def handle_crash(self, server: ModelServer, lost: list[Attempt]) -> None:
+        return None
+
+    def handle_restart(self, server: ModelServer) -> None:
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._queue:
+            free = [
+                instance
+                for instance, in_use in self._in_use.items()
+                if in_use < SLOTS and self.servers[instance].up
+            ]
+            if not free:
+                return
+            instance = min(free, key=self._in_use.get)
+            self._in_use[instance] += 1
+            attempt = self._queue.popleft()
+            self.servers[instance].run(
+                attempt,
+                lambda ended, disposition, instance=instance: self._end(
+                    ended, disposition, instance
+                ),
+            )
+
+    def _end(
+        self, attempt: Attempt, disposition: Disposition, instance: InstanceId
+    ) -> None:
+        self._in_use[instance] -= 1
+        attempt.on_reply(Reply(disposition))
+        self._pump()
+
+
+class ProductHome(Home):
+    """Start work as the admission queue and the crash ledger say."""
+
+    def __init__(
+        self, events: EventQueue, servers: list[ModelServer], gossip: CrashGossip
+    ) -> None:
+        super().__init__(events, servers)
+        self.gossip = gossip
+        self._queue = AdmissionQueue(ServiceName("model"))
+        self._budget = RetryBudget()
+        self._attempts: dict[str, Attempt] = {}
+        # The suspects in flight on each server.
+        self._suspects: dict[InstanceId, Work] = {}
+        self._wakeup_s = float("inf")
+        for server in servers:
+            self._queue.set_server(server.instance, SLOTS)
+
+    def receive(self, attempt: Attempt) -> None:
+        now = self.events.clock.now()
+        if self._is_quarantined(attempt):
+            self._reply(attempt, Disposition.NOT_RUN, Reason.QUARANTINED)
+            return
+        refusal = admit_attempt(attempt.work, self._budget, now)
+        if refusal is None:
+            refusal = self._queue.offer(attempt.work, now)
+        if not isinstance(refusal, Admitted):
+            self._reply(attempt, refusal.disposition, refusal.reason)
+            return
+        self._attempts[attempt.work.request_id] = attempt
+        self._pump()
+
+    def handle_crash(self, server: ModelServer, lost: list[Attempt]) -> None:
+        self._queue.remove_server(server.instance)
+        crash_id = f"{server.instance}/{server.boot}"
+        for attempt in lost:
+            self.gossip.report(attempt.request.fingerprint, server.instance, crash_id)
+
+    def handle_restart(self, server: ModelServer) -> None:
+        self._queue.set_server(server.instance, SLOTS)
+        self._pump()
+
+    def _pump(self) -> None:
+        now = self.events.clock.now()
+        while (taken := self._queue.take(now)) is not None:
+            attempt = self._attempts[taken.work.request_id]
+            if self._is_quarantined(attempt):
+                self._queue.cancel(taken.work.request_id, now)
+                self._reply(attempt, Disposition.NOT_RUN, Reason.QUARANTINED)
+                continue
+            instance = self._choose(attempt, taken.servers)
+            if instance is None:
+                self._queue.put_back(taken.work, now)
+                break
+            outcome = self._queue.start(taken.work, instance, now)
+            assert outcome is StartOutcome.STARTED, outcome
+            self.servers[instance].run(attempt, self._end)
+        for refused in self._queue.expire(now):
+            attempt = self._attempts[refused.work.request_id]
+            self._reply(attempt, refused.refusal.disposition, refused.refusal.reason)
+        self._arm_wakeup()
+
+    def _choose(
+        self, attempt: Attempt, servers: tuple[InstanceId, ...]
+    ) -> InstanceId | None:
+        """Keep suspects apart, so that a second crash tells which one caused it."""
+        if not self._is_suspect(attempt):
+            return servers[0]
+        for instance in servers:
+            if instance not in self._suspects:
+                self._suspects[instance] = attempt.work
+                return instance
+        return None
+
+    def _end(self, attempt: Attempt, disposition: Disposition) -> None:
+        now = self.events.clock.now()
+        done = disposition is Disposition.DONE
+        self._queue.finish(attempt.work, now, completed=done)
+        for instance, work in list(self._suspects.items()):
+            if work is attempt.work:
+                del self._suspects[instance]
+        if done:
+            self.gossip.report_completion(attempt.request.fingerprint)
+        self._reply(attempt, disposition)
+        self._pump()
+
+    def _reply(
+        self, attempt: Attempt, disposition: Disposition, reason: Reason | None = None
+    ) -> None:
+        self._attempts.pop(attempt.work.request_id, None)
+        load = self._queue.measure_load(self.events.clock.now())
+        attempt.on_reply(Reply(disposition, reason, load))
+
+    def _is_quarantined(self, attempt: Attempt) -> bool:
+        return self.gossip.is_quarantined(attempt.request.fingerprint)
+
+    def _is_suspect(self, attempt: Attempt) -> bool:
+        # A report may still be under way when a broken request is sent again.
+        if attempt.work.attempt > 0:
+            return True
+        return self.gossip.is_suspect(attempt.request.fingerprint)
+
+    def _arm_wakeup(self) -> None:
+        wakeup_s = self._queue.get_next_wakeup()
+        if wakeup_s >= self._wakeup_s or wakeup_s == float("inf"):
+            return
+        self._wakeup_s = wakeup_s
+        self.events.call_at(wakeup_s + 1e-6, self._wake)
+
+    def _wake(self) -> None:
+        self._wakeup_s = float("inf")
+        self._pump()
--- /dev/null
+++ b/benchmarks/service_model/requests.py
@@ -0,0 +1,88 @@
+"""Describe requests and attempts of the model."""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from flamingobank.admission import ServiceLoad, Work
+from flamingobank.core import (
+    Disposition,
+    Fingerprint,
+    InstanceId,
+    Reason,
+    RequestId,
+    RouteName,
+    WorkspaceId,
+)
+from flamingobank.objects import TrafficClass
+
+# Requests of benchmarks without crashes need not be told apart.
+NO_FINGERPRINT = Fingerprint(b"")
+
+
+class Outcome(enum.Enum):
+    """Say what the caller was told."""
+
+    WAITING = "waiting"
+    DONE = "done"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """Follow one request of a caller; times are virtual seconds."""
+
+    request_id: RequestId
+    route: RouteName
+    workspace: WorkspaceId
+    traffic_class: TrafficClass
+    arrival_s: float
+    deadline_s: float
+    run_s: float
+    expected_s: float
+    idempotent: bool = True
+    fingerprint: Fingerprint = NO_FINGERPRINT
+    poison: bool = False
+    outcome: Outcome = Outcome.WAITING
+    reason: Reason | None = None
+    finished_s: float = 0.0
+    attempts: int = 0
+    # Servers that started it, once for each start.
+    ran_on: list[InstanceId] = field(default_factory=list)
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether the caller had the answer by the deadline."""
+        return self.outcome is Outcome.DONE and self.finished_s <= self.deadline_s
+
+    def make_work(self, attempt: int) -> Work:
+        """Return what admission is told about an attempt."""
+        return Work(
+            RequestId(f"{self.request_id}/{attempt}"),
+            self.route,
+            self.workspace,
+            self.traffic_class,
+            self.deadline_s,
+            self.expected_s,
+            self.idempotent,
+            attempt,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Tell the entry how an attempt ended."""
+
+    disposition: Disposition
+    reason: Reason | None = None
+    load: ServiceLoad | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """Carry one attempt to a home; the reply may come once."""
+
+    request: Request
+    work: Work
+    on_reply: Callable[[Reply], None]
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -65,8 +65,8 @@
                 context.allowed += 1
                 balance += 1.0
             lowest = min(lowest, balance)
-            # Ten saved tokens and the minimum of a token each 10 s come on top.
-            if balance - lowest > 10.0 + 0.1 * now + 1e-6:
+            # Five saved tokens and the minimum of a token each 10 s come on top.
+            if balance - lowest > 5.0 + 0.1 * now + 1e-6:
                 context.excesses.append((seed, share, balance - lowest))
 
     run()
--- a/src/flamingobank/retries/budget.py
+++ b/src/flamingobank/retries/budget.py
@@ -6,8 +6,10 @@
 # A caller of a quiet node still gets a retry now and then.
 MINIMUM_TOKENS = 1.0
 MINIMUM_REFILL_PER_S = 0.1
+# Work that comes more often than this earns more than the minimum by itself.
+QUIET_AFTER_S = 1.0
 # Tokens of calm times must not pay for a burst of retries in a failure.
-MAX_TOKENS = 10.0
+MAX_TOKENS = 5.0
 DECAY_S = 2.0
 
 
@@ -18,12 +20,13 @@
     reach it. A new budget starts at the minimum.
     """
 
-    __slots__ = ("_now", "_ratio", "_tokens")
+    __slots__ = ("_earned_at", "_now", "_ratio", "_tokens")
 
     def __init__(self, ratio: float = RETRY_RATIO) -> None:
         self._ratio = ratio
         self._tokens = MINIMUM_TOKENS
         self._now = -math.inf
+        self._earned_at = -math.inf
 
     @property
     def tokens(self) -> float:
@@ -33,6 +36,7 @@
     def earn(self, now: float) -> None:
         """Count a first attempt."""
         self._advance(now)
+        self._earned_at = self._now
         self._tokens = min(MAX_TOKENS, self._tokens + self._ratio)
 
     def can_spend(self, now: float) -> bool:
@@ -51,13 +55,14 @@
         # A reading that jumped back must not earn the same time twice.
         if not now > self._now:
             return
-        elapsed_s = now - self._now
+        before = self._now
         self._now = now
-        if math.isinf(elapsed_s):
+        if math.isinf(before):
             return
         if self._tokens < MINIMUM_TOKENS:
-            refilled = self._tokens + MINIMUM_REFILL_PER_S * elapsed_s
+            quiet_s = max(0.0, now - max(before, self._earned_at + QUIET_AFTER_S))
+            refilled = self._tokens + MINIMUM_REFILL_PER_S * quiet_s
             self._tokens = min(MINIMUM_TOKENS, refilled)
             return
         excess = self._tokens - MINIMUM_TOKENS
-        self._tokens = MINIMUM_TOKENS + excess * math.exp(-elapsed_s / DECAY_S)
+        self._tokens = MINIMUM_TOKENS + excess * math.exp((before - now) / DECAY_S)
