Add SWIM-like membership as a pure state machine

Change: Membership takes decoded datagrams and clock readings and returns sends and outcomes. Changes are pushed to 3 members at once besides the piggybacked retransmissions, because piggybacking alone needs about log2 n seconds, more than the suspicion time.

--- /dev/null
+++ b/src/flamingobank/membership/__init__.py
@@ -0,0 +1,70 @@
+"""Detect failed members and disseminate what is known about members."""
+
+from flamingobank.membership.datagrams import (
+    DATAGRAM_BYTES,
+    decode_datagram,
+    encode_datagram,
+)
+from flamingobank.membership.machine import TICK_INTERVAL_S, Membership
+from flamingobank.membership.messages import (
+    Ack,
+    Address,
+    Gossip,
+    Member,
+    Message,
+    Ping,
+    PingRequest,
+    Send,
+    State,
+    StatePart,
+    StateRequest,
+)
+from flamingobank.membership.outcomes import (
+    DuplicateAddress,
+    DuplicateId,
+    Joined,
+    MemberJoined,
+    MemberRemoved,
+    MemberRestarted,
+    MemberUnreachable,
+    Outcome,
+    Paused,
+    Refuted,
+    Rejected,
+    RejectReason,
+    RevisionSeen,
+)
+from flamingobank.membership.records import compute_suspicion_s
+
+__all__ = [
+    "Ack",
+    "Address",
+    "DATAGRAM_BYTES",
+    "DuplicateAddress",
+    "DuplicateId",
+    "Gossip",
+    "Joined",
+    "Member",
+    "MemberJoined",
+    "MemberRemoved",
+    "MemberRestarted",
+    "MemberUnreachable",
+    "Membership",
+    "Message",
+    "Outcome",
+    "Paused",
+    "Ping",
+    "PingRequest",
+    "Refuted",
+    "Rejected",
+    "RejectReason",
+    "RevisionSeen",
+    "Send",
+    "State",
+    "StatePart",
+    "StateRequest",
+    "TICK_INTERVAL_S",
+    "compute_suspicion_s",
+    "decode_datagram",
+    "encode_datagram",
+]
--- /dev/null
+++ b/src/flamingobank/membership/composer.py
@@ -0,0 +1,76 @@
+"""Build messages that fit into one datagram."""
+
+from collections.abc import Sequence
+
+from flamingobank.membership.datagrams import (
+    DATAGRAM_BYTES,
+    HEAD_BYTES,
+    measure_member,
+)
+from flamingobank.membership.messages import (
+    Address,
+    Member,
+    Message,
+    Send,
+    StateRequest,
+)
+from flamingobank.membership.records import Records
+from flamingobank.membership.table import BUCKETS
+
+# Message type, sequence, array heads, probe number and flags, at their largest.
+FIELDS_BYTES = 40
+DIGEST_BYTES = 4 * BUCKETS + 3
+
+
+class Composer:
+    """Add sender, sequence number and piggybacked updates to messages."""
+
+    def __init__(self, records: Records) -> None:
+        self._records = records
+        self._sequence = 0
+
+    def compute_budget(self, kind: type[Message], *texts: str) -> int:
+        """Return the bytes left for updates beside some variable texts."""
+        used = HEAD_BYTES + FIELDS_BYTES + measure_member(self._records.own)
+        if kind is StateRequest:
+            used += DIGEST_BYTES
+        for text in texts:
+            # A text has a head of at most 3 bytes.
+            used += len(text.encode()) + 3
+        return DATAGRAM_BYTES - used
+
+    def compose(
+        self,
+        kind: type[Message],
+        address: Address,
+        *,
+        first: Member | None = None,
+        updates: tuple[Member, ...] | None = None,
+        **fields: object,
+    ) -> Send:
+        """Return a message with the given updates, or else with waiting ones."""
+        if updates is None:
+            texts = [value for value in fields.values() if isinstance(value, str)]
+            if "target_udp" in fields:
+                # The port and the array head fit into the head of a text and 4 bytes.
+                texts.append(fields["target_udp"][0] + "port")
+            budget = self.compute_budget(kind, *texts)
+            members = self._records.table.count_in_service() + 1
+            updates = self._records.updates.take(budget, members, first)
+        self._sequence += 1
+        own = self._records.own
+        message = kind(sender=own, sequence=self._sequence, updates=updates, **fields)
+        return Send(address, message)
+
+    def compose_bounded(
+        self, kind: type[Message], address: Address, updates: Sequence[Member]
+    ) -> Send:
+        """Return a message with as many of the updates as fit."""
+        budget = self.compute_budget(kind)
+        chosen: list[Member] = []
+        for update in updates:
+            budget -= measure_member(update)
+            if budget < 0:
+                break
+            chosen.append(update)
+        return self.compose(kind, address, updates=tuple(chosen))
--- /dev/null
+++ b/src/flamingobank/membership/exchange.py
@@ -0,0 +1,159 @@
+"""Bring two member tables together by comparing digests of buckets."""
+
+import random
+from collections.abc import Sequence
+
+from flamingobank.membership.composer import Composer
+from flamingobank.membership.datagrams import measure_member
+from flamingobank.membership.messages import (
+    Address,
+    Member,
+    Send,
+    StatePart,
+    StateRequest,
+)
+from flamingobank.membership.records import Records
+
+# A burst that overruns the receive buffer of a socket would be lost.
+BURST_PARTS = 8
+# At 1,200 B each, answering takes at most 9.6 KB/s of the 17 KB/s of a node.
+PARTS_PER_S = 8.0
+PARTS_KEPT = 256.0
+REQUEST_TIMEOUT_S = 0.5
+EXCHANGE_INTERVAL_S = 30.0
+# Nodes that start together can form groups that know nothing of each other; each
+# group keeps asking the seeds that it does not have as members.
+FOREIGN_SEED_INTERVAL_S = 5.0
+
+
+class StateExchange:
+    """Ask one peer at a time for what differs, and answer such requests."""
+
+    def __init__(
+        self,
+        records: Records,
+        composer: Composer,
+        seeds: Sequence[Address],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._records = records
+        self._composer = composer
+        self._seeds = tuple(seeds)
+        self._rng = rng
+        self.is_joined = not self._seeds
+        self._peer: Address | None = None
+        self._asked_at = now
+        self._next_at = now
+        self._next_seed_at = now + FOREIGN_SEED_INTERVAL_S
+        self._brought_news = False
+        self._tokens = PARTS_KEPT
+        self._refilled_at = now
+
+    def tick(self, now: float) -> list[Send]:
+        """Ask a random member, or a seed when there is none, when it is time."""
+        if self._peer is not None and now - self._asked_at < REQUEST_TIMEOUT_S:
+            return []
+        if self.is_joined and now >= self._next_seed_at:
+            return self._ask_foreign_seed(now)
+        if self.is_joined and now < self._next_at:
+            return []
+        peer = self._choose_peer()
+        if peer is None:
+            self._next_at = now + REQUEST_TIMEOUT_S
+            return []
+        return [self._ask(peer, now)]
+
+    def add_seeds(self, seeds: Sequence[Address]) -> None:
+        """Use more addresses where members may be found."""
+        self._seeds = tuple(dict.fromkeys((*self._seeds, *seeds)))
+
+    def hurry(self, now: float) -> None:
+        """Ask again soon, because the own table may be out of date."""
+        self._next_at = min(self._next_at, now + self._rng.uniform(0.0, 1.0))
+
+    def restart(self) -> None:
+        """Require a new first exchange."""
+        self.is_joined = not self._seeds
+        self._peer = None
+
+    def answer(self, request: StateRequest, now: float) -> list[Send]:
+        """Send the records of differing buckets, within a rate."""
+        self._refill(now)
+        if self._tokens < 1:
+            return []
+        buckets = list(self._records.table.find_differences(request.digests))
+        self._rng.shuffle(buckets)
+        ranks = {bucket: rank for rank, bucket in enumerate(buckets)}
+        members = self._records.table.list_buckets(ranks)
+        parts = self._split(members)
+        self._tokens -= len(parts)
+        return [
+            self._composer.compose(
+                StatePart,
+                request.sender.udp,
+                updates=part,
+                last=index == len(parts) - 1,
+            )
+            for index, part in enumerate(parts)
+        ]
+
+    def take_part(self, part: StatePart, is_news: bool, now: float) -> list[Send]:
+        """Note a part; ask the same peer again while it has more that is new."""
+        self._brought_news |= is_news
+        if not part.last or part.sender.udp != self._peer:
+            return []
+        self._peer = None
+        # Parts of a burst can be lost, so only one without news ends the exchange.
+        # What else differs is the peer's to repair.
+        if self._brought_news:
+            return [self._ask(part.sender.udp, now)]
+        self.is_joined = True
+        return []
+
+    def _choose_peer(self) -> Address | None:
+        peers = self._records.table.pick(1, self._rng, lambda member: not member.state)
+        if peers and (self.is_joined or self._rng.random() < 0.5):
+            return peers[0].udp
+        if self._seeds:
+            return self._rng.choice(self._seeds)
+        return peers[0].udp if peers else None
+
+    def _ask_foreign_seed(self, now: float) -> list[Send]:
+        self._next_seed_at = now + FOREIGN_SEED_INTERVAL_S
+        table = self._records.table
+        foreign = [seed for seed in self._seeds if table.find_by_address(seed) is None]
+        if not foreign:
+            return []
+        return [self._ask(self._rng.choice(foreign), now)]
+
+    def _ask(self, peer: Address, now: float) -> Send:
+        self._peer = peer
+        self._asked_at = now
+        self._brought_news = False
+        self._next_at = now + EXCHANGE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+        digests = self._records.table.pack_digests()
+        return self._composer.compose(StateRequest, peer, digests=digests)
+
+    def _split(self, members: list[Member]) -> list[tuple[Member, ...]]:
+        budget = self._composer.compute_budget(StatePart)
+        limit = min(BURST_PARTS, int(self._tokens))
+        parts: list[tuple[Member, ...]] = []
+        while members and len(parts) < limit:
+            parts.append(_take_members(members, budget))
+        return parts or [()]
+
+    def _refill(self, now: float) -> None:
+        earned = (now - self._refilled_at) * PARTS_PER_S
+        self._tokens = min(PARTS_KEPT, self._tokens + max(0.0, earned))
+        self._refilled_at = now
+
+
+def _take_members(members: list[Member], budget: int) -> tuple[Member, ...]:
+    part: list[Member] = []
+    while members:
+        budget -= measure_member(members[-1])
+        if budget < 0 and part:
+            break
+        part.append(members.pop())
+    return tuple(part)
--- /dev/null
+++ b/src/flamingobank/membership/machine.py
@@ -0,0 +1,302 @@
+"""Detect failed members and disseminate what is known about members."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+
+from flamingobank.core import NodeId, Revision
+from flamingobank.membership.composer import Composer
+from flamingobank.membership.exchange import StateExchange
+from flamingobank.membership.messages import (
+    Ack,
+    Address,
+    Gossip,
+    Member,
+    Message,
+    Ping,
+    PingRequest,
+    Send,
+    State,
+    StatePart,
+    StateRequest,
+)
+from flamingobank.membership.outcomes import (
+    Joined,
+    Outcome,
+    Paused,
+    Rejected,
+    RejectReason,
+    RevisionSeen,
+)
+from flamingobank.membership.prober import Prober
+from flamingobank.membership.pusher import NewsPusher
+from flamingobank.membership.records import (
+    UNREACHABLE_RETENTION_S,
+    Merge,
+    Records,
+    compute_suspicion_s,
+)
+from flamingobank.membership.replays import ReplayGuard
+
+TICK_INTERVAL_S = 0.1
+REJECTIONS_KEPT = 1024
+
+
+class Membership:
+    """Hold the state of one node; now is in seconds on a monotonic clock.
+
+    The node calls tick() every TICK_INTERVAL_S and sends what each call returns.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: Sequence[Address],
+        rng: random.Random,
+        now: float,
+        on_pause: Callable[[Paused], None] | None = None,
+    ) -> None:
+        self._records = Records(own)
+        self._composer = Composer(self._records)
+        seeds = [seed for seed in seeds if seed != own.udp]
+        self._exchange = StateExchange(self._records, self._composer, seeds, rng, now)
+        self._prober = Prober(self._records, self._composer, rng, now)
+        self._pusher = NewsPusher(self._records, self._composer, rng, now)
+        self._replays = ReplayGuard()
+        self._rng = rng
+        self._on_pause = on_pause
+        self.counts: Counter[str] = Counter()
+        self._seen_at = now
+        self._received_at = now
+
+    @property
+    def own(self) -> Member:
+        """Return the own record."""
+        return self._records.own
+
+    @property
+    def is_joined(self) -> bool:
+        """Tell whether the first state exchange is complete."""
+        return self._exchange.is_joined
+
+    def members(self) -> list[Member]:
+        """Return the other members in service, alive or suspect."""
+        return self._records.table.list_in_service()
+
+    def find(self, node_id: NodeId) -> Member | None:
+        """Return what is known about another member, also when it is gone."""
+        return self._records.table.get(node_id)
+
+    def pick(self, count: int, accept: Callable[[Member], bool]) -> list[Member]:
+        """Return up to count random members in service that are acceptable."""
+        return self._records.table.pick(count, self._rng, accept)
+
+    def count_at(self, revision: Revision) -> tuple[int, int]:
+        """Return how many nodes in service have applied a revision, and of how many."""
+        members = [self.own, *self.members()]
+        return sum(item.revision >= revision for item in members), len(members)
+
+    def take_outcomes(self) -> list[Outcome]:
+        """Return the outcomes since the last call, oldest first."""
+        outcomes = list(self._records.outcomes)
+        self._records.outcomes.clear()
+        return outcomes
+
+    def add_seeds(self, seeds: Sequence[Address]) -> None:
+        """Use more addresses where members may be found, as of watch leases."""
+        self._exchange.add_seeds([seed for seed in seeds if seed != self.own.udp])
+
+    def set_revision(self, revision: Revision) -> None:
+        """Report the configuration revision that this node has applied."""
+        self._records.own = replace(self.own, revision=revision)
+
+    def survey(self, revision: Revision) -> list[Send]:
+        """Ask members that are not known to have a revision for theirs."""
+        return self._prober.survey(revision)
+
+    def drain(self) -> list[Send]:
+        """Tell the members that this node is leaving; it still answers probes."""
+        self._records.own = replace(self.own, leaving=True)
+        self._records.renew_incarnation(0)
+        return self._pusher.push()
+
+    def leave(self) -> list[Send]:
+        """Say goodbye; afterwards nothing more is sent."""
+        self._records.own = replace(self.own, state=State.LEFT, leaving=True)
+        self._records.announce()
+        return self._pusher.push()
+
+    def tick(self, now: float) -> list[Send]:
+        """Run the timers that are due."""
+        self._notice_gap(now)
+        if self._is_silent:
+            return []
+        self._records.expire(now)
+        self._forget_senders()
+        sends = self._prober.tick(now, self._received_at)
+        self._records.newly_suspected.clear()
+        sends += self._exchange.tick(now)
+        sends += self._pusher.tick(now)
+        return sends
+
+    def handle(self, message: Message | Rejected, now: float) -> list[Send]:
+        """Take one decoded datagram, or why one could not be decoded."""
+        if isinstance(message, Rejected):
+            return self._reject(message)
+        self._notice_gap(now)
+        if self._is_silent:
+            return []
+        sender = message.sender
+        if sender.node_id == self.own.node_id:
+            return self._handle_own_id(message, now)
+        if not self._replays.accept(sender, message.sequence):
+            return self._reject_as(RejectReason.REPLAYED, message)
+        self._received_at = now
+        incarnation = self.own.incarnation
+        sends = self._take(message, now)
+        if self.own.incarnation > incarnation and not isinstance(message, Ping):
+            # An Ack shows the new incarnation anyway.
+            own = (self.own,)
+            sends.append(self._composer.compose(Gossip, sender.udp, updates=own))
+        sends += self._prober.confirm_suspicions(now)
+        return sends
+
+    def _take(self, message: Message, now: float) -> list[Send]:
+        told = self._learn_sender(message, now)
+        if told is not None and not told.is_in_service:
+            # Until it refutes, a member that was removed cannot accuse others.
+            self._reject_as(RejectReason.SENDER_GONE, message)
+            own_id = self.own.node_id
+            self._learn([u for u in message.updates if u.node_id == own_id], now)
+            return self._dispatch(message, told, now)
+        stale, is_news = self._learn(message.updates, now)
+        sends = self._dispatch(message, told, now)
+        if isinstance(message, StatePart):
+            sends += self._take_part(message, stale, is_news, now)
+        return sends
+
+    @property
+    def _is_silent(self) -> bool:
+        return self.own.state is State.LEFT or self._records.stood_down
+
+    def _forget_senders(self) -> None:
+        for node_id in self._records.newly_forgotten:
+            self._replays.forget(node_id)
+        self._records.newly_forgotten.clear()
+
+    def _notice_gap(self, now: float) -> None:
+        """Detect that this process did not run for a while."""
+        gap_s = now - self._seen_at
+        self._seen_at = max(now, self._seen_at)
+        if gap_s <= 2 * TICK_INTERVAL_S:
+            return
+        self._prober.postpone(gap_s)
+        members = self._records.table.count_in_service() + 1
+        if gap_s <= compute_suspicion_s(members) or self._is_silent:
+            return
+        self._records.restart_timers(now)
+        self._prober.clear()
+        self._received_at = now
+        self._records.renew_incarnation(0)
+        if gap_s >= UNREACHABLE_RETENTION_S:
+            # Others may have forgotten members that this table still holds.
+            self._records.clear()
+            self._exchange.restart()
+        self._exchange.hurry(now)
+        paused = Paused(gap_s)
+        self._records.outcomes.append(paused)
+        if self._on_pause is not None:
+            self._on_pause(paused)
+
+    def _handle_own_id(self, message: Message, now: float) -> list[Send]:
+        if message.sender.boot_id == self.own.boot_id:
+            return self._reject_as(RejectReason.OWN_ECHO, message)
+        self._records.learn(message.sender, now)
+        # Contradicted directly: if the other process is alive, it must learn it.
+        return [self._composer.compose(Gossip, message.sender.udp, updates=(self.own,))]
+
+    def _learn_sender(self, message: Message, now: float) -> Member | None:
+        """Merge the sender's own record; return the known one when it is newer."""
+        sender = message.sender
+        merge = self._records.learn(sender, now)
+        self._prober.admit_new_members()
+        if sender.revision > self.own.revision:
+            seen = RevisionSeen(sender.node_id, sender.revision)
+            self._records.outcomes.append(seen)
+        known = self._records.table.get(sender.node_id)
+        if known is None or merge is Merge.NEWER:
+            return None
+        if known.state or known.boot_id != sender.boot_id:
+            return known
+        return known if known.incarnation > sender.incarnation else None
+
+    def _learn(
+        self, updates: Iterable[Member], now: float
+    ) -> tuple[list[Member], bool]:
+        """Merge updates; return newer own records, and whether there was news."""
+        stale = []
+        is_news = False
+        for update in updates:
+            merge = self._records.learn(update, now)
+            is_news |= merge is Merge.NEWER
+            if merge is Merge.STALE:
+                stale.append(self._records.table.get(update.node_id))
+        self._prober.admit_new_members()
+        return stale, is_news
+
+    def _dispatch(
+        self, message: Message, told: Member | None, now: float
+    ) -> list[Send]:
+        address = message.sender.udp
+        if isinstance(message, Ping):
+            return self._answer_ping(message, told)
+        sends: list[Send] = []
+        if told is not None:
+            sends.append(self._composer.compose(Gossip, address, first=told))
+        if isinstance(message, Ack):
+            answers = self._prober.take_ack(message, now)
+            if answers is None:
+                answers = self._reject_as(RejectReason.UNEXPECTED_ACK, message)
+            sends += answers
+        elif isinstance(message, PingRequest):
+            sends += self._prober.relay(message, now)
+        elif isinstance(message, StateRequest):
+            sends += self._exchange.answer(message, now)
+        return sends
+
+    def _answer_ping(self, ping: Ping, told: Member | None) -> list[Send]:
+        if ping.target != self.own.node_id:
+            return self._reject_as(RejectReason.MISDIRECTED, ping)
+        address = ping.sender.udp
+        subject = self.own.node_id
+        return [
+            self._composer.compose(
+                Ack, address, first=told, probe=ping.probe, subject=subject
+            )
+        ]
+
+    def _take_part(
+        self, part: StatePart, stale: list[Member], is_news: bool, now: float
+    ) -> list[Send]:
+        was_joined = self.is_joined
+        sends = self._exchange.take_part(part, is_news, now)
+        if self.is_joined and not was_joined:
+            joined = Joined(self._records.table.count_in_service())
+            self._records.outcomes.append(joined)
+            self._exchange.hurry(now)
+        if stale:
+            address = part.sender.udp
+            sends.append(self._composer.compose_bounded(Gossip, address, stale))
+        return sends
+
+    def _reject_as(self, reason: RejectReason, message: Message) -> list[Send]:
+        detail = f"{type(message).__name__} of {message.sender.node_id}"
+        return self._reject(Rejected(reason, detail))
+
+    def _reject(self, rejected: Rejected) -> list[Send]:
+        self.counts[rejected.reason.value] += 1
+        # A flood of bad datagrams must not push out what happened to members.
+        if len(self._records.outcomes) < REJECTIONS_KEPT:
+            self._records.outcomes.append(rejected)
+        return []
--- /dev/null
+++ b/src/flamingobank/membership/messages.py
@@ -0,0 +1,115 @@
+"""Define members and the messages they exchange in datagrams."""
+
+import enum
+from dataclasses import dataclass
+
+from flamingobank.core import BootId, FailureDomain, NodeId, Revision
+
+Address = tuple[str, int]
+NO_REVISION = Revision(0)
+
+
+class State(enum.IntEnum):
+    """Order what is known about a member; at one incarnation the higher wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    UNREACHABLE = 2
+    DEAD = 3
+    LEFT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe one process of the fleet at one incarnation."""
+
+    node_id: NodeId
+    boot_id: BootId
+    udp: Address
+    tcp: Address
+    failure_domain: FailureDomain
+    region: str
+    incarnation: int = 1
+    state: State = State.ALIVE
+    revision: Revision = NO_REVISION
+    leaving: bool = False
+
+    @property
+    def is_in_service(self) -> bool:
+        """Tell whether the member counts as live."""
+        return self.state <= State.SUSPECT
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Ask a member for an Ack of the same probe number."""
+
+    sender: Member
+    sequence: int
+    probe: int
+    target: NodeId
+    updates: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Confirm that the subject answered a probe."""
+
+    sender: Member
+    sequence: int
+    probe: int
+    subject: NodeId
+    updates: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Ask a helper to probe a target and to relay its Ack."""
+
+    sender: Member
+    sequence: int
+    probe: int
+    target: NodeId
+    target_udp: Address
+    updates: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """Carry updates without a probe."""
+
+    sender: Member
+    sequence: int
+    updates: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StateRequest:
+    """Ask for the members of each bucket whose digest differs."""
+
+    sender: Member
+    sequence: int
+    # One 4-byte big-endian digest per bucket of the member table.
+    digests: bytes
+    updates: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StatePart:
+    """Carry members of buckets that differ; the last part of a burst says so."""
+
+    sender: Member
+    sequence: int
+    last: bool
+    updates: tuple[Member, ...] = ()
+
+
+Message = Ping | Ack | PingRequest | Gossip | StateRequest | StatePart
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Ask the node to send one message in a datagram."""
+
+    address: Address
+    message: Message
--- /dev/null
+++ b/src/flamingobank/membership/prober.py
@@ -0,0 +1,181 @@
+"""Probe members directly and through helpers."""
+
+import random
+
+from flamingobank.core import Revision
+from flamingobank.membership.composer import Composer
+from flamingobank.membership.messages import Ack, Member, Ping, PingRequest, Send
+from flamingobank.membership.probes import (
+    PROBE_INTERVAL_S,
+    Probe,
+    ProbeSchedule,
+)
+from flamingobank.membership.records import Records
+
+HELPERS = 3
+# Over the whole fleet, about this many members check a reported suspicion.
+CONFIRMING_MEMBERS = 4
+LOST_PROBE_INTERVAL_S = 5.0
+# A node that received nothing for this long may itself be the cause.
+SILENCE_S = 2.0
+# Bounds one reading of revisions to the control budget of a second.
+SURVEY_MEMBERS = 60
+# An answer to this number reports a revision and ends no probe.
+SURVEY_PROBE = 0
+
+
+class Prober:
+    """Send the probes of one node and judge their answers."""
+
+    def __init__(
+        self, records: Records, composer: Composer, rng: random.Random, now: float
+    ) -> None:
+        self._records = records
+        self._composer = composer
+        self._rng = rng
+        self._probes = ProbeSchedule(rng)
+        # A restart of many nodes at once must not synchronize their probes.
+        self._next_at = now + rng.uniform(0.0, PROBE_INTERVAL_S)
+        self._next_lost_at = now + rng.uniform(0.0, LOST_PROBE_INTERVAL_S)
+
+    def tick(self, now: float, received_at: float) -> list[Send]:
+        """Run the probes that are due; received_at is of the last datagram."""
+        sends: list[Send] = []
+        for probe in self._probes.take_indirect(now):
+            sends += self._ask_helpers(probe)
+        for probe in self._probes.take_failed(now):
+            # A deaf node would otherwise make the fleet suspect everyone.
+            spread = now - received_at < SILENCE_S
+            self._records.suspect(probe.target, now, spread)
+        if now >= self._next_at:
+            self._next_at = max(self._next_at + PROBE_INTERVAL_S, now)
+            sends += self._probe_next(now)
+        if now >= self._next_lost_at:
+            self._next_lost_at = now + LOST_PROBE_INTERVAL_S
+            sends += self._probe_lost(now)
+        return sends
+
+    def admit_new_members(self) -> None:
+        """Take members that joined into the running round."""
+        for node_id in self._records.newly_in_service:
+            self._probes.insert(node_id)
+        self._records.newly_in_service.clear()
+
+    def confirm_suspicions(self, now: float) -> list[Send]:
+        """Let a few members tell a suspect at once that it is suspected."""
+        sends: list[Send] = []
+        members = self._records.table.count_in_service() + 1
+        for node_id in self._records.newly_suspected:
+            member = self._records.table.get(node_id)
+            if member is None or self._rng.random() * members >= CONFIRMING_MEMBERS:
+                continue
+            sends.append(self._probe(member, now, can_suspect=False))
+        self._records.newly_suspected.clear()
+        return sends
+
+    def survey(self, revision: Revision) -> list[Send]:
+        """Ask members that are not known to have a revision for theirs."""
+        members = self._records.table.list_in_service()
+        behind = [item for item in members if item.revision < revision]
+        if len(behind) > SURVEY_MEMBERS:
+            behind = self._rng.sample(behind, SURVEY_MEMBERS)
+        return [self._ping(SURVEY_PROBE, item) for item in behind]
+
+    def take_ack(self, ack: Ack, now: float) -> list[Send] | None:
+        """End the probe that an Ack answers; None when no such probe was sent."""
+        if ack.probe == SURVEY_PROBE and ack.subject == ack.sender.node_id:
+            return []
+        relay = self._probes.finish_relay(ack.probe, ack.subject)
+        if relay is not None:
+            return [
+                self._composer.compose(
+                    Ack, relay.origin, probe=relay.probe, subject=relay.target
+                )
+            ]
+        if not self._probes.was_issued(ack.probe):
+            return None
+        # Helpers answer a probe several times, and answers come late.
+        if self._probes.finish(ack.probe, ack.subject) is None:
+            return []
+        subject = self._records.table.get(ack.subject)
+        if subject is not None:
+            self._records.record_ack(subject.region, now)
+        return []
+
+    def relay(self, request: PingRequest, now: float) -> list[Send]:
+        """Probe a target for another member."""
+        origin = request.sender.udp
+        number = self._probes.start_relay(origin, request.probe, request.target, now)
+        if number is None:
+            return []
+        return [
+            self._composer.compose(
+                Ping, request.target_udp, probe=number, target=request.target
+            )
+        ]
+
+    def postpone(self, delay_s: float) -> None:
+        """Give waiting probes the time that this process did not run."""
+        self._probes.postpone(delay_s)
+
+    def clear(self) -> None:
+        """Forget all probes."""
+        self._probes.clear()
+
+    def _probe_next(self, now: float) -> list[Send]:
+        target = self._probes.choose_target(self._records)
+        if target is None:
+            return []
+        return [self._probe(self._records.table.get(target), now)]
+
+    def _probe_lost(self, now: float) -> list[Send]:
+        lost = self._records.list_lost()
+        if not lost:
+            return []
+        return [self._probe(self._rng.choice(lost), now, can_suspect=False)]
+
+    def _probe(self, member: Member, now: float, can_suspect: bool = True) -> Send:
+        probe = self._probes.start(member.node_id, now, can_suspect)
+        return self._ping(probe.number, member)
+
+    def _ping(self, number: int, member: Member) -> Send:
+        # A member that is not alive to this node learns it here and refutes it.
+        first = None if not member.state else member
+        return self._composer.compose(
+            Ping, member.udp, first=first, probe=number, target=member.node_id
+        )
+
+    def _ask_helpers(self, probe: Probe) -> list[Send]:
+        target = self._records.table.get(probe.target)
+        if target is None:
+            return []
+        return [
+            self._composer.compose(
+                PingRequest,
+                helper.udp,
+                probe=probe.number,
+                target=target.node_id,
+                target_udp=target.udp,
+            )
+            for helper in self._choose_helpers(target)
+        ]
+
+    def _choose_helpers(self, target: Member) -> list[Member]:
+        own_domain = self._records.own.failure_domain
+        table = self._records.table
+
+        def is_elsewhere(member: Member) -> bool:
+            return (
+                member.failure_domain != own_domain
+                and member.node_id != target.node_id
+                and not member.state
+            )
+
+        helpers = table.pick(1, self._rng, is_elsewhere)
+        excluded = {target.node_id, *(item.node_id for item in helpers)}
+        helpers += table.pick(
+            HELPERS - len(helpers),
+            self._rng,
+            lambda member: member.node_id not in excluded and not member.state,
+        )
+        return helpers
--- /dev/null
+++ b/src/flamingobank/membership/pusher.py
@@ -0,0 +1,50 @@
+"""Send changes at once instead of with the next probes."""
+
+import random
+
+from flamingobank.membership.composer import Composer
+from flamingobank.membership.messages import Gossip, Send
+from flamingobank.membership.records import Records
+
+# Members that a change is sent to at once, one of them in another domain.
+PUSH_FANOUT = 3
+# In a storm of changes, pushes use at most 7.2 KB/s of the 17 KB/s of a node.
+PUSHES_PER_S = 2.0
+PUSHES_KEPT = 5.0
+
+
+class NewsPusher:
+    """Push waiting updates to a few random members, within a rate."""
+
+    def __init__(
+        self, records: Records, composer: Composer, rng: random.Random, now: float
+    ) -> None:
+        self._records = records
+        self._composer = composer
+        self._rng = rng
+        self._tokens = PUSHES_KEPT
+        self._refilled_at = now
+
+    def tick(self, now: float) -> list[Send]:
+        """Push when there is news and the rate allows it."""
+        earned = (now - self._refilled_at) * PUSHES_PER_S
+        self._tokens = min(PUSHES_KEPT, self._tokens + max(0.0, earned))
+        self._refilled_at = now
+        if not self._records.has_news or self._tokens < 1:
+            return []
+        self._tokens -= 1
+        return self.push()
+
+    def push(self) -> list[Send]:
+        """Push now."""
+        self._records.has_news = False
+        own_domain = self._records.own.failure_domain
+        table = self._records.table
+        peers = table.pick(1, self._rng, lambda item: item.failure_domain != own_domain)
+        chosen = {peer.node_id for peer in peers}
+        peers += table.pick(
+            PUSH_FANOUT - len(peers),
+            self._rng,
+            lambda item: item.node_id not in chosen,
+        )
+        return [self._composer.compose(Gossip, peer.udp) for peer in peers]
--- /dev/null
+++ b/src/flamingobank/membership/records.py
@@ -0,0 +1,274 @@
+"""Merge what is heard about members and run their suspicion timers."""
+
+import enum
+import math
+from collections import deque
+from dataclasses import replace
+
+from flamingobank.core import BootId, NodeId, Revision
+from flamingobank.membership.dissemination import UpdateQueue
+from flamingobank.membership.messages import Member, State
+from flamingobank.membership.outcomes import (
+    DuplicateAddress,
+    DuplicateId,
+    MemberJoined,
+    MemberRemoved,
+    MemberRestarted,
+    MemberUnreachable,
+    Outcome,
+    Refuted,
+)
+from flamingobank.membership.table import MemberTable, is_newer
+
+MIN_SUSPICION_S = 1.5
+SUSPICION_S_PER_DECADE = 0.8
+UNREACHABLE_RETENTION_S = 3600.0
+# Longer than a member stays unreachable anywhere, so that no node still offers a
+# dead member as alive after the others forgot it.
+DEAD_RETENTION_S = 2 * UNREACHABLE_RETENTION_S
+RETENTION_CHECK_S = 10.0
+# A replaced process cannot contradict its successor; one that does so this often
+# is alive.
+DUPLICATE_REFUTATIONS = 3
+# Bounds what is kept when nobody takes the outcomes.
+OUTCOMES_KEPT = 4096
+SHARED_ADDRESSES_KEPT = 1024
+
+_GONE = (State.DEAD, State.LEFT)
+
+
+def compute_suspicion_s(members: int) -> float:
+    """Return how long a member may refute a suspicion."""
+    return max(MIN_SUSPICION_S, SUSPICION_S_PER_DECADE * math.log10(max(1, members)))
+
+
+class Merge(enum.Enum):
+    """Say how a record compared with what was known."""
+
+    NEWER = "newer"
+    SAME = "same"
+    STALE = "stale"
+
+
+class Records:
+    """Hold this node's own record and the records of all other members."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.table = MemberTable()
+        self.updates = UpdateQueue()
+        self.outcomes: deque[Outcome] = deque(maxlen=OUTCOMES_KEPT)
+        # Set when a change should travel at once and not only with the next probe.
+        self.has_news = False
+        self.stood_down = False
+        self.newly_suspected: list[NodeId] = []
+        self.newly_in_service: list[NodeId] = []
+        self.newly_forgotten: list[NodeId] = []
+        self._suspected_at: dict[NodeId, float] = {}
+        self._gone_at: dict[NodeId, float] = {}
+        self._last_ack_at: dict[str, float] = {}
+        self._contradictions: dict[BootId, int] = {}
+        self._shared_addresses: set[tuple[NodeId, NodeId]] = set()
+        self._next_retention_at = 0.0
+
+    def learn(self, record: Member, now: float) -> Merge:
+        """Merge a record about any member, also about this node."""
+        if record.node_id == self.own.node_id:
+            self._learn_about_self(record)
+            return Merge.SAME
+        known = self.table.get(record.node_id)
+        if known is None:
+            return self._learn_new(record, now)
+        if not is_newer(record, known):
+            return self._compare_older(record, known)
+        if record.state is State.DEAD and known.is_in_service:
+            # The report of one node that cannot hear the member must not remove it.
+            record = replace(record, state=State.SUSPECT)
+        elif record.state is State.UNREACHABLE and known.is_in_service:
+            # Whether a region can be reached is each node's own view.
+            return Merge.SAME
+        if not is_newer(record, known):
+            return Merge.SAME
+        self._store(record, known, now)
+        return Merge.NEWER
+
+    def suspect(self, node_id: NodeId, now: float, spread: bool) -> None:
+        """Suspect a member whose probe failed."""
+        known = self.table.get(node_id)
+        if known is None or known.state is not State.ALIVE:
+            return
+        self._store(replace(known, state=State.SUSPECT), known, now)
+        if not spread:
+            self.updates.drop(node_id)
+
+    def record_ack(self, region: str, now: float) -> None:
+        """Note a round trip to a region."""
+        self._last_ack_at[region] = now
+
+    def raise_revision(self, node_id: NodeId, revision: Revision) -> None:
+        """Note the configuration revision that a member reported."""
+        if self.table.record_revision(node_id, revision):
+            self.updates.raise_revision(node_id, revision)
+
+    def expire(self, now: float) -> None:
+        """Remove members whose time to refute is over; forget old records."""
+        if self._suspected_at:
+            self._expire_suspicions(now)
+        if now < self._next_retention_at:
+            return
+        self._next_retention_at = now + RETENTION_CHECK_S
+        for node_id, since in list(self._gone_at.items()):
+            self._expire_gone(node_id, now - since, now)
+
+    def restart_timers(self, now: float) -> None:
+        """Give every suspect its full time again, after this process paused."""
+        for node_id in self._suspected_at:
+            self._suspected_at[node_id] = now
+
+    def clear(self) -> None:
+        """Forget all members; what they were is too old to be repeated."""
+        self.table = MemberTable()
+        self.updates = UpdateQueue()
+        self._suspected_at.clear()
+        self._gone_at.clear()
+        self._last_ack_at.clear()
+
+    def renew_incarnation(self, above: int) -> None:
+        """Contradict every record of this node up to an incarnation."""
+        incarnation = max(self.own.incarnation, above) + 1
+        self.own = replace(self.own, incarnation=incarnation)
+        self.announce()
+
+    def announce(self) -> None:
+        """Queue the own record."""
+        self.updates.add(self.own)
+        self.has_news = True
+
+    def list_lost(self) -> list[Member]:
+        """Return the unreachable and dead members, which may come back."""
+        lost = (self.table.get(node_id) for node_id in self._gone_at)
+        return [item for item in lost if item and item.state is not State.LEFT]
+
+    def _learn_about_self(self, record: Member) -> None:
+        own = self.own
+        if own.state is State.LEFT or self.stood_down:
+            return
+        if record.boot_id == own.boot_id:
+            if record.incarnation < own.incarnation or not is_newer(record, own):
+                return
+            self.renew_incarnation(record.incarnation)
+            self.outcomes.append(Refuted(self.own.incarnation))
+            return
+        if record.incarnation < own.incarnation:
+            return
+        if record.is_in_service:
+            self._count_contradiction(record)
+        if self.stood_down:
+            return
+        self.renew_incarnation(record.incarnation)
+
+    def _count_contradiction(self, record: Member) -> None:
+        count = self._contradictions.get(record.boot_id, 0) + 1
+        self._contradictions[record.boot_id] = count
+        if count != DUPLICATE_REFUTATIONS:
+            return
+        self.stood_down = self.own.boot_id > record.boot_id
+        self.outcomes.append(
+            DuplicateId(
+                node_id=self.own.node_id,
+                own_boot=self.own.boot_id,
+                other_boot=record.boot_id,
+                other_address=record.udp,
+                stands_down=self.stood_down,
+            )
+        )
+
+    def _learn_new(self, record: Member, now: float) -> Merge:
+        if record.state in _GONE:
+            # Taking over records of dead members would keep them for ever.
+            return Merge.SAME
+        self._store(record, None, now)
+        return Merge.NEWER
+
+    def _compare_older(self, record: Member, known: Member) -> Merge:
+        if known.boot_id == record.boot_id:
+            self.raise_revision(record.node_id, record.revision)
+        if not is_newer(known, record):
+            return Merge.SAME
+        if known.incarnation == record.incarnation and known.is_in_service:
+            # One of two nodes has heard of a suspicion; probes repair that.
+            return Merge.SAME
+        return Merge.STALE
+
+    def _store(self, record: Member, known: Member | None, now: float) -> None:
+        if known is not None and record.boot_id == known.boot_id:
+            revision = max(record.revision, known.revision)
+            if revision != record.revision:
+                record = replace(record, revision=revision)
+        other = self.table.put(record)
+        self._set_timers(record, now)
+        if record.state is not State.UNREACHABLE:
+            self.updates.add(record)
+            self.has_news = True
+        self._report_change(record, known)
+        if other is not None and other != record.node_id:
+            self._report_shared_address(record, other)
+
+    def _set_timers(self, record: Member, now: float) -> None:
+        node_id = record.node_id
+        self._suspected_at.pop(node_id, None)
+        if record.is_in_service:
+            self._gone_at.pop(node_id, None)
+        else:
+            self._gone_at[node_id] = now
+        if record.state is State.SUSPECT:
+            self._suspected_at[node_id] = now
+            self.newly_suspected.append(node_id)
+
+    def _report_change(self, record: Member, known: Member | None) -> None:
+        was_in_service = known is not None and known.is_in_service
+        in_service = record.is_in_service
+        if in_service and not was_in_service:
+            self.newly_in_service.append(record.node_id)
+            self.outcomes.append(MemberJoined(record))
+        if in_service and known is not None and known.boot_id != record.boot_id:
+            self.outcomes.append(MemberRestarted(record, known.boot_id))
+        if in_service:
+            return
+        if record.state is State.UNREACHABLE:
+            self.outcomes.append(MemberUnreachable(record))
+        elif known is None or known.state not in _GONE:
+            self.outcomes.append(MemberRemoved(record))
+
+    def _report_shared_address(self, record: Member, other: NodeId) -> None:
+        first, second = sorted((record.node_id, other))
+        if (first, second) in self._shared_addresses:
+            return
+        if len(self._shared_addresses) >= SHARED_ADDRESSES_KEPT:
+            self._shared_addresses.clear()
+        self._shared_addresses.add((first, second))
+        self.outcomes.append(DuplicateAddress(record.udp, first, second))
+
+    def _expire_suspicions(self, now: float) -> None:
+        # The own process counts as a member.
+        limit = compute_suspicion_s(self.table.count_in_service() + 1)
+        for node_id, since in list(self._suspected_at.items()):
+            if now - since < limit:
+                continue
+            known = self.table.get(node_id)
+            reached = self._last_ack_at.get(known.region, -math.inf) > since
+            state = State.DEAD if reached else State.UNREACHABLE
+            self._store(replace(known, state=state), known, now)
+
+    def _expire_gone(self, node_id: NodeId, age_s: float, now: float) -> None:
+        known = self.table.get(node_id)
+        if known.state is State.UNREACHABLE:
+            if age_s >= UNREACHABLE_RETENTION_S:
+                self._store(replace(known, state=State.DEAD), known, now)
+            return
+        if age_s < DEAD_RETENTION_S:
+            return
+        del self._gone_at[node_id]
+        self.table.remove(node_id)
+        self.updates.drop(node_id)
+        self.newly_forgotten.append(node_id)
--- /dev/null
+++ b/src/flamingobank/membership/replays.py
@@ -0,0 +1,52 @@
+"""Recognize datagrams that were received before."""
+
+from flamingobank.core import BootId, NodeId
+from flamingobank.membership.messages import Member
+
+# Datagrams that arrive out of order by more than this are dropped as replayed.
+WINDOW = 64
+# Two live processes with one id, and late datagrams of a replaced process, need
+# a window each; older boots are told apart by their incarnation.
+BOOTS_PER_MEMBER = 4
+_WINDOW_MASK = (1 << WINDOW) - 1
+
+
+class _Window:
+    __slots__ = ("highest", "seen")
+
+    def __init__(self) -> None:
+        self.highest = -1
+        self.seen = 0
+
+    def accept(self, sequence: int) -> bool:
+        ahead = sequence - self.highest
+        if ahead > 0:
+            self.seen = ((self.seen << min(ahead, WINDOW)) | 1) & _WINDOW_MASK
+            self.highest = sequence
+            return True
+        bit = 1 << -ahead
+        if -ahead >= WINDOW or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+
+class ReplayGuard:
+    """Accept each sequence number of a process once, also out of order."""
+
+    def __init__(self) -> None:
+        self._boots: dict[NodeId, dict[BootId, _Window]] = {}
+
+    def accept(self, sender: Member, sequence: int) -> bool:
+        """Record a sequence number; tell whether it is new."""
+        boots = self._boots.setdefault(sender.node_id, {})
+        window = boots.get(sender.boot_id)
+        if window is None:
+            if len(boots) >= BOOTS_PER_MEMBER:
+                del boots[next(iter(boots))]
+            window = boots[sender.boot_id] = _Window()
+        return window.accept(sequence)
+
+    def forget(self, node_id: NodeId) -> None:
+        """Drop the state of a member that is no longer in the table."""
+        self._boots.pop(node_id, None)
