--- /dev/null
+++ b/src/flamingobank/configuration/gossip.py
@@ -0,0 +1,227 @@
+"""Spread deltas and pull what was missed."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from flamingobank.configuration.log import ConfigurationLog
+from flamingobank.configuration.messages import (
+    Delta,
+    PeerMessage,
+    PeerSend,
+    Pull,
+    SnapshotChunk,
+    SnapshotRequest,
+)
+from flamingobank.configuration.outcomes import (
+    Applied,
+    Malformed,
+    Outcome,
+    SkipReason,
+    SnapshotLoaded,
+    WentBack,
+)
+from flamingobank.configuration.snapshots import START, SnapshotLoader, build_chunk
+from flamingobank.core import FailureDomain, NodeId, Revision
+
+PUSH_FANOUT = 4
+# A push usually arrives in this time, and a pull would be wasted.
+PULL_DELAY_S = 0.1
+PULL_JITTER_S = 0.4
+ANSWER_TIMEOUT_S = 1.0
+# Peers that reported a higher revision and may be asked.
+SOURCES_KEPT = 8
+# A chunk takes about 2 ms to build, so answering uses at most a tenth of a core.
+ANSWERS_PER_S = 50.0
+ANSWERS_KEPT = 50.0
+OUTCOMES_KEPT = 1024
+
+# Returns up to count random members in service that differ from the excluded ones,
+# of any domain, or outside a domain when one is given.
+PickPeers = Callable[[int, FailureDomain | None, frozenset[NodeId]], list[NodeId]]
+
+
+class Gossip:
+    """Decide which deltas, pulls and snapshots to send; inputs are typed messages."""
+
+    def __init__(
+        self,
+        log: ConfigurationLog,
+        own_domain: FailureDomain,
+        pick_peers: PickPeers,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._log = log
+        self._own_domain = own_domain
+        self._pick_peers = pick_peers
+        self._rng = rng
+        self._sources: dict[NodeId, Revision] = {}
+        self._pull_at: float | None = None
+        self._asked: NodeId | None = None
+        self._answer_due_at = 0.0
+        self._loader: SnapshotLoader | None = None
+        self._tokens = ANSWERS_KEPT
+        self._refilled_at = now
+        self._outcomes: deque[Outcome] = deque(maxlen=OUTCOMES_KEPT)
+
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether a peer is known to have a higher revision."""
+        return any(item > self._log.revision for item in self._sources.values())
+
+    def take_outcomes(self) -> list[Outcome]:
+        """Return the outcomes since the last call, oldest first."""
+        outcomes = list(self._outcomes)
+        self._outcomes.clear()
+        return outcomes
+
+    def publish(self, delta: Delta, now: float) -> list[PeerSend]:
+        """Apply a delta from the store and push it."""
+        return self._apply(delta, None, now)
+
+    def observe_revision(self, node_id: NodeId, revision: Revision, now: float) -> None:
+        """Note the revision that a peer reported with membership."""
+        if revision <= self._log.revision:
+            return
+        if node_id not in self._sources and len(self._sources) >= SOURCES_KEPT:
+            del self._sources[next(iter(self._sources))]
+        self._sources[node_id] = revision
+        self._schedule_pull(now)
+
+    def start_boot(self, node_id: NodeId, now: float) -> list[PeerSend]:
+        """Pull the whole configuration from a peer before taking work."""
+        self._sources.setdefault(node_id, Revision(self._log.revision + 1))
+        return self._ask(node_id, now)
+
+    def handle(
+        self, sender: NodeId, message: PeerMessage, now: float
+    ) -> list[PeerSend]:
+        """Take one message of a peer."""
+        if isinstance(message, Delta):
+            return self._take_delta(sender, message, now)
+        if isinstance(message, Pull):
+            return self._answer_pull(sender, message, now)
+        if isinstance(message, SnapshotRequest):
+            if not self._spend(now):
+                return []
+            return [PeerSend(sender, build_chunk(self._log, message.after))]
+        return self._load(sender, message, now)
+
+    def tick(self, now: float) -> list[PeerSend]:
+        """Pull when it is time; call it about every 100 ms."""
+        self._log.forget_old(now)
+        if self._asked is not None and now >= self._answer_due_at:
+            # The peer is gone or has no capacity; another one continues.
+            self._sources.pop(self._asked, None)
+            self._asked = None
+            self._schedule_pull(now)
+        if self._pull_at is None or now < self._pull_at or self._asked is not None:
+            return []
+        self._pull_at = None
+        self._drop_useless_sources()
+        if not self._sources:
+            return self._ask_anyone(now) if self._loader is not None else []
+        return self._ask(self._rng.choice(list(self._sources)), now)
+
+    def _take_delta(self, sender: NodeId, delta: Delta, now: float) -> list[PeerSend]:
+        if sender != self._asked or self._loader is not None:
+            return self._apply(delta, sender, now)
+        self._asked = None
+        is_useless = delta.revision <= self._log.revision
+        # What was pulled is old news elsewhere and is not pushed on.
+        self._apply(delta, sender, now)
+        if is_useless:
+            self._sources.pop(sender, None)
+        if self._sources:
+            self._schedule_pull(now)
+        return []
+
+    def _apply(self, delta: Delta, sender: NodeId | None, now: float) -> list[PeerSend]:
+        outcome = self._log.apply(delta, now)
+        self._outcomes.append(outcome)
+        source = "store" if sender is None else sender
+        if sender is None and delta.revision < self._log.revision:
+            back = WentBack(source, delta.revision, self._log.revision)
+            self._outcomes.append(back)
+        if sender is not None:
+            self.observe_revision(sender, delta.revision, now)
+        if not isinstance(outcome, Applied):
+            return []
+        self._outcomes.extend(
+            item for item in outcome.skipped if item.reason is SkipReason.CONFLICTING
+        )
+        if self.is_behind:
+            self._schedule_pull(now)
+        return self._push(delta, sender)
+
+    def _push(self, delta: Delta, sender: NodeId | None) -> list[PeerSend]:
+        excluded = frozenset() if sender is None else frozenset({sender})
+        peers = self._pick_peers(1, self._own_domain, excluded)
+        excluded |= set(peers)
+        peers = peers + self._pick_peers(PUSH_FANOUT - len(peers), None, excluded)
+        return [PeerSend(peer, delta) for peer in peers]
+
+    def _answer_pull(self, sender: NodeId, pull: Pull, now: float) -> list[PeerSend]:
+        self.observe_revision(sender, pull.base_revision, now)
+        if not self._spend(now):
+            return []
+        delta = self._log.answer(pull.base_revision)
+        if delta is not None:
+            return [PeerSend(sender, delta)]
+        return [PeerSend(sender, build_chunk(self._log, START))]
+
+    def _load(self, sender: NodeId, chunk: SnapshotChunk, now: float) -> list[PeerSend]:
+        if sender != self._asked:
+            return []
+        if chunk.after == START and self._loader is None:
+            self._loader = SnapshotLoader(self._log)
+        if self._loader is None:
+            return []
+        outcome = self._loader.load(chunk, now)
+        self._asked = None
+        if outcome is None:
+            # Another peer for each chunk shares the cost of answering.
+            return self._ask_anyone(now)
+        self._outcomes.append(outcome)
+        if isinstance(outcome, Malformed):
+            self._sources.pop(sender, None)
+        if isinstance(outcome, SnapshotLoaded):
+            self._loader = None
+        self._schedule_pull(now)
+        return []
+
+    def _ask(self, peer: NodeId, now: float) -> list[PeerSend]:
+        self._asked = peer
+        self._answer_due_at = now + ANSWER_TIMEOUT_S
+        if self._loader is not None:
+            return [PeerSend(peer, SnapshotRequest(self._loader.after))]
+        return [PeerSend(peer, Pull(self._log.revision))]
+
+    def _ask_anyone(self, now: float) -> list[PeerSend]:
+        """Continue a snapshot with a random peer."""
+        peers = self._pick_peers(1, None, frozenset())
+        if not peers:
+            self._schedule_pull(now)
+            return []
+        return self._ask(peers[0], now)
+
+    def _schedule_pull(self, now: float) -> None:
+        if self._pull_at is None:
+            self._pull_at = now + PULL_DELAY_S + self._rng.uniform(0, PULL_JITTER_S)
+
+    def _drop_useless_sources(self) -> None:
+        if self._loader is not None:
+            return
+        for node_id, revision in list(self._sources.items()):
+            if revision <= self._log.revision:
+                del self._sources[node_id]
+
+    def _spend(self, now: float) -> bool:
+        earned = (now - self._refilled_at) * ANSWERS_PER_S
+        self._tokens = min(ANSWERS_KEPT, self._tokens + max(0.0, earned))
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/src/flamingobank/configuration/listing.py
@@ -0,0 +1,57 @@
+"""Load the whole configuration from pages of the store."""
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterable
+
+from flamingobank.configuration.log import ConfigurationLog
+from flamingobank.configuration.messages import Change
+from flamingobank.configuration.outcomes import SnapshotLoaded, WentBack
+from flamingobank.configuration.packing import hash_key, unpack_record
+from flamingobank.configuration.shards import MAX_KEY
+from flamingobank.configuration.snapshots import START
+from flamingobank.core import Revision
+
+
+class ListingLoader:
+    """Make the tables equal to the store's, page by page, while in use.
+
+    Used when no peer answers, or when the store compacted the watched revision.
+    """
+
+    def __init__(self, log: ConfigurationLog, revision: Revision) -> None:
+        self._log = log
+        self._revision = revision
+        # 8 bytes per object instead of its name.
+        self._listed = array("Q")
+        log.is_loading = True
+
+    def load_page(self, items: Iterable[Change], now: float) -> None:
+        """Take the objects of one page."""
+        for item in items:
+            self._listed.append(hash_key(item.kind, item.name))
+            self._log.apply_change(item, now)
+
+    def finish(self, now: float) -> SnapshotLoaded | WentBack:
+        """Delete what the store no longer has and take its revision into force.
+
+        The revision is the one of the first page; later changes come as deltas.
+        """
+        if self._revision < self._log.revision:
+            self._log.is_loading = False
+            return WentBack("store", self._revision, self._log.revision)
+        listed = array("Q", sorted(self._listed))
+        gone: list[Change] = []
+        for key, record in self._log.tables.read_range(START, MAX_KEY):
+            position = bisect_left(listed, key)
+            if position < len(listed) and listed[position] == key:
+                continue
+            held = unpack_record(record)
+            # A newer object was written after the listing began.
+            if held.revision < self._revision:
+                gone.append(held)
+        for held in gone:
+            deletion = Change(held.kind, held.name, self._revision, None)
+            self._log.apply_change(deletion, now)
+        self._log.finish_loading(self._revision)
+        return SnapshotLoaded(self._revision, len(listed))
--- /dev/null
+++ b/src/flamingobank/configuration/log.py
@@ -0,0 +1,213 @@
+"""Apply deltas in order of revision and remember the recent ones."""
+
+import enum
+from collections import deque
+from dataclasses import replace
+
+from flamingobank.configuration.messages import Change, Delta
+from flamingobank.configuration.outcomes import (
+    AlreadyApplied,
+    Applied,
+    Gap,
+    Loading,
+    Malformed,
+    SkippedChange,
+    SkipReason,
+    WentBack,
+)
+from flamingobank.configuration.tables import PackedTables
+from flamingobank.core import Invariant, Revision, check_invariant
+from flamingobank.objects import Kind
+
+TOMBSTONE_KEPT_S = 24 * 3600.0
+# A day has 4,100 changes of about 1 KB; a longer absence is cheaper by snapshot.
+DELTAS_KEPT = 1024
+DELTA_BYTES_KEPT = 2_000_000
+# Frames are at most 256 KiB; this leaves room for their heads.
+ANSWER_BYTES = 200 * 1024
+# Keys, names and heads of a change beside its texts.
+CHANGE_OVERHEAD_BYTES = 32
+
+
+class Unchanged(enum.Enum):
+    """Say that a change is already in force."""
+
+    UNCHANGED = "unchanged"
+
+
+UNCHANGED = Unchanged.UNCHANGED
+
+
+def measure_delta(delta: Delta) -> int:
+    """Return about how many bytes a delta takes on the wire."""
+    size = CHANGE_OVERHEAD_BYTES
+    for change in delta.changes:
+        size += CHANGE_OVERHEAD_BYTES + len(change.name)
+        for key, value in (change.spec or {}).items():
+            size += len(key) + len(value) + 4
+    return size
+
+
+class ConfigurationLog:
+    """Hold the revision in force; every object only moves to higher revisions."""
+
+    def __init__(self, tables: PackedTables) -> None:
+        self.tables = tables
+        self._revision = Revision(0)
+        # Set while a snapshot or a listing of the store replaces the tables.
+        self.is_loading = False
+        self._deltas: deque[tuple[Delta, int]] = deque()
+        self._delta_bytes = 0
+        self._tombstones: dict[tuple[Kind, str], tuple[Revision, float]] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force."""
+        return self._revision
+
+    def apply(
+        self, delta: Delta, now: float
+    ) -> Applied | AlreadyApplied | Gap | Loading | Malformed:
+        """Apply a delta that covers the revision in force."""
+        fault = _find_fault(delta)
+        if fault is not None:
+            return Malformed(fault)
+        if delta.revision <= self._revision:
+            return AlreadyApplied(delta.revision, self._revision)
+        if self.is_loading:
+            # It could bring back an object whose deletion the snapshot already has.
+            return Loading(delta.revision)
+        if delta.base_revision > self._revision:
+            return Gap(delta.base_revision, self._revision)
+        changes: list[Change] = []
+        skipped: list[SkippedChange] = []
+        for change in delta.changes:
+            fate = self._judge(change, self._revision)
+            if fate is None:
+                self._store(change, now)
+                changes.append(change)
+            elif isinstance(fate, SkippedChange):
+                skipped.append(fate)
+        self.advance(delta.revision)
+        self._remember(delta)
+        return Applied(delta, tuple(changes), tuple(skipped))
+
+    def apply_change(self, change: Change, now: float) -> bool:
+        """Apply one object outside of a delta unless it would revert it."""
+        if self._judge(change, Revision(0)) is not None:
+            return False
+        self._store(change, now)
+        return True
+
+    def find_revision(self, kind: Kind, name: str) -> Revision | None:
+        """Return the revision of an object or of its deletion."""
+        held = self.tables.get(kind, name)
+        if held is not None:
+            return held.revision
+        tombstone = self._tombstones.get((kind, name))
+        return tombstone[0] if tombstone else None
+
+    def advance(self, revision: Revision) -> None:
+        """Raise the revision in force."""
+        check_invariant(
+            Invariant.NO_REVERT,
+            revision >= self._revision,
+            seen=revision,
+            known=self._revision,
+        )
+        self._revision = revision
+
+    def check_source(self, source: str, revision: Revision) -> WentBack | None:
+        """Tell whether the store or a peer is behind the revision in force."""
+        if revision >= self._revision:
+            return None
+        return WentBack(source, revision, self._revision)
+
+    def answer(self, base: Revision) -> Delta | None:
+        """Return the changes after a revision, or None when only a snapshot helps."""
+        if base >= self._revision:
+            return Delta(self._revision, self._revision, ())
+        joined: Delta | None = None
+        size = 0
+        for delta, delta_size in self._deltas:
+            if delta.revision <= base:
+                continue
+            if joined is None:
+                if delta.base_revision > base:
+                    return None
+                joined, size = delta, delta_size
+                continue
+            size += delta_size
+            if size > ANSWER_BYTES:
+                break
+            joined = replace(
+                joined,
+                revision=delta.revision,
+                changes=joined.changes + delta.changes,
+            )
+        return joined
+
+    def forget_old(self, now: float) -> None:
+        """Drop tombstones that no node can still contradict."""
+        for key, (_, deleted_at) in list(self._tombstones.items()):
+            if now - deleted_at >= TOMBSTONE_KEPT_S:
+                del self._tombstones[key]
+
+    def finish_loading(self, revision: Revision) -> None:
+        """Take a loaded revision into force; deltas below it have no base here."""
+        self.is_loading = False
+        self._deltas.clear()
+        self._delta_bytes = 0
+        self.advance(max(revision, self._revision))
+
+    def _judge(
+        self, change: Change, covered: Revision
+    ) -> SkippedChange | Unchanged | None:
+        """Return None when a change must be applied, else what became of it."""
+        known = self.find_revision(change.kind, change.name)
+        if known is None:
+            # Up to the revision in force everything was applied; an unknown object
+            # was deleted so long ago that its tombstone is gone.
+            return UNCHANGED if change.revision <= covered else None
+        if change.revision == known and self._is_same(change):
+            return UNCHANGED
+        if change.revision > known:
+            return None
+        reason = (
+            SkipReason.CONFLICTING if change.revision >= known else SkipReason.OLDER
+        )
+        return SkippedChange(change.kind, change.name, reason, change.revision, known)
+
+    def _store(self, change: Change, now: float) -> None:
+        key = (change.kind, change.name)
+        if change.spec is None:
+            self.tables.delete(*key, change.revision)
+            self._tombstones[key] = (change.revision, now)
+            return
+        self._tombstones.pop(key, None)
+        self.tables.put(change)
+
+    def _is_same(self, change: Change) -> bool:
+        held = self.tables.get(change.kind, change.name)
+        return change.spec is None if held is None else held == change
+
+    def _remember(self, delta: Delta) -> None:
+        size = measure_delta(delta)
+        self._deltas.append((delta, size))
+        self._delta_bytes += size
+        while len(self._deltas) > 1 and (
+            len(self._deltas) > DELTAS_KEPT or self._delta_bytes > DELTA_BYTES_KEPT
+        ):
+            self._delta_bytes -= self._deltas.popleft()[1]
+
+
+def _find_fault(delta: Delta) -> str | None:
+    if delta.revision < delta.base_revision:
+        return f"revision {delta.revision} is below base {delta.base_revision}"
+    for change in delta.changes:
+        if not delta.base_revision < change.revision <= delta.revision:
+            return (
+                f"{change.kind.value} {change.name!r} has revision {change.revision}, "
+                f"expected {delta.base_revision + 1} to {delta.revision}"
+            )
+    return None
--- /dev/null
+++ b/src/flamingobank/configuration/packing.py
@@ -0,0 +1,87 @@
+"""Pack one object into a short record that is the same on every node."""
+
+import hashlib
+
+import msgpack
+
+from flamingobank.configuration.messages import Change, Spec
+from flamingobank.core import Revision
+from flamingobank.objects import Kind
+
+KIND_CODES: dict[Kind, int] = {Kind.SERVICE: 1, Kind.ROUTE: 2, Kind.WORKSPACE: 3}
+_KINDS = {code: kind for kind, code in KIND_CODES.items()}
+# Codes are part of the snapshot format: new texts go to the end.
+_TEXTS = (
+    "selector",
+    "floor",
+    "long_share",
+    "target",
+    "host",
+    "path",
+    "methods",
+    "callers",
+    "class",
+    "idempotent",
+    "expected_ms",
+    "deadline_ms",
+    "customer",
+    "internal",
+    "yes",
+    "no",
+)
+_CODES = {text: code for code, text in enumerate(_TEXTS)}
+# Control characters do not occur in keys of the store.
+_PREFIXES = (("label.", "\x01"), ("header.", "\x02"))
+_pack = msgpack.Packer(use_bin_type=True, autoreset=True).pack
+
+
+def hash_key(kind: Kind, name: str) -> int:
+    """Return the 64-bit hash by which records are ordered on all nodes."""
+    return hash_bytes(f"{KIND_CODES[kind]}\x00{name}".encode())
+
+
+def hash_bytes(data: bytes) -> int:
+    """Return a 64-bit hash that is the same on every node."""
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+def pack_record(kind: Kind, name: str, revision: Revision, spec: Spec) -> bytes:
+    """Return the packed form of an object."""
+    short = {_shorten_key(key): _CODES.get(value, value) for key, value in spec.items()}
+    return _pack([KIND_CODES[kind], name, revision, short])
+
+
+def unpack_record(record: bytes) -> Change:
+    """Return the object of a record; ValueError when it is malformed."""
+    try:
+        code, name, revision, short = msgpack.unpackb(record, strict_map_key=False)
+        spec = {
+            _expand_key(key): _TEXTS[value] if type(value) is int else value
+            for key, value in short.items()
+        }
+        kind = _KINDS[code]
+    except (TypeError, KeyError, IndexError, AttributeError) as error:
+        raise ValueError(f"malformed record: {error!r}") from error
+    texts = [name, *spec, *spec.values()]
+    if type(revision) is not int or not all(isinstance(item, str) for item in texts):
+        raise ValueError(f"malformed record of {name!r:.60}")
+    return Change(kind, name, Revision(revision), spec)
+
+
+def _shorten_key(key: str) -> str | int:
+    code = _CODES.get(key)
+    if code is not None:
+        return code
+    for prefix, short in _PREFIXES:
+        if key.startswith(prefix):
+            return short + key[len(prefix) :]
+    return key
+
+
+def _expand_key(key: str | int) -> str:
+    if type(key) is int:
+        return _TEXTS[key]
+    for prefix, short in _PREFIXES:
+        if key.startswith(short):
+            return prefix + key[len(short) :]
+    return key
--- /dev/null
+++ b/src/flamingobank/configuration/routes.py
@@ -0,0 +1,114 @@
+"""Find routes by host and path without reading all of them."""
+
+from array import array
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterator
+
+from flamingobank.configuration.messages import Spec
+from flamingobank.configuration.packing import hash_bytes
+
+
+def normalize_host(host: str) -> str:
+    """Return a host in lower case and without a port."""
+    host = host.lower()
+    if host.startswith("["):
+        return host.partition("]")[0] + "]"
+    return host.partition(":")[0]
+
+
+def normalize_path(path: str) -> str:
+    """Return a path without query and closing slashes."""
+    return path.partition("?")[0].rstrip("/") or "/"
+
+
+def read_place(spec: Spec) -> tuple[str, str]:
+    """Return host pattern and path prefix of a route's spec."""
+    return spec.get("host", "").lower(), normalize_path(spec.get("path", "/"))
+
+
+def _hash_place(host: str, path: str) -> int:
+    return hash_bytes(f"{host}\x00{path}".encode())
+
+
+def _count_segments(path: str) -> int:
+    return 0 if path == "/" else path.count("/")
+
+
+class RouteIndex:
+    """Map host pattern and path prefix to the keys of route records."""
+
+    def __init__(self) -> None:
+        self._places = array("Q")
+        self._keys = array("Q")
+        # A path with many segments must not cost a search for each of them.
+        self._segments: Counter[int] = Counter()
+        self._labels: Counter[int] = Counter()
+
+    def add(self, host: str, path: str, key: int) -> None:
+        """Index a route."""
+        place = _hash_place(host, path)
+        position = self._find(place, key)
+        self._places.insert(position, place)
+        self._keys.insert(position, key)
+        self._segments[_count_segments(path)] += 1
+        if host.startswith("*."):
+            self._labels[host.count(".")] += 1
+
+    def remove(self, host: str, path: str, key: int) -> None:
+        """Drop a route from the index."""
+        position = self._find(_hash_place(host, path), key)
+        del self._places[position]
+        del self._keys[position]
+        _decrease(self._segments, _count_segments(path))
+        if host.startswith("*."):
+            _decrease(self._labels, host.count("."))
+
+    def find(self, host: str, path: str) -> Iterator[list[tuple[str, str, int]]]:
+        """Yield groups of (host pattern, path, key), most specific group first."""
+        prefixes = self._list_prefixes(path)
+        for patterns in ([host], self._list_wildcards(host), [""]):
+            for prefix in prefixes:
+                group = [
+                    (pattern, prefix, key)
+                    for pattern in patterns
+                    for key in self._read(pattern, prefix)
+                ]
+                if group:
+                    yield group
+
+    def _list_prefixes(self, path: str) -> list[str]:
+        """Return the prefixes of whole segments that routes use, longest first."""
+        segments = path.split("/")[1:] if path != "/" else []
+        lengths = [size for size in self._segments if size <= len(segments)]
+        lengths.sort(reverse=True)
+        return ["/" + "/".join(segments[:size]) for size in lengths]
+
+    def _list_wildcards(self, host: str) -> list[str]:
+        labels = host.split(".")
+        return [
+            "*." + ".".join(labels[len(labels) - size :])
+            for size in self._labels
+            if 0 < size < len(labels)
+        ]
+
+    def _read(self, host: str, path: str) -> Iterator[int]:
+        place = _hash_place(host, path)
+        position = bisect_left(self._places, place)
+        while position < len(self._places) and self._places[position] == place:
+            yield self._keys[position]
+            position += 1
+
+    def _find(self, place: int, key: int) -> int:
+        position = bisect_left(self._places, place)
+        while position < len(self._places) and self._places[position] == place:
+            if self._keys[position] >= key:
+                break
+            position += 1
+        return position
+
+
+def _decrease(counts: Counter[int], size: int) -> None:
+    counts[size] -= 1
+    if counts[size] <= 0:
+        del counts[size]
--- /dev/null
+++ b/src/flamingobank/configuration/services.py
@@ -0,0 +1,74 @@
+"""Select services by their labels."""
+
+import sys
+from bisect import bisect_left, insort
+from collections import OrderedDict
+
+from flamingobank.configuration.messages import Spec
+from flamingobank.objects import Operator, Selector
+
+SERVICE_LABEL = "service"
+LABEL_PREFIX = "label."
+SELECTIONS_KEPT = 512
+
+
+class ServiceNames:
+    """Keep the labels of all services and the selections in use up to date."""
+
+    def __init__(self) -> None:
+        self._labels: dict[str, dict[str, str]] = {}
+        self._selections: OrderedDict[Selector, list[str]] = OrderedDict()
+
+    def add(self, name: str, spec: Spec) -> None:
+        """Add a service; selections in use take it up."""
+        labels = {
+            sys.intern(key[len(LABEL_PREFIX) :]): sys.intern(value)
+            for key, value in spec.items()
+            if key.startswith(LABEL_PREFIX)
+        }
+        labels[SERVICE_LABEL] = name
+        self._labels[name] = labels
+        for selector, names in self._selections.items():
+            if selector.matches(labels):
+                insort(names, name)
+
+    def remove(self, name: str) -> None:
+        """Drop a service from the labels and all selections."""
+        del self._labels[name]
+        for names in self._selections.values():
+            position = bisect_left(names, name)
+            if position < len(names) and names[position] == name:
+                del names[position]
+
+    def select(self, selector: Selector) -> list[str]:
+        """Return the names of matching services in order."""
+        named = _read_names(selector)
+        if named is not None:
+            return [name for name in named if self._matches(name, selector)]
+        names = self._selections.get(selector)
+        if names is None:
+            names = sorted(
+                name
+                for name, labels in self._labels.items()
+                if selector.matches(labels)
+            )
+            self._selections[selector] = names
+            if len(self._selections) > SELECTIONS_KEPT:
+                self._selections.popitem(last=False)
+        else:
+            self._selections.move_to_end(selector)
+        return list(names)
+
+    def _matches(self, name: str, selector: Selector) -> bool:
+        labels = self._labels.get(name)
+        return labels is not None and selector.matches(labels)
+
+
+def _read_names(selector: Selector) -> list[str] | None:
+    """Return the names a selector allows, or None when it names no service."""
+    for term in selector.terms:
+        if term.name != SERVICE_LABEL:
+            continue
+        if term.operator in (Operator.EQUALS, Operator.IN):
+            return sorted(set(term.values))
+    return None
--- /dev/null
+++ b/src/flamingobank/configuration/shards.py
@@ -0,0 +1,135 @@
+"""Keep packed records in key order without one Python object for each."""
+
+from array import array
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterator
+
+SHARD_BITS = 6
+SHARDS = 1 << SHARD_BITS
+MAX_KEY = (1 << 64) - 1
+_LENGTH_BYTES = 2
+_LONG_LENGTH_BYTES = 4
+_LONG = 0xFFFF
+# A shard is rewritten when this share of its bytes belongs to replaced records; at
+# 6,000 records that takes about 2 ms, so no change rebuilds the whole table.
+GARBAGE_SHARE = 0.25
+GARBAGE_MIN_BYTES = 16_384
+
+
+class Shard:
+    """Hold the records of one range of keys.
+
+    New and changed records are appended to the bytes; the index points to them, and
+    the replaced ones are dropped when the shard is compacted.
+    """
+
+    __slots__ = ("_data", "_garbage", "_keys", "_offsets")
+
+    def __init__(self) -> None:
+        self._keys = array("Q")
+        self._offsets = array("I")
+        self._data = bytearray()
+        self._garbage = 0
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    @property
+    def bytes_used(self) -> int:
+        """Return the bytes of index and records."""
+        return 12 * len(self._keys) + len(self._data)
+
+    def read(self, key: int) -> Iterator[bytes]:
+        """Yield the records with a key; different objects may share one."""
+        position = bisect_left(self._keys, key)
+        while position < len(self._keys) and self._keys[position] == key:
+            yield self._read_at(self._offsets[position])
+            position += 1
+
+    def read_range(self, after: int, until: int) -> Iterator[tuple[int, bytes]]:
+        """Yield keys and records with after < key <= until, in key order."""
+        position = bisect_right(self._keys, after)
+        while position < len(self._keys) and self._keys[position] <= until:
+            yield self._keys[position], self._read_at(self._offsets[position])
+            position += 1
+
+    def write(self, key: int, record: bytes, replaced: bytes | None) -> None:
+        """Add a record, in place of another one if given."""
+        offset = len(self._data)
+        self._append(record)
+        if replaced is None:
+            position = bisect_right(self._keys, key)
+            self._keys.insert(position, key)
+            self._offsets.insert(position, offset)
+            return
+        self._offsets[self._find(key, replaced)] = offset
+        self._discard(replaced)
+
+    def delete(self, key: int, record: bytes) -> None:
+        """Remove a record."""
+        position = self._find(key, record)
+        del self._keys[position]
+        del self._offsets[position]
+        self._discard(record)
+
+    def _find(self, key: int, record: bytes) -> int:
+        position = bisect_left(self._keys, key)
+        while self._read_at(self._offsets[position]) != record:
+            position += 1
+        return position
+
+    def _append(self, record: bytes) -> None:
+        size = len(record)
+        if size < _LONG:
+            self._data += size.to_bytes(_LENGTH_BYTES, "little")
+        else:
+            self._data += _LONG.to_bytes(_LENGTH_BYTES, "little")
+            self._data += size.to_bytes(_LONG_LENGTH_BYTES, "little")
+        self._data += record
+
+    def _read_at(self, offset: int) -> bytes:
+        start = offset + _LENGTH_BYTES
+        size = int.from_bytes(self._data[offset:start], "little")
+        if size == _LONG:
+            size = int.from_bytes(
+                self._data[start : start + _LONG_LENGTH_BYTES], "little"
+            )
+            start += _LONG_LENGTH_BYTES
+        return bytes(self._data[start : start + size])
+
+    def _discard(self, record: bytes) -> None:
+        self._garbage += len(record) + _LENGTH_BYTES
+        if self._garbage < max(GARBAGE_MIN_BYTES, GARBAGE_SHARE * len(self._data)):
+            return
+        records = [self._read_at(offset) for offset in self._offsets]
+        self._data = bytearray()
+        for position, kept in enumerate(records):
+            self._offsets[position] = len(self._data)
+            self._append(kept)
+        self._garbage = 0
+
+
+class ShardedRecords:
+    """Split records by the top bits of their keys."""
+
+    def __init__(self) -> None:
+        self._shards = [Shard() for _ in range(SHARDS)]
+
+    def __len__(self) -> int:
+        return sum(len(shard) for shard in self._shards)
+
+    @property
+    def bytes_used(self) -> int:
+        """Return the bytes of all indexes and records."""
+        return sum(shard.bytes_used for shard in self._shards)
+
+    def find(self, key: int) -> Shard:
+        """Return the shard that holds a key."""
+        return self._shards[key >> (64 - SHARD_BITS)]
+
+    def read_range(self, after: int, until: int) -> Iterator[tuple[int, bytes]]:
+        """Yield keys and records with after < key <= until, in key order."""
+        first = max(0, after) >> (64 - SHARD_BITS)
+        last = until >> (64 - SHARD_BITS)
+        for shard in self._shards[first : last + 1]:
+            yield from shard.read_range(after, until)
--- /dev/null
+++ b/src/flamingobank/configuration/tables.py
@@ -0,0 +1,195 @@
+"""Answer requests from packed objects."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Mapping
+
+from expression import Result
+
+from flamingobank.configuration.messages import Change, Spec
+from flamingobank.configuration.packing import hash_key, pack_record, unpack_record
+from flamingobank.configuration.routes import (
+    RouteIndex,
+    normalize_host,
+    normalize_path,
+    read_place,
+)
+from flamingobank.configuration.services import ServiceNames
+from flamingobank.configuration.shards import ShardedRecords
+from flamingobank.core import Invariant, Revision, check_invariant
+from flamingobank.objects import AnyObject, Kind, Route, Selector, Service, Workspace
+
+ParseSpec = Callable[[Kind, str, Spec], Result[AnyObject, object]]
+# Parsed objects take about 2 KB each; requests concentrate on few of them.
+PARSED_OBJECTS = 1024
+
+
+class PackedTables:
+    """Hold all objects packed; objects are parsed when a request needs them."""
+
+    def __init__(self, parse_spec: ParseSpec) -> None:
+        self._parse_spec = parse_spec
+        self._records = ShardedRecords()
+        self._routes = RouteIndex()
+        self._services = ServiceNames()
+        self._parsed: OrderedDict[tuple[Kind, str], AnyObject | None] = OrderedDict()
+        self.counts: dict[Kind, int] = dict.fromkeys(Kind, 0)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def bytes_used(self) -> int:
+        """Return the bytes of all packed records and their index."""
+        return self._records.bytes_used
+
+    def get(self, kind: Kind, name: str) -> Change | None:
+        """Return an object as the store holds it."""
+        found = self._find(kind, name)
+        return found[1] if found else None
+
+    def put(self, change: Change) -> None:
+        """Store an object that is newer than the one held."""
+        key = hash_key(change.kind, change.name)
+        found = self._find(change.kind, change.name)
+        replaced = None
+        if found is not None:
+            replaced, known = found
+            check_invariant(
+                Invariant.NO_REVERT,
+                change.revision >= known.revision,
+                kind=change.kind.value,
+                name=change.name,
+                seen=change.revision,
+                known=known.revision,
+            )
+            self._unindex(known, key)
+        record = pack_record(change.kind, change.name, change.revision, change.spec)
+        self._records.find(key).write(key, record, replaced)
+        self._index(change, key)
+
+    def delete(self, kind: Kind, name: str, revision: Revision) -> bool:
+        """Drop an object as of a revision; tell whether it was held."""
+        found = self._find(kind, name)
+        if found is None:
+            return False
+        record, known = found
+        check_invariant(
+            Invariant.NO_REVERT,
+            revision >= known.revision,
+            kind=kind.value,
+            name=name,
+            deleted_at=revision,
+            known=known.revision,
+        )
+        key = hash_key(kind, name)
+        self._unindex(known, key)
+        self._records.find(key).delete(key, record)
+        return True
+
+    def read_range(self, after: int, until: int) -> Iterator[tuple[int, bytes]]:
+        """Yield key hashes and records with after < key hash <= until."""
+        return self._records.read_range(after, until)
+
+    def find_workspace(self, name: str) -> Workspace | None:
+        """Return a workspace by its name."""
+        return self._parse(Kind.WORKSPACE, name)
+
+    def find_service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._parse(Kind.SERVICE, name)
+
+    def find_services(self, selector: Selector) -> list[Service]:
+        """Return the services that a selector picks, in name order."""
+        names = self._services.select(selector)
+        services = (self.find_service(name) for name in names)
+        return [service for service in services if service is not None]
+
+    def find_route(
+        self,
+        host: str,
+        path: str,
+        method: str,
+        headers: Mapping[str, str],
+        workspace_labels: Mapping[str, str],
+    ) -> Route | None:
+        """Return the most specific route; header names are in lower case."""
+        groups = self._routes.find(normalize_host(host), normalize_path(path))
+        for group in groups:
+            matching = [
+                route
+                for route in self._read_routes(group)
+                if _accepts(route, method, headers, workspace_labels)
+            ]
+            if matching:
+                return min(matching, key=_rank)
+        return None
+
+    def _read_routes(self, group: list[tuple[str, str, int]]) -> Iterator[Route]:
+        for pattern, prefix, key in group:
+            for record in self._records.find(key).read(key):
+                change = unpack_record(record)
+                if change.kind is not Kind.ROUTE:
+                    continue
+                if read_place(change.spec) != (pattern, prefix):
+                    continue
+                route = self._parse(Kind.ROUTE, change.name)
+                if route is not None:
+                    yield route
+
+    def _find(self, kind: Kind, name: str) -> tuple[bytes, Change] | None:
+        key = hash_key(kind, name)
+        for record in self._records.find(key).read(key):
+            change = unpack_record(record)
+            if change.kind is kind and change.name == name:
+                return record, change
+        return None
+
+    def _parse(self, kind: Kind, name: str) -> AnyObject | None:
+        key = (kind, name)
+        if key in self._parsed:
+            self._parsed.move_to_end(key)
+            return self._parsed[key]
+        change = self.get(kind, name)
+        if change is None:
+            return None
+        # A spec that an older node cannot read is kept, passed on and not used.
+        parsed = self._parse_spec(kind, name, change.spec)
+        item = parsed.ok if parsed.is_ok() else None
+        self._parsed[key] = item
+        if len(self._parsed) > PARSED_OBJECTS:
+            self._parsed.popitem(last=False)
+        return item
+
+    def _index(self, change: Change, key: int) -> None:
+        self.counts[change.kind] += 1
+        self._parsed.pop((change.kind, change.name), None)
+        if change.kind is Kind.ROUTE:
+            self._routes.add(*read_place(change.spec), key)
+        elif change.kind is Kind.SERVICE:
+            self._services.add(change.name, change.spec)
+
+    def _unindex(self, change: Change, key: int) -> None:
+        self.counts[change.kind] -= 1
+        self._parsed.pop((change.kind, change.name), None)
+        if change.kind is Kind.ROUTE:
+            self._routes.remove(*read_place(change.spec), key)
+        elif change.kind is Kind.SERVICE:
+            self._services.remove(change.name)
+
+
+def _accepts(
+    route: Route,
+    method: str,
+    headers: Mapping[str, str],
+    workspace_labels: Mapping[str, str],
+) -> bool:
+    if route.methods and method not in route.methods:
+        return False
+    for name, value in route.headers.items():
+        if headers.get(name) != value:
+            return False
+    return route.callers.matches(workspace_labels)
+
+
+def _rank(route: Route) -> tuple[int, int, str]:
+    return -len(route.headers), -len(route.callers.terms), route.name
