--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what step modules share."""
--- a/src/flamingobank/cli/apply.py
+++ b/src/flamingobank/cli/apply.py
@@ -87,7 +87,7 @@
             return code
     _print_changes(context, changes)
     if options.dry_run:
-        print_line(f"{len(changes)} changes planned, none made", context.out)
+        print_line(f"{count_changes(changes)} planned, none made", context.out)
         return ExitCode.DONE
     maker = ChangeMaker(session, context)
     # Records raise the store's revision too, but nodes never see them.
@@ -97,7 +97,7 @@
         if result.outcome is not Outcome.DONE:
             return report_failure(context, change.title, result, made, len(changes))
         revision = max(revision, result.revision)
-    print_line(f"{len(changes)} changes made, revision {revision}", context.out)
+    print_line(f"{count_changes(changes)} made, revision {revision}", context.out)
     if options.wait:
         return wait_in_force(session, context, revision, options.timeout)
     return ExitCode.DONE
@@ -157,3 +157,8 @@
         for line in describe_difference(get_spec(change.before), change.spec):
             hue = "red" if line.startswith("-") else "green"
             print_line("  " + paint(line, hue, color), context.out)
+
+
+def count_changes(changes: list[Change]) -> str:
+    """Return the number of changes as text."""
+    return "1 change" if len(changes) == 1 else f"{len(changes)} changes"
