Connect admission, health, floor leases and quarantine to the request path

Cause: the pure decisions were merged and nothing called them. Change: a home queues by the admission queue, chooses servers by exact slots, judges each outcome, ejects under floor leases and spreads crash reports; an entry chooses homes by reported load and retries within its budget.

--- a/src/flamingobank/directory/table.py
+++ b/src/flamingobank/directory/table.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from flamingobank.core import FailureDomain, NodeId, ServiceName
+from flamingobank.core import FailureDomain, InstanceId, NodeId, ServiceName
 from flamingobank.wire import DirectoryUpdate
 
 Address = tuple[str, int]
@@ -19,7 +19,7 @@
     region: str
     servers: int
     slots: int
-    announced: int
+    instances: tuple[str, ...]
 
 
 class DirectoryTable:
@@ -39,9 +39,7 @@
         if update.leaving:
             return True
         node = NodeId(update.home)
-        for service, servers, slots, announced in update.services:
-            if not slots:
-                continue
+        for service, servers, slots, instances in update.services:
             entry = HomeEntry(
                 node,
                 (update.host, update.port),
@@ -49,7 +47,7 @@
                 update.region,
                 servers,
                 slots,
-                announced,
+                tuple(instances),
             )
             self._homes.setdefault(ServiceName(service), {})[node] = entry
         return True
@@ -69,6 +67,14 @@
         homes = self._homes.get(service)
         return list(homes.values()) if homes else []
 
+    def list_instances(self, service: ServiceName) -> dict[InstanceId, NodeId]:
+        """Return the announced servers of a service with their homes."""
+        return {
+            InstanceId(instance): home.node
+            for home in self.list_homes(service)
+            for instance in home.instances
+        }
+
     def get_update(self, home: str) -> DirectoryUpdate | None:
         """Return the newest update of a home."""
         return self._updates.get(home)
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -8,11 +8,19 @@
 from circuits import BaseComponent, handler
 from expression import Error, Ok, Result
 
-from flamingobank.core import Clock, FailureDomain, NodeId, rank_by_rendezvous
+from flamingobank.core import (
+    BootId,
+    Clock,
+    FailureDomain,
+    InstanceId,
+    NodeId,
+    rank_by_rendezvous,
+)
 from flamingobank.loop import Address, Timers
 from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.edge import EdgeRequest, EdgeResponse
-from flamingobank.node.upstream import Server
+from flamingobank.node.ejections import Ejections
+from flamingobank.node.servers import Server
 
 ANNOUNCE_PATH = "/.flamingobank/announce"
 RENEW_MS = 1000
@@ -25,8 +33,8 @@
 class Announcement:
     """Describe a server as it describes itself."""
 
-    instance: str
-    boot: str
+    instance: InstanceId
+    boot: BootId
     address: Address
     labels: dict[str, str]
     slots: int
@@ -80,8 +88,8 @@
         )
     return Ok(
         Announcement(
-            fields["instance"],
-            fields["boot"],
+            InstanceId(fields["instance"]),
+            BootId(fields["boot"]),
             (host, int(port)),
             labels,
             slots,
@@ -118,6 +126,7 @@
         clock: Clock,
         timers: Timers,
         dispatcher: Dispatcher,
+        ejections: Ejections,
         list_domain_nodes: Callable[[FailureDomain], dict[NodeId, Address]],
         on_change: Callable[[], None],
     ) -> None:
@@ -127,6 +136,7 @@
         self._node_id = node_id
         self._clock = clock
         self._dispatcher = dispatcher
+        self._ejections = ejections
         self._list_domain_nodes = list_domain_nodes
         self._on_change = on_change
         timers.call_every(CHECK_INTERVAL_S, self._remove_expired)
@@ -171,34 +181,40 @@
     def _apply(self, announcement: Announcement) -> None:
         now = self._clock.now()
         server = self._dispatcher.servers.get(announcement.instance)
-        changed = False
-        if server is None or server.boot != announcement.boot:
+        new = server is None or server.boot != announcement.boot
+        if new:
             if server is not None:
-                self._dispatcher.remove_server(announcement.instance)
+                self._drop(server.instance, "it started again")
             server = Server(
-                announcement.instance, announcement.boot, announcement.address
+                announcement.instance,
+                announcement.boot,
+                announcement.address,
+                announcement.slots,
+                announcement.warm,
+                now,
             )
-            changed = True
-        changed = changed or server.labels != announcement.labels
-        changed = changed or server.draining != announcement.draining
+        changed = (
+            new
+            or server.labels != announcement.labels
+            or server.slots.limit != announcement.slots
+            or server.draining != announcement.draining
+        )
         server.labels = announcement.labels
-        # Work that runs beyond a lowered limit is not cut.
-        server.slots = max(announcement.slots, server.in_use)
         server.failure_domain = announcement.failure_domain
-        server.reported_in_use = announcement.in_use
-        server.warm = announcement.warm
-        server.expires_at = now + EXPIRY_S
-        if announcement.draining and server.draining_since is None:
-            server.draining_since = now
-        if not announcement.draining:
-            server.draining_since = None
+        server.announced_at = now
+        server.slots.warm = announcement.warm
+        server.slots.set_slots(announcement.slots)
+        if announcement.draining:
+            server.slots.drain(now)
         if changed:
-            self._dispatcher.add_server(server)
+            self._dispatcher.place_server(server)
             self._on_change()
+        self._ejections.announce(server)
 
-    def _drop(self, instance: str, why: str) -> None:
+    def _drop(self, instance: InstanceId, why: str) -> None:
         if instance not in self._dispatcher.servers:
             return
+        self._ejections.remove(instance)
         self._dispatcher.remove_server(instance)
         self.removed.append((self._clock.now(), instance, why))
         del self.removed[:-100]
@@ -210,7 +226,7 @@
     def _remove_expired(self) -> None:
         now = self._clock.now()
         for server in list(self._dispatcher.servers.values()):
-            if server.expires_at < now:
+            if server.announced_at + EXPIRY_S < now:
                 self._drop(server.instance, "its announcement expired")
 
 
--- /dev/null
+++ b/src/flamingobank/node/crashes.py
@@ -0,0 +1,73 @@
+"""Report requests that were in flight when a server crashed, on every node."""
+
+from collections.abc import Callable
+
+import eliot
+
+from flamingobank.core import Clock, Fingerprint, InstanceId
+from flamingobank.node.requests import HomeRequest
+from flamingobank.node.servers import Server
+from flamingobank.quarantine import Clearance, CrashId, CrashLedger
+from flamingobank.wire import CrashClearance, CrashNotice, Message
+
+
+class Crashes:
+    """Keep the crash ledger and spread what it learns."""
+
+    def __init__(self, clock: Clock, broadcast: Callable[[Message], None]) -> None:
+        self.ledger = CrashLedger()
+        self.reported = 0
+        self._clock = clock
+        self._broadcast = broadcast
+
+    def report(self, request: HomeRequest, server: Server, detail: str) -> None:
+        """Report a request whose connection broke while it ran."""
+        notice = CrashNotice(
+            request.fingerprint, server.instance, f"{server.instance}/{server.boot}"
+        )
+        if not self.receive_report(notice):
+            return
+        self.reported += 1
+        eliot.log_message(
+            message_type="quarantine:crash",
+            instance=server.instance,
+            fingerprint=request.fingerprint.hex(),
+            route=request.message.route,
+            why=detail,
+        )
+        self._broadcast(notice)
+
+    def report_completion(self, request: HomeRequest) -> None:
+        """Clear a suspect that has completed."""
+        now = self._clock.now()
+        if not len(self.ledger):
+            return
+        for clearance in self.ledger.record_completion(request.fingerprint, now):
+            self._broadcast(CrashClearance(clearance.fingerprint, clearance.crash_id))
+
+    def receive_report(self, notice: CrashNotice) -> bool:
+        """Add a report; return whether it was new."""
+        return self.ledger.record_crash(
+            Fingerprint(notice.fingerprint),
+            InstanceId(notice.instance),
+            CrashId(notice.crash_id),
+            self._clock.now(),
+        )
+
+    def receive_clearance(self, notice: CrashClearance) -> bool:
+        """Add a clearance; return whether it was new."""
+        clearance = Clearance(Fingerprint(notice.fingerprint), CrashId(notice.crash_id))
+        return self.ledger.record_clearance(clearance, self._clock.now())
+
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        """Tell whether a request must not run."""
+        # The fingerprint hashes the body; without reports nothing is refused.
+        if not len(self.ledger):
+            return False
+        return self.ledger.is_quarantined(request.fingerprint, self._clock.now())
+
+    def is_suspect(self, request: HomeRequest) -> bool:
+        """Tell whether a request was in flight in a crash."""
+        if not len(self.ledger):
+            return False
+        return self.ledger.is_suspect(request.fingerprint, self._clock.now())
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -9,22 +9,35 @@
 import eliot
 from circuits import Component, handler
 
-from flamingobank.core import InvariantError, MonotonicClock
+from flamingobank.core import InvariantError, MonotonicClock, NodeId
 from flamingobank.directory import DirectoryTable
+from flamingobank.health import FloorMessage, Outcome, Stage
 from flamingobank.loop import Poller, Timers
 from flamingobank.node.announcements import Announcements
+from flamingobank.node.crashes import Crashes
 from flamingobank.node.directory_sync import DirectorySync
-from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.dispatcher import Dispatcher, DispatchObserver
 from flamingobank.node.edge import EdgeServer
+from flamingobank.node.ejections import Ejections
 from flamingobank.node.entry import Entry
 from flamingobank.node.fixed_routes import FixedRoutes
-from flamingobank.node.links import Link, LinkObserver, Links
+from flamingobank.node.floor_wire import pack_floor_message, unpack_floor_message
+from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
 from flamingobank.node.metrics import NodeMetrics
 from flamingobank.node.remote import ServedStream
+from flamingobank.node.requests import HomeRequest
+from flamingobank.node.servers import Server
 from flamingobank.node.status import StatusPages
 from flamingobank.objects import AnyObject
 from flamingobank.settings import CallerLimits, NodeSettings
-from flamingobank.wire import DirectoryUpdate, Message, OpenRequest
+from flamingobank.wire import (
+    CrashClearance,
+    CrashNotice,
+    DirectoryUpdate,
+    FloorNotice,
+    Message,
+    OpenRequest,
+)
 
 SHUTDOWN_CHECK_S = 0.05
 # Peers need this long to hear that a node leaves before it stops listening.
@@ -49,8 +62,7 @@
         self._node = node
 
     def on_control_message(self, link: Link, message: Message) -> None:
-        if isinstance(message, DirectoryUpdate):
-            self._node.sync.receive(message)
+        self._node.receive(message)
 
     def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
         # Messages of streams that have ended here are discarded.
@@ -63,6 +75,29 @@
         eliot.log_message(message_type="links:refused", peer=peer, why=reason)
 
 
+class NodeDispatchObserver(DispatchObserver):
+    """Pass what happens to work on servers to the judges of a node."""
+
+    def __init__(self, ejections: Ejections, crashes: Crashes) -> None:
+        self._ejections = ejections
+        self._crashes = crashes
+
+    def on_outcome(self, server: Server, outcome: Outcome) -> None:
+        self._ejections.on_outcome(server, outcome)
+
+    def on_broken(self, request: HomeRequest, server: Server, detail: str) -> None:
+        self._crashes.report(request, server, detail)
+
+    def on_completed(self, request: HomeRequest) -> None:
+        self._crashes.report_completion(request)
+
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        return self._crashes.is_quarantined(request)
+
+    def is_suspect(self, request: HomeRequest) -> bool:
+        return self._crashes.is_suspect(request)
+
+
 class Node(Component):
     """Run one node of the fleet."""
 
@@ -88,7 +123,7 @@
         self.timers = Timers(self.clock).register(self)
         self.routes = FixedRoutes(items)
         self.directory = DirectoryTable()
-        self.dispatcher = Dispatcher(self.poller, self.timers, self.clock)
+        self.dispatcher = Dispatcher(self.poller, self.timers, self.clock, rng)
         self.links = Links(
             self.poller,
             self.timers,
@@ -106,12 +141,26 @@
             self.directory,
             self.dispatcher,
             self.links,
+            rng,
         )
+        self.ejections = Ejections(
+            settings.node_id,
+            time.time_ns(),
+            self.clock,
+            self.timers,
+            self.dispatcher,
+            self._send_floor_message,
+            self.directory.list_instances,
+            self.sync.announce_change,
+        )
+        self.crashes = Crashes(self.clock, self.sync.broadcast)
+        self.dispatcher.observer = NodeDispatchObserver(self.ejections, self.crashes)
         self.announcements = Announcements(
             settings.node_id,
             self.clock,
             self.timers,
             self.dispatcher,
+            self.ejections,
             self.sync.list_domain_nodes,
             self.sync.announce_change,
         ).register(self)
@@ -157,18 +206,30 @@
             "servers": [
                 {
                     "instance": server.instance,
-                    "slots": server.slots,
-                    "in_use": server.in_use,
+                    "slots": server.slots.limit,
+                    "in_use": server.slots.in_use,
                     "draining": server.draining,
-                    "ejected": server.ejected,
+                    "stage": server.slots.stage.value,
                 }
                 for server in self.dispatcher.servers.values()
             ],
             "store": {"reachable": False, "last_contact_s": None},
             "counters": dict(self.entry.counters),
+            "events": self.ejections.events[-20:],
             "in_flight": len(self.entry.in_flight) + len(self.dispatcher.running),
         }
 
+    def receive(self, message: Message) -> None:
+        """React to a message of another node that belongs to no stream."""
+        if isinstance(message, DirectoryUpdate):
+            self.sync.receive(message)
+        elif isinstance(message, FloorNotice):
+            floor_message = unpack_floor_message(message)
+            if floor_message is not None:
+                self.ejections.receive(floor_message)
+        elif self._is_new_crash_message(message):
+            self.sync.broadcast(message)
+
     def begin_shutdown(self) -> None:
         """Take no new work, and stop once everything in flight has ended."""
         if self.stopping:
@@ -203,6 +264,18 @@
             # A broken promise must not be served on; the instance is replaced.
             os._exit(70)
 
+    def _is_new_crash_message(self, message: Message) -> bool:
+        if isinstance(message, CrashNotice):
+            return self.crashes.receive_report(message)
+        if isinstance(message, CrashClearance):
+            return self.crashes.receive_clearance(message)
+        return False
+
+    def _send_floor_message(self, node: NodeId, message: FloorMessage) -> None:
+        address = self.sync.find_address(node)
+        if address is not None:
+            self.links.get(address).send(CONTROL_STREAM, pack_floor_message(message))
+
     def _serve(
         self, address: tuple[str, int], limits: CallerLimits, channel: str
     ) -> EdgeServer:
@@ -234,18 +307,18 @@
     def _describe_service(self, name: str) -> dict:
         service = self.routes.services[name]
         homes = self.directory.list_homes(name)
-        announced = sum(home.announced for home in homes)
+        announced = sum(len(home.instances) for home in homes)
         pool = self.dispatcher.pools.get(name)
-        local = pool.servers if pool is not None else []
+        local = pool.servers.values() if pool is not None else []
         return {
             "service": name,
             "floor": service.floor.count_servers(announced),
             "announced": announced,
             "healthy": sum(home.servers for home in homes),
             "ejected": [
-                {"instance": server.instance, "why": ""}
+                {"instance": server.instance, "why": server.why_ejected}
                 for server in local
-                if server.ejected
+                if server.slots.stage is not Stage.IN_SERVICE
             ],
             "draining": sum(1 for server in local if server.draining),
         }
--- a/src/flamingobank/node/directory_sync.py
+++ b/src/flamingobank/node/directory_sync.py
@@ -1,6 +1,8 @@
 """Tell other nodes which services this node is home of, and learn theirs."""
 
 import itertools
+import math
+import random
 from collections.abc import Callable
 
 from flamingobank.core import Clock, FailureDomain, NodeId
@@ -9,12 +11,13 @@
 from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.links import CONTROL_STREAM, Links
 from flamingobank.settings import NodeSettings
-from flamingobank.wire import DirectoryUpdate
+from flamingobank.wire import DirectoryUpdate, Message
 
 REFRESH_S = 1.0
 EXPIRY_S = 3.5
 # Changes within this time travel in one update.
 COALESCE_S = 0.05
+BROADCAST_EXTRA = 4
 
 
 class DirectorySync:
@@ -29,6 +32,7 @@
         directory: DirectoryTable,
         dispatcher: Dispatcher,
         links: Links,
+        rng: random.Random,
     ) -> None:
         self.leaving = False
         self.read_revision: Callable[[], int] = lambda: 0
@@ -39,6 +43,7 @@
         self._directory = directory
         self._dispatcher = dispatcher
         self._links = links
+        self._rng = rng
         self._sequence = itertools.count(1)
         self._heard_at: dict[str, float] = {}
         self._send_pending = False
@@ -73,6 +78,23 @@
         if not known:
             self.announce_change()
 
+    def find_address(self, node: NodeId) -> Address | None:
+        """Return where a node takes links, or None when it is not known."""
+        update = self._directory.get_update(node)
+        return None if update is None else (update.host, update.port)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to random nodes, which pass it on when it is new to them."""
+        others = [
+            (update.host, update.port)
+            for update in self.list_members()
+            if update.home != self._settings.node_id
+        ]
+        # ln(n) + c targets a node reach all n nodes but for a share of exp(-c) / n.
+        count = min(len(others), math.ceil(math.log(len(others) + 1)) + BROADCAST_EXTRA)
+        for address in self._rng.sample(others, count):
+            self._links.get(address).send(CONTROL_STREAM, message)
+
     def send_leaving(self) -> None:
         """Tell all nodes that this one takes no new work."""
         self.leaving = True
@@ -122,13 +144,14 @@
 
     def _make_update(self) -> DirectoryUpdate:
         settings = self._settings
+        now = self._clock.now()
         services = []
         for name, pool in self._dispatcher.pools.items():
             if not pool.servers:
                 continue
-            in_service = pool.in_service
-            slots = sum(server.slots for server in in_service)
-            services.append([name, len(in_service), slots, len(pool.servers)])
+            usable = [server.count_usable(now) for server in pool.servers.values()]
+            in_service = sum(1 for slots in usable if slots)
+            services.append([name, in_service, sum(usable), list(pool.servers)])
         return DirectoryUpdate(
             settings.node_id,
             self._boot,
--- /dev/null
+++ b/src/flamingobank/node/ejections.py
@@ -0,0 +1,216 @@
+"""Eject gray servers of this node under floor leases, and bring them back."""
+
+from collections.abc import Callable, Iterable
+
+import eliot
+
+from flamingobank.core import Clock, InstanceId, NodeId, ServiceName
+from flamingobank.health import (
+    Condition,
+    EjectionDecision,
+    EjectionState,
+    Finding,
+    FloorDenial,
+    FloorGrant,
+    FloorLedger,
+    FloorMessage,
+    FloorRelease,
+    FloorRequest,
+    FloorRevocation,
+    Outcome,
+    ServerSummary,
+    Stage,
+    derive_baseline,
+    judge_outlier,
+)
+from flamingobank.loop import Timers
+from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.servers import Server
+
+TICK_S = 0.05
+# Outcomes that may be the last piece of evidence needed.
+SUSPICIOUS = (Outcome.FAILED, Outcome.TIMED_OUT)
+
+
+class Ejections:
+    """Join the health of servers, the floor leases and the way back."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        epoch: int,
+        clock: Clock,
+        timers: Timers,
+        dispatcher: Dispatcher,
+        send: Callable[[NodeId, FloorMessage], None],
+        list_announced: Callable[[ServiceName], dict[InstanceId, NodeId]],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.ledger = FloorLedger(node_id, epoch, clock.now())
+        self.events: list[dict] = []
+        self.on_event: Callable[[dict], None] = lambda event: None
+        self._node_id = node_id
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._send = send
+        self._list_announced = list_announced
+        self._on_change = on_change
+        timers.call_every(TICK_S, self._tick)
+
+    def announce(self, server: Server) -> None:
+        """Note an announcement; only announced servers can be promised."""
+        service = self._dispatcher.find_service(server)
+        if service is None:
+            return
+        now = self._clock.now()
+        self.ledger.announce(ServiceName(service.name), server.instance, now)
+        if server.draining:
+            self._send_all(self.ledger.set_in_service(server.instance, False, now))
+
+    def remove(self, instance: InstanceId) -> None:
+        """Forget a server that is gone or has another home."""
+        now = self._clock.now()
+        # Holders of promises hear at once that the server is not in service.
+        self._send_all(self.ledger.set_in_service(instance, False, now))
+        self._send_all(self.ledger.remove(instance, now))
+
+    def on_outcome(self, server: Server, outcome: Outcome) -> None:
+        """Judge a server as soon as its work fails."""
+        if outcome in SUSPICIOUS:
+            self._assess(server)
+        self._apply_stage(server)
+
+    def receive(self, message: FloorMessage) -> None:
+        """React to a message of another home."""
+        now = self._clock.now()
+        if isinstance(message, FloorRequest):
+            self._answer(message, now)
+        elif isinstance(message, FloorGrant):
+            instance = message.request.instance
+            self._follow(instance, self.ledger.accept(message, now))
+        elif isinstance(message, FloorDenial):
+            instance = message.request.instance
+            self._follow(instance, self.ledger.decline(message, now))
+        elif isinstance(message, FloorRelease):
+            self.ledger.release(message, now)
+        elif isinstance(message, FloorRevocation):
+            self._follow(message.instance, self.ledger.revoke(message, now))
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        for name, pool in self._dispatcher.pools.items():
+            if pool.servers:
+                announced = self._list_announced(name)
+                self.ledger.set_service(name, pool.service.floor, announced)
+        self._send_all(self.ledger.tick(now))
+        for server in list(self._dispatcher.servers.values()):
+            self._assess(server)
+            self._apply_stage(server)
+
+    def _assess(self, server: Server) -> None:
+        now = self._clock.now()
+        found = server.health.assess(server.baseline, now)
+        if found.condition is not Condition.SUSPECT:
+            return
+        if server.readmission.get_stage(now) is not Stage.IN_SERVICE:
+            return
+        service = self._dispatcher.find_service(server)
+        if service is None:
+            return
+        summary = server.health.summarize(now)
+        name = ServiceName(service.name)
+        self._send_all(
+            self.ledger.request_leases(name, server.instance, found.score, now, summary)
+        )
+
+    def _answer(self, request: FloorRequest, now: float) -> None:
+        server = self._dispatcher.servers.get(request.target)
+        summary = ServerSummary()
+        if server is not None:
+            summary = server.health.summarize(now, request.summary.window_s)
+        self._send_all([self.ledger.answer(request, now, summary)])
+
+    def _follow(self, instance: InstanceId, decision: EjectionDecision) -> None:
+        """Act on a decision that answers to requests have led to."""
+        self._send_all(decision.sends)
+        server = self._dispatcher.servers.get(instance)
+        if server is None:
+            return
+        if decision.state is EjectionState.EJECTED:
+            self._begin_ejection(server)
+            return
+        now = self._clock.now()
+        peers = self.ledger.get_summaries(instance)
+        service = self._dispatcher.find_service(server)
+        if service is None or decision.state is EjectionState.NONE:
+            return
+        others = len(self._list_announced(ServiceName(service.name))) - 1
+        if decision.leases < decision.required and len(peers) < others:
+            return
+        self._judge(server, peers, now)
+
+    def _judge(self, server: Server, peers: list[ServerSummary], now: float) -> None:
+        own = server.health.summarize(now)
+        verdict = judge_outlier(own, peers)
+        if verdict.finding is Finding.OUTLIER:
+            decision = self.ledger.eject(server.instance, now)
+            self._send_all(decision.sends)
+            server.why_ejected = (
+                f"{verdict.cause.value}: {verdict.own_rate:.2f} against "
+                f"{verdict.peer_rate:.2f} of {len(peers)} peers"
+            )
+            if decision.state is EjectionState.EJECTED:
+                self._begin_ejection(server)
+            return
+        self._send_all(self.ledger.cancel(server.instance, now))
+        if verdict.finding is Finding.COMMON_CAUSE:
+            server.baseline = derive_baseline(peers, now)
+
+    def _begin_ejection(self, server: Server) -> None:
+        now = self._clock.now()
+        if server.readmission.get_stage(now) is not Stage.IN_SERVICE:
+            return
+        server.readmission.eject(now)
+        self._report("ejected", server, server.why_ejected)
+        self._apply_stage(server)
+
+    def _apply_stage(self, server: Server) -> None:
+        """Follow the way back; leases are held until the server has returned."""
+        now = self._clock.now()
+        instance = server.instance
+        stage = server.readmission.get_stage(now)
+        covered = self.ledger.is_ejected(instance, now)
+        if stage is not Stage.IN_SERVICE and not covered:
+            server.readmission.reverse(now)
+            stage = Stage.IN_SERVICE
+        if stage is Stage.IN_SERVICE and server.slots.stage is Stage.TRICKLE:
+            self._send_all(self.ledger.cancel(instance, now))
+            server.health.reset(now)
+        changed = server.slots.stage is not stage
+        server.slots.stage = stage
+        if stage is Stage.IN_SERVICE and self.ledger.is_ejected(instance, now):
+            self._begin_ejection(server)
+            return
+        server.slots.share = server.readmission.share
+        if not changed:
+            return
+        if stage is Stage.IN_SERVICE:
+            self._report("readmitted", server, "")
+        elif stage is Stage.TRICKLE:
+            self._report("trickle", server, server.why_ejected)
+        self._dispatcher.refresh_server(server)
+        self._on_change()
+
+    def _send_all(self, messages: Iterable[FloorMessage]) -> None:
+        for message in messages:
+            if message.destination == self._node_id:
+                self.receive(message)
+                continue
+            self._send(message.destination, message)
+
+    def _report(self, what: str, server: Server, why: str) -> None:
+        event = {"what": what, "instance": server.instance, "why": why}
+        eliot.log_message(message_type=f"health:{what}", **event)
+        self.events.append(event)
+        del self.events[:-200]
+        self.on_event(event)
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -2,10 +2,18 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from circuits import BaseComponent, handler
 
+from flamingobank.admission import Work
+from flamingobank.balancing import (
+    HomeCandidate,
+    HomeLoad,
+    choose_home,
+    read_home_load,
+)
 from flamingobank.core import (
     Clock,
     Disposition,
@@ -14,6 +22,9 @@
     NodeId,
     Reason,
     Refusal,
+    RequestId,
+    RouteName,
+    WorkspaceId,
     check_invariant,
 )
 from flamingobank.directory import DirectoryTable, HomeEntry
@@ -29,18 +40,21 @@
     WINDOW_BYTES,
     AnswerSink,
     AnswerStart,
-    Headers,
     Load,
     RunningRequest,
 )
 from flamingobank.node.links import Links
 from flamingobank.node.remote import RemoteRequest
 from flamingobank.node.upstream import HOP_BY_HOP
-from flamingobank.objects import Route
+from flamingobank.objects import Route, TrafficClass
+from flamingobank.retries import (
+    RetryBudget,
+    RetryDecision,
+    decide_retry,
+    merge_dispositions,
+)
 from flamingobank.wire import AnswerState, OpenRequest
 
-MAX_ATTEMPTS = 3
-LOAD_LIFETIME_S = 2.0
 # Time beyond the deadline in which the home's own refusal may still arrive.
 DEADLINE_GRACE_S = 0.1
 WORKSPACE_HEADER = b"flamingobank-workspace"
@@ -90,23 +104,19 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._loads: dict[tuple[str, NodeId], tuple[float, Load]] = {}
+        self._loads: dict[tuple[str, NodeId], HomeLoad] = {}
 
     def record(self, service: str, node: NodeId, load: Load) -> None:
-        """Keep a reported load until its lifetime ends."""
-        expires = self._clock.now() + LOAD_LIFETIME_S
-        self._loads[service, node] = (expires, load)
-
-    def get(self, service: str, node: NodeId) -> Load | None:
-        """Return a load that has not expired."""
-        found = self._loads.get((service, node))
-        if found is None:
-            return None
-        expires, load = found
-        if expires < self._clock.now():
-            del self._loads[service, node]
-            return None
-        return load
+        """Keep a reported load; nonsense is ignored."""
+        found = read_home_load(
+            load.queue_delay_ms / 1000, load.free_slots, self._clock.now()
+        )
+        if isinstance(found, HomeLoad):
+            self._loads[service, node] = found
+
+    def get(self, service: str, node: NodeId) -> HomeLoad | None:
+        """Return the newest load; whoever uses it checks its age."""
+        return self._loads.get((service, node))
 
 
 class CallerExchange(AnswerSink, ConnectionWatcher):
@@ -126,6 +136,7 @@
         self.message = message
         self.body = body
         self.deadline = deadline
+        self.accepted_at = entry.clock.now()
         self.attempts = 0
         self._http_1_0 = http_1_0
         self._tried: set[NodeId] = set()
@@ -138,7 +149,7 @@
         self._expected_bytes: int | None = None
         self._passed_bytes = 0
         self._unacknowledged = 0
-        self._attempt_pending = False
+        self._known = Disposition.NOT_RUN
         self._timer: TimerHandle | None = None
 
     def start(self) -> None:
@@ -188,17 +199,19 @@
             self._finish("broken")
             self.connection.abort()
             return
-        repeatable = (
-            refusal.disposition is Disposition.NOT_RUN or self.message.idempotent
-        )
-        if refusal.disposition is Disposition.UNKNOWN:
-            self.entry.count("outcome_unknown")
-        if not repeatable or not self._may_try_again():
-            self._refuse(refusal)
+        # An earlier attempt with an unknown outcome may have run, whatever this one
+        # says.
+        self._known = merge_dispositions(self._known, refusal.disposition)
+        merged = replace(refusal, disposition=self._known)
+        decision = RetryDecision.NO_BUDGET
+        if refusal.reason is not Reason.QUARANTINED:
+            decision = self.entry.decide_retry(self, self._known)
+        if decision is not RetryDecision.RETRY:
+            self._refuse(merged)
             return
         self.entry.count("retries")
         # Deferred, so that a chain of refusals does not nest calls.
-        self.entry.timers.call_soon(lambda: self._attempt(refusal))
+        self.entry.timers.call_soon(lambda: self._attempt(merged))
 
     def on_caller_left(self) -> None:
         if self._finished:
@@ -210,12 +223,6 @@
     def on_output_drained(self) -> None:
         self._acknowledge()
 
-    def _may_try_again(self) -> bool:
-        now = self.entry.clock.now()
-        if self.attempts >= MAX_ATTEMPTS or now >= self.deadline:
-            return False
-        return self.entry.spend_retry(now)
-
     def _attempt(self, refusal: Refusal | None) -> None:
         if self._finished:
             return
@@ -248,7 +255,7 @@
             self._finish("deadline")
             self.connection.abort()
             return
-        disposition = Disposition.NOT_RUN if running is None else Disposition.UNKNOWN
+        disposition = self._known if running is None else Disposition.UNKNOWN
         self._refuse(
             Refusal(disposition, Reason.DEADLINE, detail="its deadline has passed")
         )
@@ -350,6 +357,7 @@
         self._rng = rng
         self._request_prefix = f"{node_id}-{rng.getrandbits(32):08x}"
         self._request_count = 0
+        self._budget = RetryBudget()
 
     @handler("request")
     def _on_request(self, event, request: EdgeRequest, response: EdgeResponse):
@@ -392,22 +400,28 @@
         )
         self.in_flight.add(exchange)
         self.count("requests")
+        self._budget.earn(self.clock.now())
         exchange.start()
         return True
 
     def choose_home(self, service: str, tried: set[NodeId]) -> HomeEntry | None:
-        """Return the better of two random homes, near ones first."""
-        homes = self._directory.list_homes(service)
-        fresh = [home for home in homes if home.node not in tried] or homes
-        if not fresh:
-            return None
-        near = [home for home in fresh if home.failure_domain == self._failure_domain]
-        candidates = [home for home in near if self._has_room(service, home)] or fresh
-        if len(candidates) <= 2:
-            pair = candidates
-        else:
-            pair = self._rng.sample(candidates, 2)
-        return min(pair, key=lambda home: self._rate(service, home))
+        """Return a home that was not tried yet, or one that was."""
+        homes = {home.node: home for home in self._directory.list_homes(service)}
+        candidates = [
+            HomeCandidate(
+                home.node,
+                home.failure_domain,
+                home.slots,
+                self.loads.get(service, node),
+            )
+            for node, home in homes.items()
+            if node not in tried
+        ]
+        now = self.clock.now()
+        chosen = choose_home(candidates, self._failure_domain, self._rng, now)
+        if chosen is not None:
+            return homes[chosen.node_id]
+        return next((homes[node] for node in tried if node in homes), None)
 
     def send(
         self, home: HomeEntry, message: OpenRequest, body: bytes, sink: AnswerSink
@@ -417,9 +431,23 @@
             return self._dispatcher.dispatch(message, body, sink)
         return RemoteRequest(self._links.get(home.address), message, body, sink)
 
-    def spend_retry(self, now: float) -> bool:
-        """Tell whether the retry budget allows one more attempt."""
-        return True
+    def decide_retry(
+        self, exchange: CallerExchange, known: Disposition
+    ) -> RetryDecision:
+        """Decide about another attempt; a RETRY has spent its budget."""
+        message = exchange.message
+        work = Work(
+            RequestId(message.request_id),
+            RouteName(message.route),
+            WorkspaceId(message.workspace),
+            TrafficClass(message.traffic_class),
+            exchange.deadline,
+            message.expected_ms / 1000,
+            message.idempotent,
+            exchange.attempts - 1,
+        )
+        now = self.clock.now()
+        return decide_retry(work, known, exchange.accepted_at, self._budget, now)
 
     def count(self, name: str) -> None:
         """Count an event for the metrics."""
@@ -445,16 +473,6 @@
         )
         return route, workspace
 
-    def _has_room(self, service: str, home: HomeEntry) -> bool:
-        load = self.loads.get(service, home.node)
-        return load is None or load.free_slots > 0
-
-    def _rate(self, service: str, home: HomeEntry) -> float:
-        load = self.loads.get(service, home.node)
-        if load is None:
-            return 0.0
-        return load.queue_delay_ms - load.free_slots / home.slots
-
 
 def read_deadline(request: EdgeRequest, route_deadline_ms: int) -> int:
     """Return the milliseconds left: the caller's own, at most the route's."""
@@ -491,14 +509,3 @@
     if refusal.reason is Reason.DEADLINE:
         return 504
     return 502
-
-
-__all__ = [
-    "CallerExchange",
-    "Entry",
-    "Headers",
-    "HomeLoads",
-    "RouteTable",
-    "read_deadline",
-    "render_refusal",
-]
--- /dev/null
+++ b/src/flamingobank/node/servers.py
@@ -0,0 +1,69 @@
+"""Hold what a home node knows about its servers."""
+
+from flamingobank.balancing import ServerSlots
+from flamingobank.core import BootId, FailureDomain, InstanceId
+from flamingobank.health import DEFAULT_BASELINE, Readmission, ServerHealth
+from flamingobank.loop import Address, HttpClientConnection, Poller
+
+# Time without a connection attempt after one failed.
+CONNECT_BACKOFF_S = 0.5
+
+
+class Server:
+    """Join a server's slots, health, way back into service and connections."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        boot: BootId,
+        address: Address,
+        slots: int,
+        warm: float,
+        now: float,
+    ) -> None:
+        self.instance = instance
+        self.boot = boot
+        self.address = address
+        self.failure_domain = FailureDomain("")
+        self.labels: dict[str, str] = {}
+        self.slots = ServerSlots(instance, slots, now, warm)
+        self.health = ServerHealth(now)
+        self.readmission = Readmission(now)
+        self.baseline = DEFAULT_BASELINE
+        self.announced_at = now
+        self.connect_failures = 0
+        self.unreachable_until = 0.0
+        self.why_ejected = ""
+        self._idle: list[HttpClientConnection] = []
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the server announced that it leaves."""
+        return self.slots.draining_since is not None
+
+    def count_usable(self, now: float) -> int:
+        """Return how many slots new work may fill now, counting those in use."""
+        if now < self.unreachable_until:
+            return 0
+        return self.slots.count_usable(now)
+
+    def take_connection(self, poller: Poller) -> HttpClientConnection:
+        """Return a kept connection, or start a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle:
+                return connection
+        return HttpClientConnection(poller, self.address)
+
+    def keep_connection(self, connection: HttpClientConnection) -> None:
+        """Keep a connection for the next request."""
+        if connection.idle and len(self._idle) < self.slots.limit:
+            self._idle.append(connection)
+            return
+        connection.close()
+
+    def close_connections(self) -> None:
+        """Close the kept connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- a/src/flamingobank/node/upstream.py
+++ b/src/flamingobank/node/upstream.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingobank.core import BootId, FailureDomain, Invariant, check_invariant
-from flamingobank.loop import Address, AnswerHandler, HttpClientConnection, Poller
+from flamingobank.loop import AnswerHandler, Poller
 from flamingobank.node.exchange import (
     WINDOW_BYTES,
     AnswerSink,
@@ -13,6 +12,7 @@
     Headers,
     Load,
 )
+from flamingobank.node.servers import Server
 from flamingobank.wire import AnswerState
 
 # Headers that belong to one connection and are not passed on.
@@ -32,8 +32,6 @@
 SHED_HEADER = b"flamingobank-shed"
 LOAD_HEADER = b"flamingobank-load"
 STATUS_UNAVAILABLE = 503
-# A server has this long to take its last new work after it said it drains.
-DRAIN_GRACE_S = 3.0
 
 
 class AttemptResult(enum.Enum):
@@ -56,82 +54,8 @@
     head_at: float
     ended_at: float
     detail: str
-
-
-class Server:
-    """Hold what a home node knows about one of its servers."""
-
-    def __init__(self, instance: str, boot: str, address: Address) -> None:
-        self.instance = instance
-        self.boot = BootId(boot)
-        self.address = address
-        self.failure_domain = FailureDomain("")
-        self.labels: dict[str, str] = {}
-        self.slots = 1
-        self.warm = 1.0
-        self.in_use = 0
-        self.reported_in_use = 0
-        self.draining_since: float | None = None
-        self.expires_at = 0.0
-        self.ejected = False
-        self.trickle = False
-        self.backoff_until = 0.0
-        self.unreachable_until = 0.0
-        self._idle: list[HttpClientConnection] = []
-
-    @property
-    def draining(self) -> bool:
-        """Tell whether the server announced that it leaves."""
-        return self.draining_since is not None
-
-    def acquire(self, now: float) -> None:
-        """Take a slot for new work."""
-        self.in_use += 1
-        check_invariant(
-            Invariant.SLOTS,
-            0 < self.in_use <= self.slots,
-            instance=self.instance,
-            in_use=self.in_use,
-            slots=self.slots,
-        )
-        check_invariant(
-            Invariant.DRAINED,
-            self.draining_since is None or now <= self.draining_since + DRAIN_GRACE_S,
-            instance=self.instance,
-            draining_since=self.draining_since,
-            now=now,
-        )
-
-    def release(self) -> None:
-        """Give a slot back."""
-        self.in_use -= 1
-        check_invariant(
-            Invariant.SLOTS,
-            self.in_use >= 0,
-            instance=self.instance,
-            in_use=self.in_use,
-        )
-
-    def take_connection(self, poller: Poller) -> HttpClientConnection:
-        """Return a kept connection, or start a new one."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.idle:
-                return connection
-        return HttpClientConnection(poller, self.address)
-
-    def keep_connection(self, connection: HttpClientConnection) -> None:
-        """Keep a connection for the next request."""
-        if connection.idle and len(self._idle) < self.slots:
-            self._idle.append(connection)
-            return
-        connection.close()
-
-    def close_connections(self) -> None:
-        """Close the kept connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
+    # The caller was slower than the server, so the total time says nothing.
+    was_paused: bool = False
 
 
 class UpstreamExchange(AnswerHandler):
@@ -167,6 +91,7 @@
         self._flush_queued = False
         self._unacknowledged = 0
         self._paused = False
+        self._was_paused = False
         self._done = False
 
     def send(self, request: bytes) -> None:
@@ -205,6 +130,7 @@
         self._unacknowledged += len(data)
         if self._unacknowledged >= WINDOW_BYTES and not self._paused:
             self._paused = True
+            self._was_paused = True
             self._connection.pause_reading()
         self._flush_soon()
 
@@ -267,6 +193,7 @@
             self._head_at,
             self._read_clock(),
             detail,
+            self._was_paused,
         )
         if result in (AttemptResult.COMPLETE, AttemptResult.BROKEN_AFTER_HEAD):
             self._flush_soon()
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -117,13 +117,38 @@
     failure_domain: str
     region: str
     leaving: bool
-    # Each entry is [service, servers in service, slots, servers announced].
+    # Each entry is [service, servers in service, slots, announced instances].
     services: list
     revision: int = 0
     servers_host: str = ""
     servers_port: int = 0
 
 
+@dataclass(slots=True)
+class FloorNotice:
+    """Carry one floor lease message; flamingobank.node.floor_wire reads it."""
+
+    kind: int
+    fields: list
+
+
+@dataclass(slots=True)
+class CrashNotice:
+    """Say that a request was in flight on a server that crashed."""
+
+    fingerprint: bytes
+    instance: str
+    crash_id: str
+
+
+@dataclass(slots=True)
+class CrashClearance:
+    """Say that a request completed after a crash it was in flight in."""
+
+    fingerprint: bytes
+    crash_id: str
+
+
 Message = typing.Any
 
 _TYPES: dict[int, type] = {
@@ -135,6 +160,9 @@
     6: Cancel,
     7: Window,
     8: DirectoryUpdate,
+    9: FloorNotice,
+    10: CrashNotice,
+    11: CrashClearance,
 }
 _KINDS: dict[type, int] = {}
 _GETTERS: dict[type, Callable[[object], tuple]] = {}
