--- a/src/flamingobank/cli/config.py
+++ b/src/flamingobank/cli/config.py
@@ -10,6 +10,7 @@
 from flamingobank.schema import (
     AddressValue,
     Field,
+    FieldTable,
     FilePath,
     Integer,
     ListOf,
@@ -37,7 +38,7 @@
     SectionSchema(
         "operator",
         "Names the person or job that changes objects.",
-        (
+        FieldTable(
             Field(
                 "name",
                 "operator",
@@ -50,7 +51,7 @@
     SectionSchema(
         "store",
         "Gives access to the platform's object API.",
-        (
+        FieldTable(
             Field(
                 "address",
                 "store",
@@ -65,20 +66,12 @@
                 "File with the bearer token of the store.",
                 "token_file = secrets/store-token",
             ),
-            Field(
-                "timeout_ms",
-                "timeout_ms",
-                Integer(1, 600_000, "milliseconds"),
-                "Time after which a call to the store or a node is given up.",
-                "timeout_ms = 5000",
-                default="5000",
-            ),
         ),
     ),
     SectionSchema(
         "nodes",
         "Gives nodes to ask for the state of the fleet.",
-        (
+        FieldTable(
             Field(
                 "addresses",
                 "nodes",
@@ -87,6 +80,14 @@
                 "addresses = 10.1.0.4:7300, 10.2.0.4:7300",
                 default="",
             ),
+            Field(
+                "timeout_ms",
+                "timeout_ms",
+                Integer(1, 600_000, "milliseconds"),
+                "Time after which a call to a node is given up.",
+                "timeout_ms = 5000",
+                default="5000",
+            ),
         ),
     ),
 )
