Add fleet-issued and caller-chosen idempotency keys

Cause: a non-idempotent approval, booking or claim runs at most once, although callers send it again, nodes are replaced and messages come late.

Change: a key names the one process that may run its request. Keeper records the request on a replica in another failure domain, then lets it run; it seals itself at shutdown and passes its right to one successor process. A "not run" opens the key's next generation, so a delayed copy of an earlier request cannot run after it. Keys are kept in packed columns. Caller-chosen keys run after a conditional creation in the store, within the fleet's budget.

--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -1,6 +1,7 @@
 """Check the store stand-in, the store client and leases."""
 
 import functools
+import itertools
 import json
 import random
 import socket
@@ -428,6 +429,24 @@
     assert sum(held) > 1000, f"leases were held at {sum(held)} moments only"
 
 
+@then("a contender never overlaps with a holder that is cut off from the store")
+def step_lapse(context):
+    for seed, (slow, quick) in itertools.product(range(20), ((0, 2), (2, 0))):
+        store = ObjectStore()
+        holder, contender = Contender(slow, seed), Contender(quick, seed + 1)
+        taken_at = None
+        for tenth in range(600):
+            true_now = tenth / 10
+            run_lease(store, holder, true_now, "tick" if true_now < 1 else "away")
+            if true_now >= 0.5:
+                run_lease(store, contender, true_now, "tick")
+            held = holder.lease.is_held(holder.read_clock(true_now))
+            if contender.lease.is_held(contender.read_clock(true_now)):
+                assert not held, f"two holders at {true_now}"
+                taken_at = taken_at or true_now
+        assert taken_at is not None and taken_at < 30.0, taken_at
+
+
 class Contender:
     """Run one lease on a clock with its own offset and rate."""
 
--- a/features/store.feature
+++ b/features/store.feature
@@ -39,6 +39,7 @@
 
   Scenario: A lease has one holder under pauses, drift and lost answers
     Then 60 random lease histories have at most one holder and growing tokens
+    And a contender never overlaps with a holder that is cut off from the store
 
   Scenario: The blocking client meets the store process on a socket
     Given a store process
--- /dev/null
+++ b/src/flamingobank/idempotency/adoption.py
@@ -0,0 +1,45 @@
+"""Follow requests that a predecessor was still running at its handover."""
+
+from flamingobank.idempotency.keys import KeeperName, KeyId
+from flamingobank.idempotency.messages import KeyRecord
+from flamingobank.idempotency.table import AnswerCache, KeyEntry, KeyState, KeyTable
+
+Tables = dict[KeeperName, KeyTable]
+
+
+class RemoteRuns:
+    """Hold which predecessor will report the end of which request."""
+
+    def __init__(self, tables: Tables, answers: AnswerCache) -> None:
+        self._tables = tables
+        self._answers = answers
+        self._runs: dict[KeyId, KeeperName] = {}
+
+    def adopt(self, name: KeeperName, table: KeyTable, sealed: KeeperName) -> None:
+        """Take over a name; its running requests end at the sealed keeper."""
+        self._tables[name] = table
+        for sequence in table.find(KeyState.RUNNING):
+            self._runs[KeyId(name, sequence)] = sealed
+
+    def finish(self, record: KeyRecord) -> bool:
+        """Take the end of a request; return False when it had ended before."""
+        if self._runs.pop(record.key_id, None) is None:
+            return False
+        self._answers.put(record.key_id, record.answer)
+        entry = KeyEntry(
+            record.state, record.generation, record.status, record.fingerprint
+        )
+        table = self._tables[record.key_id.keeper]
+        table.set(record.key_id.sequence, entry, record.expiry_s)
+        return True
+
+    def lose(self, lost: KeeperName) -> None:
+        """Give up on the requests that a lost predecessor was still running."""
+        for key_id, keeper in list(self._runs.items()):
+            if keeper != lost:
+                continue
+            del self._runs[key_id]
+            table = self._tables[key_id.keeper]
+            held = table.get(key_id.sequence)
+            unknown = KeyEntry(KeyState.UNKNOWN, held.generation, 0, held.fingerprint)
+            table.set(key_id.sequence, unknown, expiry_s=0)
--- /dev/null
+++ b/src/flamingobank/idempotency/chosen.py
@@ -0,0 +1,131 @@
+"""Let requests with caller-chosen keys run once, through the store.
+
+The object of a key is created before the request runs and is never removed while
+the key lives. Whoever created it, or moved it on from "not run", may run it.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+from expression import Result
+
+from flamingobank.core import Fingerprint, Reason, Revision, WorkspaceId
+from flamingobank.idempotency.keys import KeeperName, shorten_fingerprint
+from flamingobank.idempotency.messages import (
+    Invalid,
+    Replay,
+    StillRunning,
+    Unknown,
+)
+from flamingobank.store import (
+    GroupBudget,
+    Spec,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+    Written,
+)
+
+KIND = "key"
+MAX_ANSWER_BYTES = 16_384
+HINT = "keys from POST /.flamingobank/keys work while the store is away"
+RUNNING = "running"
+DONE = "done"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenRun:
+    """Let a request run once; hold the revision that gave the right."""
+
+    name: str
+    revision: Revision
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyWrite:
+    """Ask for a conditional write of a key's object."""
+
+    name: str
+    spec: Spec
+    expected: Revision | None
+    fingerprint: int
+
+
+ChosenDecision = ChosenRun | KeyWrite | Replay | StillRunning | Unknown | Invalid
+
+
+def name_chosen_key(workspace: WorkspaceId, key: str) -> str:
+    """Return the object's name; workspaces cannot reach each other's keys."""
+    text = f"{len(workspace)}/{workspace}/{key}"
+    return hashlib.blake2b(text.encode(), digest_size=20).hexdigest()
+
+
+class ChosenKeys:
+    """Decide from the store's answers whether a request may run."""
+
+    def __init__(self, owner: KeeperName, budget: GroupBudget) -> None:
+        self._owner = owner
+        self._budget = budget
+
+    def begin(
+        self, name: str, fingerprint: Fingerprint, expiry_s: int, now: float
+    ) -> KeyWrite | Invalid:
+        """Return the creation to make, or refuse the request as not run."""
+        if not self._budget.take(now):
+            detail = f"the fleet's rate of chosen keys is used up; {HINT}"
+            return Invalid(Reason.LIMIT, detail)
+        short = shorten_fingerprint(fingerprint)
+        return KeyWrite(name, self._make_spec(RUNNING, short, expiry_s), None, short)
+
+    def on_written(
+        self, write: KeyWrite, result: Result[Written, StoreError], now: float
+    ) -> ChosenDecision:
+        """Decide from the result of a creation, or of a step from "not run"."""
+        if result.is_ok():
+            return ChosenRun(write.name, result.ok.revision, write.fingerprint)
+        error = result.error
+        if error.kind is StoreErrorKind.CONFLICT and error.current is not None:
+            return self._decide_held(write, error.current)
+        if error.kind is StoreErrorKind.THROTTLED:
+            self._budget.record_throttled(now)
+        if error.kind in (StoreErrorKind.OUTCOME_UNKNOWN, StoreErrorKind.REVERTED):
+            return Unknown(Reason.STORE_AWAY)
+        # Every other kind says that this write takes no effect.
+        return Invalid(Reason.STORE_AWAY, f"{error}; {HINT}")
+
+    def end(
+        self, run: ChosenRun, state: str, expiry_s: int, status: int = 0, text: str = ""
+    ) -> KeyWrite:
+        """Return the write that records how a run ended: done, not-run or unknown."""
+        spec = self._make_spec(state, run.fingerprint, expiry_s)
+        if state == DONE:
+            spec["status"] = status
+            spec["answer"] = text if len(text) <= MAX_ANSWER_BYTES else None
+        return KeyWrite(run.name, spec, run.revision, run.fingerprint)
+
+    def _decide_held(self, write: KeyWrite, held: StoredObject) -> ChosenDecision:
+        spec = held.spec
+        if spec.get("fingerprint") != f"{write.fingerprint:016x}":
+            return Invalid(Reason.KEY_INVALID, "the key was used for another request")
+        state = spec.get("state")
+        if state == DONE:
+            answer = spec.get("answer")
+            kept = answer.encode() if isinstance(answer, str) else None
+            return Replay(int(spec.get("status", 0)), kept)
+        if state == RUNNING:
+            return StillRunning()
+        if state != NOT_RUN or write.expected is not None:
+            return Unknown(Reason.BROKEN)
+        # The revision keeps a delayed creation from taking the same step.
+        return KeyWrite(write.name, write.spec, held.revision, write.fingerprint)
+
+    def _make_spec(self, state: str, fingerprint: int, expiry_s: int) -> dict:
+        return {
+            "state": state,
+            "owner": f"{self._owner.node}/{self._owner.epoch}",
+            "fingerprint": f"{fingerprint:016x}",
+            "expiry_s": expiry_s,
+        }
--- /dev/null
+++ b/src/flamingobank/idempotency/handover.py
@@ -0,0 +1,118 @@
+"""Move a sealed keeper's records to its successor."""
+
+from collections.abc import Mapping, Sequence
+
+from flamingobank.idempotency.keys import KeeperName, KeyId
+from flamingobank.idempotency.messages import HandoverAck, HandoverPart, Send
+from flamingobank.idempotency.table import KeyTable
+
+# Half of the largest frame between nodes (256 KiB).
+PART_BYTES = 131_072
+REPEAT_S = 1.0
+CHUNK_BYTES = 3400
+
+Tables = dict[KeeperName, KeyTable]
+Answers = Sequence[tuple[KeyId, bytes]]
+
+
+class Handover:
+    """Send the parts to the one successor until it confirms.
+
+    No other successor is ever named: the first may have taken over although its
+    confirmation was lost, and then two processes would keep the same keys.
+    """
+
+    def __init__(
+        self,
+        sealed: KeeperName,
+        successor: KeeperName | None,
+        tables: Mapping[KeeperName, KeyTable],
+        answers: Answers,
+    ) -> None:
+        self.successor = successor
+        self.confirmed = False
+        self._next_at = 0.0
+        self._parts: list[HandoverPart] = []
+        if successor is not None:
+            self._parts = _split(sealed, successor, tables, answers)
+
+    def tick(self, now: float) -> list[Send]:
+        """Return the parts while they are not confirmed."""
+        if self.confirmed or self.successor is None or now < self._next_at:
+            return []
+        self._next_at = now + REPEAT_S
+        return [Send(self.successor.node, part) for part in self._parts]
+
+    def confirm(self, ack: HandoverAck) -> bool:
+        """Take the confirmation; return True the first time."""
+        if self.confirmed or ack.successor != self.successor:
+            return False
+        self.confirmed = True
+        self._parts = []
+        return True
+
+
+class HandoverIntake:
+    """Collect parts at the successor; each handover is taken over once."""
+
+    def __init__(self, name: KeeperName) -> None:
+        self._name = name
+        self._staged: dict[KeeperName, dict[int, HandoverPart]] = {}
+        self._adopted: set[KeeperName] = set()
+
+    def is_adopted(self, sealed: KeeperName) -> bool:
+        """Tell whether a keeper's records were taken over."""
+        return sealed in self._adopted
+
+    def take(self, part: HandoverPart) -> tuple[Tables, Answers]:
+        """Return all tables and answers with the last missing part, else nothing."""
+        # A repeated part must not replace records that have changed since.
+        if part.successor != self._name or part.sealed in self._adopted:
+            return {}, ()
+        parts = self._staged.setdefault(part.sealed, {})
+        parts[part.index] = part
+        if len(parts) < part.total:
+            return {}, ()
+        del self._staged[part.sealed]
+        self._adopted.add(part.sealed)
+        tables: Tables = {name: KeyTable() for name in part.keepers}
+        answers: list[tuple[KeyId, bytes]] = []
+        for index in range(part.total):
+            for name, image in parts[index].chunks:
+                tables[name].unpack(image)
+            answers += parts[index].answers
+        return tables, answers
+
+
+def _split(
+    sealed: KeeperName,
+    successor: KeeperName,
+    tables: Mapping[KeeperName, KeyTable],
+    answers: Answers,
+) -> list[HandoverPart]:
+    chunks = [(name, image) for name, each in tables.items() for image in each.pack()]
+    chunk_groups = _group(chunks, lambda chunk: CHUNK_BYTES)
+    answer_groups = _group(list(answers), lambda answer: len(answer[1]))
+    contents: list[tuple[list, list]] = [(group, []) for group in chunk_groups]
+    contents += [([], group) for group in answer_groups]
+    contents = contents or [([], [])]
+    total = len(contents)
+    keepers = tuple(tables)
+    return [
+        HandoverPart(
+            sealed, successor, index, total, keepers, tuple(images), tuple(kept)
+        )
+        for index, (images, kept) in enumerate(contents)
+    ]
+
+
+def _group(items: list, measure) -> list[list]:
+    groups: list[list] = []
+    size = PART_BYTES
+    for item in items:
+        size += measure(item)
+        if size > PART_BYTES:
+            groups.append([])
+            size = measure(item)
+        groups[-1].append(item)
+    return groups
--- /dev/null
+++ b/src/flamingobank/idempotency/keeper.py
@@ -0,0 +1,311 @@
+"""Decide, for the keys of one process, which request may run.
+
+The right to run a request is never taken over while the keeper may be alive. It
+passes on only when the keeper seals itself, to one successor that it names once.
+"""
+
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from flamingobank.core import (
+    Disposition,
+    Fingerprint,
+    Invariant,
+    NodeId,
+    Reason,
+    Refusal,
+    check_invariant,
+)
+from flamingobank.idempotency.adoption import RemoteRuns
+from flamingobank.idempotency.handover import Handover, HandoverIntake
+from flamingobank.idempotency.keys import (
+    IssuedKey,
+    KeeperName,
+    issue_key,
+    parse_key,
+    shorten_fingerprint,
+)
+from flamingobank.idempotency.limits import KeeperLimits
+from flamingobank.idempotency.messages import (
+    Decision,
+    HandoverAck,
+    HandoverPart,
+    Invalid,
+    KeyRecord,
+    KeyRecordAck,
+    Moved,
+    Prepare,
+    Refused,
+    Reopen,
+    Replay,
+    Run,
+    Send,
+    StillRunning,
+    Unknown,
+)
+from flamingobank.idempotency.replication import Replication
+from flamingobank.idempotency.table import AnswerCache, KeyEntry, KeyState, KeyTable
+from flamingobank.idempotency.transitions import change_entry
+
+MAX_BATCH_KEYS = 1000
+MAX_GENERATION = 65535
+TRIM_INTERVAL_S = 60.0
+
+
+class Keeper:
+    """Hold the keys of one start of a node; ``now`` is monotonic, in seconds.
+
+    ``wall_offset_s`` is the wall clock minus the monotonic clock at the start; it is
+    never changed, so that a key once seen as expired stays expired here.
+    """
+
+    def __init__(
+        self,
+        name: KeeperName,
+        secrets: Sequence[bytes],
+        wall_offset_s: float,
+        limits: KeeperLimits | None = None,
+    ) -> None:
+        self.name = name
+        self.limits = limits or KeeperLimits()
+        self.unreplicated_runs = 0
+        self._secrets = tuple(secrets)
+        self._wall_offset_s = wall_offset_s
+        self._sequence = 0
+        self._trim_at = 0.0
+        self._tables: dict[KeeperName, KeyTable] = {name: KeyTable()}
+        self._answers = AnswerCache(
+            self.limits.max_answers_bytes, self.limits.max_answer_bytes
+        )
+        self._replication = Replication()
+        self._handover: Handover | None = None
+        self._intake = HandoverIntake(name)
+        self._remote = RemoteRuns(self._tables, self._answers)
+
+    @property
+    def sealed(self) -> bool:
+        """Tell whether the keeper has stopped accepting requests for good."""
+        return self._handover is not None
+
+    def list_names(self) -> list[KeeperName]:
+        """Return the names this process answers for, its own and adopted ones."""
+        return list(self._tables)
+
+    def set_replicas(self, nodes: Sequence[NodeId]) -> None:
+        """Set the live candidates for records, best first; see rank_replicas."""
+        self._replication.candidates = tuple(nodes)
+
+    def issue_keys(self, count: int, now: float) -> Result[list[str], Refusal]:
+        """Issue a batch of keys that name this process."""
+        if self.sealed:
+            return Error(Refusal(Disposition.NOT_RUN, Reason.DRAINING))
+        held = sum(len(table) for table in self._tables.values())
+        if not 1 <= count <= MAX_BATCH_KEYS or held >= self.limits.max_keys:
+            detail = f"{count} keys, 1 to {MAX_BATCH_KEYS} at once; {held} are held"
+            return Error(Refusal(Disposition.NOT_RUN, Reason.LIMIT, detail=detail))
+        expiry_s = int(self._get_wall(now)) + self.limits.key_lifetime_s
+        first = self._sequence
+        self._sequence += count
+        return Ok(
+            [
+                issue_key(self._secrets[0], self.name, sequence, expiry_s)
+                for sequence in range(first, first + count)
+            ]
+        )
+
+    def accept(
+        self,
+        key: str,
+        fingerprint: Fingerprint,
+        now: float,
+        generation: int = 0,
+        deadline: float = float("inf"),
+    ) -> Decision:
+        """Decide about a request; a Prepare ends with on_ack or tick."""
+        parsed = parse_key(key, self._secrets)
+        if parsed.is_error():
+            return Invalid(Reason.KEY_INVALID, str(parsed.error))
+        issued = parsed.ok
+        table = self._tables.get(issued.keeper)
+        if table is None:
+            return Unknown(Reason.KEEPER_LOST)
+        if self._handover is not None:
+            return Moved(self._handover.successor)
+        entry = table.get(issued.sequence)
+        short = shorten_fingerprint(fingerprint)
+        if entry.state is not KeyState.FRESH and entry.fingerprint != short:
+            detail = "the key was used for another request"
+            return Invalid(Reason.KEY_INVALID, detail)
+        if entry.state in (KeyState.FRESH, KeyState.NOT_RUN):
+            if self._get_wall(now) >= issued.expiry_s:
+                return self._decide_expired(issued, now)
+            if generation != entry.generation:
+                return Reopen(entry.generation)
+            return self._prepare(issued, entry, short, deadline, now)
+        if entry.state is KeyState.DONE:
+            return Replay(entry.status, self._answers.get(issued.key_id))
+        if entry.state is KeyState.UNKNOWN:
+            return Unknown(Reason.BROKEN)
+        return StillRunning()
+
+    def on_ack(self, ack: KeyRecordAck, now: float) -> Run | Refused | None:
+        """Take a replica's confirmation; it may let the request run."""
+        pending = self._replication.confirm(ack)
+        if pending is None or pending.started:
+            return None
+        if now >= pending.deadline or self.sealed:
+            return self._refuse(pending.run, Reason.DEADLINE)
+        return self._start(pending.run)
+
+    def record_done(
+        self, run: Run, status: int, answer: bytes, now: float
+    ) -> list[Send]:
+        """Record a complete answer, as the bytes that are replayed."""
+        self._answers.put(run.key_id, answer)
+        return self._end(run, KeyState.DONE, status, now)
+
+    def record_not_run(self, run: Run, now: float) -> list[Send]:
+        """Record that no byte of the request reached a server."""
+        return self._end(run, KeyState.NOT_RUN, 0, now)
+
+    def record_unknown(self, run: Run, now: float) -> list[Send]:
+        """Record that the request may have run without an answer."""
+        return self._end(run, KeyState.UNKNOWN, 0, now)
+
+    def tick(self, now: float) -> list[Send | Refused]:
+        """Repeat what was not confirmed and refuse what waits too long."""
+        effects: list[Send | Refused] = []
+        sends, overdue = self._replication.tick(now)
+        effects += sends
+        for pending in overdue:
+            effects.append(self._refuse(pending.run, Reason.UNREACHABLE))
+        if self._handover is not None:
+            effects += self._handover.tick(now)
+        if now >= self._trim_at:
+            self._trim_at = now + TRIM_INTERVAL_S
+            for table in self._tables.values():
+                table.trim(self._get_wall(now) - self.limits.memory_s)
+        return effects
+
+    def seal(self, successor: KeeperName | None, now: float) -> list[Send | Refused]:
+        """Stop accepting for good and hand the records to the one successor."""
+        if self._handover is not None:
+            check_invariant(
+                Invariant.AT_MOST_ONCE,
+                self._handover.successor == successor,
+                keeper=self.name,
+                successor=self._handover.successor,
+                other=successor,
+            )
+            return []
+        effects: list[Send | Refused] = []
+        for pending in self._replication.list_unstarted():
+            effects.append(self._refuse(pending.run, Reason.DRAINING))
+        self._handover = Handover(
+            self.name, successor, self._tables, self._answers.list_answers()
+        )
+        return effects + self._handover.tick(now)
+
+    def on_handover_ack(self, ack: HandoverAck) -> bool:
+        """Take the successor's confirmation; True tells the peers that it moved."""
+        if self._handover is None or ack.sealed != self.name:
+            return False
+        return self._handover.confirm(ack)
+
+    def on_handover_part(self, part: HandoverPart, now: float) -> list[Send]:
+        """Collect a sealed keeper's records and become the keeper of its keys."""
+        if self.sealed or part.successor != self.name:
+            return []
+        tables, answers = self._intake.take(part)
+        for name, table in tables.items():
+            check_invariant(
+                Invariant.AT_MOST_ONCE,
+                name not in self._tables,
+                keeper=self.name,
+                adopted=name,
+            )
+            self._remote.adopt(name, table, part.sealed)
+        for key_id, answer in answers:
+            self._answers.put(key_id, answer)
+        if not self._intake.is_adopted(part.sealed):
+            return []
+        return [Send(part.sealed.node, HandoverAck(part.sealed, self.name))]
+
+    def on_record(self, record: KeyRecord, sender: NodeId, now: float) -> list[Send]:
+        """Take the end of a request that a predecessor was still running."""
+        table = self._tables.get(record.key_id.keeper)
+        if table is None or record.state is KeyState.RUNNING:
+            return []
+        ack = KeyRecordAck(record.key_id, record.version, self.name.node)
+        sends = [Send(sender, ack)]
+        if not self._remote.finish(record):
+            return sends
+        successor = self._get_successor_node()
+        return sends + self._replication.repeat_until_confirmed(record, successor, now)
+
+    def on_keeper_lost(self, lost: KeeperName) -> None:
+        """Give up on requests that a lost predecessor was still running."""
+        self._remote.lose(lost)
+
+    def _get_successor_node(self) -> NodeId | None:
+        if self._handover is None or self._handover.successor is None:
+            return None
+        return self._handover.successor.node
+
+    def _get_wall(self, now: float) -> float:
+        return now + self._wall_offset_s
+
+    def _decide_expired(self, issued: IssuedKey, now: float) -> Decision:
+        if self._get_wall(now) >= issued.expiry_s + self.limits.memory_s:
+            return Unknown(Reason.KEY_INVALID)
+        return Invalid(Reason.KEY_INVALID, "the key expired and was never run")
+
+    def _prepare(
+        self,
+        issued: IssuedKey,
+        entry: KeyEntry,
+        fingerprint: int,
+        deadline: float,
+        now: float,
+    ) -> Decision:
+        if now >= deadline or entry.generation >= MAX_GENERATION:
+            return Invalid(Reason.DEADLINE, "the deadline passed before the run")
+        table = self._tables[issued.keeper]
+        preparing = KeyEntry(KeyState.PREPARING, entry.generation, 0, fingerprint)
+        table.set(issued.sequence, preparing, issued.expiry_s)
+        run = Run(issued.key_id, entry.generation, issued.expiry_s)
+        sends = self._replication.begin(run, fingerprint, deadline, now)
+        if sends:
+            return Prepare(run.key_id, sends)
+        # A node without peers is the only part that can fail.
+        self.unreplicated_runs += 1
+        return self._start(run)
+
+    def _start(self, run: Run) -> Run:
+        entry = self._change(run, KeyState.PREPARING, KeyState.RUNNING)
+        check_invariant(
+            Invariant.AT_MOST_ONCE,
+            not self.sealed and entry.generation == run.generation,
+            run=run,
+            entry=entry,
+            sealed=self.sealed,
+        )
+        self._replication.mark_started(run.key_id)
+        return run
+
+    def _refuse(self, run: Run, reason: Reason) -> Refused:
+        self._replication.forget(run.key_id)
+        self._change(run, KeyState.PREPARING, KeyState.NOT_RUN)
+        return Refused(run.key_id, reason)
+
+    def _end(self, run: Run, state: KeyState, status: int, now: float) -> list[Send]:
+        entry = self._change(run, KeyState.RUNNING, state, status)
+        answer = self._answers.get(run.key_id) if state is KeyState.DONE else None
+        successor = self._get_successor_node()
+        return self._replication.end(run, entry, answer, successor, now)
+
+    def _change(
+        self, run: Run, before: KeyState, after: KeyState, status: int = 0
+    ) -> KeyEntry:
+        return change_entry(self._tables[run.key_id.keeper], run, before, after, status)
--- /dev/null
+++ b/src/flamingobank/idempotency/replication.py
@@ -0,0 +1,178 @@
+"""Keep a record of each running request on one node in another failure domain."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from flamingobank.core import FailureDomain, NodeId, rank_by_rendezvous
+from flamingobank.idempotency.keys import KeeperName, KeyId
+from flamingobank.idempotency.messages import KeyRecord, KeyRecordAck, Run, Send
+from flamingobank.idempotency.table import KeyEntry, KeyState
+
+# A round trip between domains is 2 ms; beyond this the replica is taken as away.
+REPLICA_TIMEOUT_S = 0.1
+MAX_REPLICAS_TRIED = 3
+FINAL_REPEAT_S = 0.5
+MAX_FINAL_REPEATS = 20
+
+
+def rank_replicas(
+    keeper: KeeperName,
+    domain: FailureDomain,
+    members: Mapping[NodeId, FailureDomain],
+) -> list[NodeId]:
+    """Order the nodes that keep a keeper's records: other domains first.
+
+    Every node computes nearly the same order, so the first few can be asked for the
+    records of a lost keeper.
+    """
+    others = [node for node in members if node != keeper.node]
+    ranked = rank_by_rendezvous(f"{keeper.node}/{keeper.epoch}", others)
+    return sorted(ranked, key=lambda node: members[node] == domain)
+
+
+@dataclass(slots=True)
+class Pending:
+    """Hold a request between its acceptance and the confirmation of its end."""
+
+    run: Run
+    record: KeyRecord
+    deadline: float
+    candidates: tuple[NodeId, ...]
+    tried: int
+    sent_at: float
+    started: bool = False
+    replica: NodeId | None = None
+
+
+@dataclass(slots=True)
+class Final:
+    """Hold the end of a request until a node has confirmed it."""
+
+    record: KeyRecord
+    sent_at: float
+    repeats: int = 0
+
+
+class Replication:
+    """Send records, repeat them, and tell which requests waited too long."""
+
+    def __init__(self) -> None:
+        self.candidates: tuple[NodeId, ...] = ()
+        self._pending: dict[KeyId, Pending] = {}
+        self._finals: dict[tuple[KeyId, NodeId], Final] = {}
+
+    def begin(
+        self, run: Run, fingerprint: int, deadline: float, now: float
+    ) -> list[Send]:
+        """Start with the best candidate; return nothing when there is none."""
+        candidates = self.candidates[:MAX_REPLICAS_TRIED]
+        entry = KeyEntry(KeyState.RUNNING, run.generation, 0, fingerprint)
+        record = _make_record(run, entry, None)
+        pending = Pending(run, record, deadline, candidates, 1, now)
+        self._pending[run.key_id] = pending
+        if not candidates:
+            return []
+        return [Send(candidates[0], record)]
+
+    def confirm(self, ack: KeyRecordAck) -> Pending | None:
+        """Return the request whose record was confirmed."""
+        self._drop_final(ack)
+        pending = self._pending.get(ack.key_id)
+        if pending is None or ack.version != pending.record.version:
+            return None
+        if pending.replica is None:
+            pending.replica = ack.replica
+        return pending
+
+    def mark_started(self, key_id: KeyId) -> None:
+        """Note that the request runs."""
+        self._pending[key_id].started = True
+
+    def forget(self, key_id: KeyId) -> None:
+        """Drop a request that was refused."""
+        self._pending.pop(key_id, None)
+
+    def list_unstarted(self) -> list[Pending]:
+        """Return the requests that wait for a replica."""
+        return [each for each in self._pending.values() if not each.started]
+
+    def end(
+        self,
+        run: Run,
+        entry: KeyEntry,
+        answer: bytes | None,
+        successor: NodeId | None,
+        now: float,
+    ) -> list[Send]:
+        """Send the end of a request to its replica and to a successor."""
+        pending = self._pending.pop(run.key_id)
+        record = _make_record(run, entry, answer)
+        nodes = [pending.replica]
+        if successor != pending.replica:
+            nodes.append(successor)
+        sends: list[Send] = []
+        for node in nodes:
+            sends += self.repeat_until_confirmed(record, node, now)
+        return sends
+
+    def repeat_until_confirmed(
+        self, record: KeyRecord, node: NodeId | None, now: float
+    ) -> list[Send]:
+        """Send the end of a request to a node, again until it confirms."""
+        if node is None:
+            return []
+        self._finals[(record.key_id, node)] = Final(record, now)
+        return [Send(node, record)]
+
+    def tick(self, now: float) -> tuple[list[Send], list[Pending]]:
+        """Return records to send again and requests that no replica confirmed."""
+        sends: list[Send] = []
+        overdue: list[Pending] = []
+        for pending in self._pending.values():
+            if pending.started:
+                continue
+            if now >= pending.deadline:
+                overdue.append(pending)
+                continue
+            if now < pending.sent_at + REPLICA_TIMEOUT_S:
+                continue
+            if pending.tried >= len(pending.candidates):
+                overdue.append(pending)
+                continue
+            sends.append(Send(pending.candidates[pending.tried], pending.record))
+            pending.tried += 1
+            pending.sent_at = now
+        return sends + self._repeat_finals(now), overdue
+
+    def _repeat_finals(self, now: float) -> list[Send]:
+        sends = []
+        for (key_id, node), final in list(self._finals.items()):
+            if now < final.sent_at + FINAL_REPEAT_S:
+                continue
+            if final.repeats >= MAX_FINAL_REPEATS:
+                del self._finals[(key_id, node)]
+                continue
+            final.repeats += 1
+            final.sent_at = now
+            sends.append(Send(node, final.record))
+        return sends
+
+    def _drop_final(self, ack: KeyRecordAck) -> None:
+        final = self._finals.get((ack.key_id, ack.replica))
+        if final is not None and final.record.version <= ack.version:
+            del self._finals[(ack.key_id, ack.replica)]
+
+
+def _make_record(run: Run, entry: KeyEntry, answer: bytes | None) -> KeyRecord:
+    # A refusal opens the next generation, so its record follows the run's.
+    version = 2 * run.generation + (0 if entry.state is KeyState.RUNNING else 1)
+    return KeyRecord(
+        run.key_id,
+        version,
+        entry.state,
+        entry.generation,
+        entry.status,
+        entry.fingerprint,
+        run.expiry_s,
+        answer,
+    )
--- /dev/null
+++ b/src/flamingobank/idempotency/transitions.py
@@ -0,0 +1,24 @@
+"""Move a key from one state to the next."""
+
+from flamingobank.core import Invariant, check_invariant
+from flamingobank.idempotency.messages import Run
+from flamingobank.idempotency.table import KeyEntry, KeyState, KeyTable
+
+
+def change_entry(
+    table: KeyTable, run: Run, before: KeyState, after: KeyState, status: int
+) -> KeyEntry:
+    """Move a key on; anything but the one expected step breaks a promise."""
+    old = table.get(run.key_id.sequence)
+    not_run = after is KeyState.NOT_RUN
+    check_invariant(
+        Invariant.NOT_RUN if not_run else Invariant.AT_MOST_ONCE,
+        old.state is before and old.generation == run.generation,
+        run=run,
+        entry=old,
+        expected=before,
+    )
+    generation = old.generation + (1 if not_run else 0)
+    entry = KeyEntry(after, generation, status, old.fingerprint)
+    table.set(run.key_id.sequence, entry, run.expiry_s)
+    return entry
