Measure at-most-once runs in virtual time

Cause: the target is no second run and no false "not run" while callers send the same key to other nodes and every part is killed, paused, cut off or replaced.

Change: benchmarks/at_most_once_model.py runs the naive design (a rendezvous keeper with takeover) and the product's pure parts from the same seed: 12 nodes, 600 s, 12,000 pieces of work, one fault every 2 s, a fifth of the work with caller-chosen keys, the store up, away and losing 30% of its answers for a third of the time each.

--- /dev/null
+++ b/benchmarks/at_most_once_model.py
@@ -0,0 +1,360 @@
+"""Compare keyed work under faults: keys that name their keeper, and takeover."""
+
+import argparse
+import json
+from collections.abc import Callable
+from functools import partial
+from urllib.parse import urlsplit
+
+from benchmarks.keyed_fleet import (
+    ATTEMPT_TIMEOUT_S,
+    Item,
+    KeyedFleet,
+    Node,
+)
+from flamingobank.core import rank_by_rendezvous
+from flamingobank.idempotency import (
+    ChosenKeys,
+    ChosenRun,
+    HandoverAck,
+    HandoverPart,
+    Keeper,
+    KeeperMoved,
+    KeeperMoves,
+    KeeperName,
+    KeyRecord,
+    KeyRecordAck,
+    KeyWrite,
+    Prepare,
+    Refused,
+    Reopen,
+    Replay,
+    ReplicaRecords,
+    Run,
+    StillRunning,
+    parse_key,
+    rank_replicas,
+)
+from flamingobank.store import (
+    CallFailed,
+    GroupBudget,
+    StoreAnswer,
+    StoreClient,
+    Transport,
+)
+from flamingobank_standins.store import Call, ObjectStore
+
+SECRET = b"secret of the model"
+REPLICA_ANSWER_S = 0.3
+ANSWERS = {Replay: "done", StillRunning: "still-running"}
+
+Answer = Callable[[str], None]
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the size of the run."""
+    parser.add_argument("--seconds", type=float, default=600.0, help="virtual time")
+    parser.add_argument("--rate", type=float, default=20.0, help="pieces of work a s")
+
+
+class NaiveFleet(KeyedFleet):
+    """Let the node that ranks first among the live ones keep a key."""
+
+    def make_node(self, name: str, domain: str, epoch: int) -> Node:
+        """Return a node without memory."""
+        node = Node(name, domain, epoch)
+        node.records = {}
+        return node
+
+    def give_key(self, item: Item) -> bool:
+        """Let the caller choose the key."""
+        item.key = f"key-{item.number}"
+        return True
+
+    def enter(self, node: Node, item: Item, answer: Answer) -> None:
+        """Send the request to the keeper in this node's view."""
+        live = [name for name in self.nodes if self.sees(node, name)]
+        keeper = rank_by_rendezvous(item.key, live)[0]
+
+        def reply(process: Node, text: str) -> None:
+            self.send(process, node.name, lambda entry: answer(text))
+
+        self.send(node, keeper, partial(self._keep, item, reply))
+
+    def shut_down(self, node: Node) -> None:
+        """Leave without a handover: the next keeper by rank takes over."""
+
+    def _keep(self, item: Item, reply, node: Node) -> None:
+        state = node.records.get(item.key)
+        if state is not None:
+            reply(node, state)
+            return
+        node.records[item.key] = "still-running"
+
+        def end(outcome: str) -> None:
+            node.records[item.key] = outcome
+            if outcome == "not-run":
+                del node.records[item.key]
+            reply(node, outcome)
+
+        self.run_upstream(node, item, end)
+
+
+class ModelTransport(Transport):
+    """Carry calls to the in-memory store; some answers are lost."""
+
+    def __init__(self, fleet: "ProductFleet") -> None:
+        self._fleet = fleet
+
+    def send(self, call, on_answer) -> None:
+        """Answer a call after 2 ms."""
+        url = urlsplit(call.target)
+        headers = {name.lower(): value for name, value in call.headers}
+        handled = self._fleet.store.handle(
+            Call(call.method, url.path, {}, headers, call.body), self._fleet.now
+        )
+        body = json.dumps(handled.reply.body).encode()
+        answer = StoreAnswer(handled.reply.status, handled.reply.headers, body)
+        if handled.lost:
+            answer = CallFailed("answer lost", sent=True)
+        self._fleet.events.call_after(0.002, partial(on_answer, answer))
+
+
+class ProductFleet(KeyedFleet):
+    """Run the keeper, its replicas, handovers and chosen keys."""
+
+    def __init__(self, seed: int, duration_s: float, rate_per_s: float) -> None:
+        self.store = ObjectStore(seed=seed)
+        self.domains: dict[str, str] = {}
+        super().__init__(seed, duration_s, rate_per_s)
+        faults = self.store.faults
+        third = duration_s / 3
+        for at, values in (
+            (third, {"outage": "refuse"}),
+            (2 * third, {"outage": "none", "lose_ratio": 0.3}),
+        ):
+            self.events.call_at(at, partial(faults.update, values))
+
+    def make_node(self, name: str, domain: str, epoch: int) -> Node:
+        """Return a node without memory; it learns of moved keepers from a peer."""
+        node = Node(name, domain, epoch)
+        self.domains[name] = domain
+        node.identity = KeeperName(name, f"e{epoch}")
+        node.keeper = Keeper(node.identity, [SECRET], 1e9)
+        node.replica = ReplicaRecords(name)
+        node.moves = KeeperMoves()
+        node.waiting = {}
+        node.client = StoreClient(
+            ModelTransport(self),
+            self.events,
+            self.events.clock,
+            self.rng,
+            f"{name}-{epoch}",
+            calls_per_s=50.0,
+            burst=50.0,
+        )
+        budget = GroupBudget(200.0, 12, self.now)
+        node.chosen = ChosenKeys(node.identity, budget)
+        for peer in self.nodes.values():
+            if not peer.alive or peer.paused or peer.name == name:
+                continue
+            for moved in peer.moves.list_moves():
+                node.moves.record(moved)
+            break
+        return node
+
+    def give_key(self, item: Item) -> bool:
+        """Take a key from a node that answers, or choose one."""
+        item.key = f"key-{item.number}"
+        if item.chosen:
+            return True
+        for name in self.rng.sample(sorted(self.nodes), len(self.nodes)):
+            node = self.nodes[name]
+            if not node.alive or node.paused:
+                continue
+            issued = node.keeper.issue_keys(1, self.now)
+            if issued.is_ok():
+                item.key = issued.ok[0]
+                return True
+        return False
+
+    def enter(self, node: Node, item: Item, answer: Answer) -> None:
+        """Send the request to the keeper that its key names."""
+        if item.chosen:
+            self._enter_chosen(node, item, answer)
+            return
+        self._ask_keeper(node, item, answer, 0, self.now + ATTEMPT_TIMEOUT_S / 2)
+
+    def shut_down(self, node: Node) -> None:
+        """Hand the records to a live node."""
+        live = [
+            name
+            for name in sorted(self.nodes)
+            if name != node.name and self.sees(node, name)
+        ]
+        successor = self.nodes[self.rng.choice(live)].identity
+        self._apply(node, node.keeper.seal(successor, self.now))
+
+    def tick_node(self, node: Node) -> None:
+        """Repeat and refuse what waits; follow the live nodes."""
+        live = {
+            name: self.domains[name]
+            for name in sorted(self.nodes)
+            if self.sees(node, name)
+        }
+        ranked = rank_replicas(node.identity, node.domain, live)
+        node.keeper.set_replicas(ranked)
+        self._apply(node, node.keeper.tick(self.now))
+
+    def _ask_keeper(
+        self, node: Node, item: Item, answer: Answer, generation: int, until: float
+    ) -> None:
+        keeper = node.moves.find(parse_key(item.key, [SECRET]).ok.keeper)
+        if not self.sees(node, keeper.node):
+            self._ask_replicas(node, item, answer)
+            return
+
+        def reply(process: Node, decision: object) -> None:
+            take = partial(self._on_decision, item, answer, until, decision)
+            self.send(process, node.name, take)
+
+        decide = partial(self._decide, item, generation, reply)
+        self.send(node, keeper.node, decide)
+
+    def _decide(self, item: Item, generation: int, reply, node: Node) -> None:
+        deadline = self.now + ATTEMPT_TIMEOUT_S
+        fingerprint = str(item.number).encode()
+        decision = node.keeper.accept(
+            item.key, fingerprint, self.now, generation, deadline
+        )
+        if isinstance(decision, Prepare | Run):
+            node.waiting[decision.key_id] = (item, reply)
+            sends = decision.sends if isinstance(decision, Prepare) else [decision]
+            self._apply(node, sends)
+            return
+        reply(node, decision)
+
+    def _on_decision(
+        self, item: Item, answer: Answer, until: float, decision: object, node: Node
+    ) -> None:
+        if isinstance(decision, str):
+            answer(decision)
+        elif isinstance(decision, Reopen):
+            if self.now < until:
+                self._ask_keeper(node, item, answer, decision.generation, until)
+        elif type(decision) in ANSWERS:
+            answer(ANSWERS[type(decision)])
+        else:
+            self._ask_replicas(node, item, answer)
+
+    def _ask_replicas(self, node: Node, item: Item, answer: Answer) -> None:
+        issued = parse_key(item.key, [SECRET]).ok
+        domain = self.domains[issued.keeper.node]
+        ranked = rank_replicas(issued.keeper, domain, self.domains)
+        for name in ranked[:3]:
+            ask = partial(self._answer_as_replica, item, issued, node.name, answer)
+            self.send(node, name, ask)
+        give_up = partial(self.run_on, node, partial(answer, "unknown"))
+        self.events.call_after(REPLICA_ANSWER_S, give_up)
+
+    def _answer_as_replica(
+        self, item: Item, issued, entry: str, answer: Answer, node: Node
+    ) -> None:
+        found = node.replica.answer(issued, str(item.number).encode())
+        if isinstance(found, Replay):
+            self.send(node, entry, lambda process: answer("done"))
+
+    def _apply(self, node: Node, effects) -> None:
+        for effect in effects:
+            if isinstance(effect, Run):
+                item, _ = node.waiting[effect.key_id]
+                self.run_upstream(node, item, partial(self._end, node, effect))
+            elif isinstance(effect, Refused):
+                _, reply = node.waiting.pop(effect.key_id)
+                reply(node, "not-run")
+            else:
+                receive = partial(self._receive, node.name, effect.message)
+                self.send(node, effect.to, receive)
+
+    def _end(self, node: Node, run: Run, outcome: str) -> None:
+        _, reply = node.waiting.pop(run.key_id)
+        if outcome == "done":
+            sends = node.keeper.record_done(run, 200, b"answer", self.now)
+        elif outcome == "not-run":
+            sends = node.keeper.record_not_run(run, self.now)
+        else:
+            sends = node.keeper.record_unknown(run, self.now)
+        self._apply(node, sends)
+        reply(node, outcome)
+
+    def _receive(self, sender: str, message: object, node: Node) -> None:
+        keeper = node.keeper
+        if isinstance(message, KeyRecord):
+            sends = keeper.on_record(message, sender, self.now)
+            self._apply(node, sends)
+            ack = node.replica.on_record(message)
+            if ack is not None and not sends:
+                self.send(node, sender, partial(self._receive, node.name, ack))
+        elif isinstance(message, KeyRecordAck):
+            effect = keeper.on_ack(message, self.now)
+            self._apply(node, [effect] if effect else [])
+        elif isinstance(message, HandoverPart):
+            self._apply(node, keeper.on_handover_part(message, self.now))
+        elif isinstance(message, HandoverAck):
+            self._tell_moved(node, message)
+
+    def _tell_moved(self, node: Node, ack: HandoverAck) -> None:
+        if not node.keeper.on_handover_ack(ack):
+            return
+        moved = KeeperMoved(tuple(node.keeper.list_names()), ack.successor)
+        node.moves.record(moved)
+        for name in self.nodes:
+            if name != node.name:
+                self.send(node, name, lambda peer: peer.moves.record(moved))
+
+    def _enter_chosen(self, node: Node, item: Item, answer: Answer) -> None:
+        fingerprint = str(item.number).encode()
+        decision = node.chosen.begin(item.key, fingerprint, 1_000_000, self.now)
+        self._follow_chosen(node, item, answer, decision)
+
+    def _follow_chosen(
+        self, node: Node, item: Item, answer: Answer, decision: object
+    ) -> None:
+        if isinstance(decision, KeyWrite):
+
+            def on_written(result) -> None:
+                following = node.chosen.on_written(decision, result, self.now)
+                self._follow_chosen(node, item, answer, following)
+
+            self._put(node, decision, on_written)
+        elif isinstance(decision, ChosenRun):
+            end = partial(self._end_chosen, node, decision, answer)
+            self.run_upstream(node, item, end)
+        else:
+            answer(ANSWERS.get(type(decision), decision.disposition.value))
+
+    def _put(self, node: Node, write: KeyWrite, on_written) -> None:
+        node.client.put(
+            "key",
+            write.name,
+            write.spec,
+            lambda result: self.run_on(node, partial(on_written, result)),
+            expected=write.expected,
+            timeout_s=ATTEMPT_TIMEOUT_S / 2,
+        )
+
+    def _end_chosen(
+        self, node: Node, run: ChosenRun, answer: Answer, outcome: str
+    ) -> None:
+        write = node.chosen.end(run, outcome, 1_000_000, status=200)
+        self._put(node, write, lambda result: None)
+        answer(outcome)
+
+
+def measure(options: argparse.Namespace) -> dict[str, object]:
+    """Run both designs from the same seed."""
+    figures: dict[str, object] = {"seed": options.seed}
+    for name, fleet_class in (("naive", NaiveFleet), ("product", ProductFleet)):
+        fleet = fleet_class(options.seed, options.seconds, options.rate)
+        figures[name] = fleet.run()
+    return figures
--- /dev/null
+++ b/benchmarks/keyed_fleet.py
@@ -0,0 +1,253 @@
+"""Simulate nodes, callers and faults for keyed work in virtual time."""
+
+import abc
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from benchmarks.events import EventQueue
+
+NODES = 12
+DOMAINS = ("kl-a", "kl-b", "pj-a", "shah-a")
+DETECTION_S = 3.0
+ATTEMPT_TIMEOUT_S = 2.0
+MAX_ATTEMPTS = 8
+RUN_S = 0.05
+TICK_S = 0.05
+SHED_RATIO = 0.02
+BROKEN_RATIO = 0.02
+
+
+@dataclass(slots=True)
+class Item:
+    """Hold one piece of work of a caller and what became of it."""
+
+    number: int
+    chosen: bool
+    key: str = ""
+    attempts: int = 0
+    executions: int = 0
+    answers: list[str] = field(default_factory=list)
+    done: bool = False
+    contradicted: bool = False
+
+
+class Node:
+    """Hold one start of a node."""
+
+    def __init__(self, name: str, domain: str, epoch: int) -> None:
+        self.name = name
+        self.domain = domain
+        self.epoch = epoch
+        self.alive = True
+        self.away_since: float | None = None
+        self.inbox: list[Callable[[], None]] = []
+        self.paused = False
+
+
+class KeyedFleet(abc.ABC):
+    """Run callers against nodes that are killed, paused, cut off and replaced."""
+
+    def __init__(self, seed: int, duration_s: float, rate_per_s: float) -> None:
+        self.events = EventQueue()
+        self.rng = random.Random(seed)
+        self.fault_rng = random.Random(seed + 1)
+        self.duration_s = duration_s
+        self.items: list[Item] = []
+        self.faults: Counter[str] = Counter()
+        self.epochs = 0
+        self.nodes: dict[str, Node] = {}
+        self.cuts: dict[tuple[str, str], float] = {}
+        for index in range(NODES):
+            name = f"n{index}"
+            self.nodes[name] = self.start_node(name, DOMAINS[index % len(DOMAINS)])
+        for index in range(int(duration_s * rate_per_s)):
+            self.events.call_at(index / rate_per_s, partial(self._begin, index))
+        for index in range(int(duration_s / 2)):
+            self.events.call_at(5.0 + index * 2, self._break_something)
+
+    @abc.abstractmethod
+    def make_node(self, name: str, domain: str, epoch: int) -> Node:
+        """Return a node without memory."""
+
+    @abc.abstractmethod
+    def give_key(self, item: Item) -> bool:
+        """Give the work its key; False when no node issues one now."""
+
+    @abc.abstractmethod
+    def enter(self, node: Node, item: Item, answer: Callable[[str], None]) -> None:
+        """Let an entry node handle a request."""
+
+    @abc.abstractmethod
+    def shut_down(self, node: Node) -> None:
+        """Let a node leave gracefully."""
+
+    def tick_node(self, node: Node) -> None:
+        """Let a node act on time."""
+        return None
+
+    @property
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.events.clock.now()
+
+    def start_node(self, name: str, domain: str) -> Node:
+        """Start a node and its regular tick."""
+        self.epochs += 1
+        node = self.make_node(name, domain, self.epochs)
+        self.events.call_after(TICK_S, partial(self._tick, node))
+        return node
+
+    def sees(self, observer: Node, name: str) -> bool:
+        """Tell whether a node takes another one for alive."""
+        away_since = self.nodes[name].away_since
+        if away_since is not None and self.now - away_since >= DETECTION_S:
+            return False
+        cut_since = self.cuts.get((name, observer.name))
+        return cut_since is None or self.now - cut_since < DETECTION_S
+
+    def send(self, sender: Node, name: str, action: Callable[[Node], None]) -> None:
+        """Carry a message on a connection to a node's present process."""
+        target = self.nodes[name]
+        if (sender.name, name) in self.cuts or not sender.alive:
+            return
+        delay_s = 0.001 + self.rng.expovariate(1000.0)
+        if self.rng.random() < 0.01:
+            delay_s += self.rng.random()
+        deliver = partial(self.run_on, target, partial(action, target))
+        self.events.call_after(delay_s, deliver)
+
+    def run_on(self, node: Node, action: Callable[[], None]) -> None:
+        """Run an action on a process: never when killed, later when paused."""
+        if not node.alive:
+            return
+        if node.paused:
+            node.inbox.append(action)
+            return
+        action()
+
+    def run_upstream(self, node: Node, item: Item, end: Callable[[str], None]) -> None:
+        """Let a server run the work; the node hears the end if it still can."""
+        chance = self.rng.random()
+        outcome = "done"
+        if chance < SHED_RATIO:
+            outcome = "not-run"
+        elif chance < SHED_RATIO + BROKEN_RATIO:
+            outcome = "unknown"
+        if outcome == "done" or (outcome == "unknown" and self.rng.random() < 0.5):
+            item.executions += 1
+        finish = partial(self.run_on, node, partial(end, outcome))
+        self.events.call_after(RUN_S, finish)
+
+    def run(self) -> dict[str, object]:
+        """Run to the end and count."""
+        self.events.run_until(self.duration_s + 60.0)
+        counts: Counter[str] = Counter()
+        for item in self.items:
+            counts[self._judge(item)] += 1
+        total = len(self.items)
+        issued = [item for item in self.items if not item.chosen]
+        return {
+            "requests": total,
+            "attempts": sum(item.attempts for item in self.items),
+            "faults": dict(self.faults),
+            "duplicates": sum(item.executions > 1 for item in self.items),
+            "false_not_run": counts["false"]
+            + sum(item.contradicted and not item.chosen for item in self.items),
+            "refused_after_run_chosen": sum(
+                item.contradicted and item.chosen for item in self.items
+            ),
+            "done_ratio": round(counts["done"] / total, 5),
+            "done_ratio_issued": round(
+                sum(item.done for item in issued) / len(issued), 5
+            ),
+            "unknown_ratio": round(counts["unknown"] / total, 5),
+            "refused_ratio": round((counts["refused"] + counts["false"]) / total, 5),
+        }
+
+    def _judge(self, item: Item) -> str:
+        if item.done:
+            return "done"
+        if any(answer != "not-run" for answer in item.answers):
+            return "unknown"
+        return "false" if item.executions else "refused"
+
+    def _tick(self, node: Node) -> None:
+        if not node.alive:
+            return
+        if not node.paused:
+            self.tick_node(node)
+        self.events.call_after(TICK_S, partial(self._tick, node))
+
+    def _begin(self, number: int) -> None:
+        item = Item(number, chosen=number % 5 == 0)
+        self.items.append(item)
+        if self.give_key(item):
+            self._attempt(item)
+
+    def _attempt(self, item: Item) -> None:
+        item.attempts += 1
+        number = item.attempts
+        node = self.nodes[self.rng.choice(sorted(self.nodes))]
+        answer = partial(self._on_answer, item, number)
+        self.events.call_after(ATTEMPT_TIMEOUT_S, partial(answer, "timeout"))
+        if node.alive:
+            self.run_on(node, partial(self.enter, node, item, answer))
+
+    def _on_answer(self, item: Item, number: int, answer: str) -> None:
+        if item.done or len(item.answers) >= number:
+            return
+        item.answers.append(answer)
+        if answer == "not-run" and item.executions:
+            item.contradicted = True
+        if answer == "done":
+            item.done = True
+            return
+        if item.attempts < MAX_ATTEMPTS:
+            delay_s = 0.1 + self.rng.random() * 0.5 * item.attempts
+            self.events.call_after(delay_s, partial(self._attempt, item))
+
+    def _break_something(self) -> None:
+        rng = self.fault_rng
+        name = rng.choice(sorted(self.nodes))
+        fault = rng.choice(("kill", "pause", "cut", "leave", "cut-both"))
+        seconds = 1.0 + rng.random() * 9.0
+        other = rng.choice([each for each in sorted(self.nodes) if each != name])
+        node = self.nodes[name]
+        if not node.alive or node.paused:
+            return
+        self.faults[fault] += 1
+        if fault == "kill":
+            self.kill(node, seconds)
+        elif fault == "pause":
+            node.paused, node.away_since = True, self.now
+            self.events.call_after(seconds, partial(self._resume, node))
+        elif fault == "leave":
+            self.shut_down(node)
+            self.events.call_after(1.5, partial(self.kill, node, 1.0))
+        else:
+            pairs = [(name, other), (other, name)]
+            for pair in pairs[: 2 if fault == "cut-both" else 1]:
+                self.cuts[pair] = self.now
+                heal = partial(self.cuts.pop, pair, None)
+                self.events.call_after(seconds, heal)
+
+    def kill(self, node: Node, replaced_after_s: float) -> None:
+        """End a process; another one without memory replaces it."""
+        if not node.alive:
+            return
+        node.alive, node.away_since = False, self.now
+        self.events.call_after(replaced_after_s, partial(self._replace, node))
+
+    def _replace(self, node: Node) -> None:
+        self.nodes[node.name] = self.start_node(node.name, node.domain)
+
+    def _resume(self, node: Node) -> None:
+        if not node.alive:
+            return
+        node.paused, node.away_since = False, None
+        inbox, node.inbox = node.inbox, []
+        for action in inbox:
+            self.run_on(node, action)
