--- a/benchmarks/service_model/entries.py
+++ b/benchmarks/service_model/entries.py
@@ -115,6 +115,8 @@
         self._gossip = gossip
         self._budget = RetryBudget()
         self._loads: dict[Home, tuple[ServiceLoad, float]] = {}
+        # What was sent after the last told load is not part of it.
+        self._sent_since = dict.fromkeys(homes, 0)
 
     def accept(self, request: Request) -> None:
         self._budget.earn(self.events.clock.now())
@@ -126,6 +128,7 @@
             self._give_up(request, known)
             return
         home = self._choose_home(avoid)
+        self._sent_since[home] += 1
         self.send(
             request, home, lambda reply: self._handle(request, known, home, reply)
         )
@@ -135,6 +138,7 @@
     ) -> None:
         now = self.events.clock.now()
         self._loads[home] = (reply.load, now)
+        self._sent_since[home] = 0
         if reply.crash is not None:
             self._gossip.receive(reply.crash)
         merged = merge_dispositions(known, reply.disposition)
@@ -164,4 +168,4 @@
         load, told_s = self._loads.get(home, (None, 0.0))
         if load is None or self.events.clock.now() - told_s > LOAD_EXPIRY_S:
             return 0.0, 0
-        return load.queue_delay_s, -load.free_slots
+        return load.queue_delay_s, self._sent_since[home] - load.free_slots
--- a/benchmarks/service_model/homes.py
+++ b/benchmarks/service_model/homes.py
@@ -168,8 +168,9 @@
                 del self._suspects[instance]
         if done:
             self.gossip.report_completion(attempt.request.fingerprint)
-        self._reply(attempt, disposition)
+        # The load on the reply must not count the slot that the next work gets.
         self._pump()
+        self._reply(attempt, disposition)
 
     def _reply(
         self, attempt: Attempt, disposition: Disposition, reason: Reason | None = None
