Keep drains over announcements and recover from wrong expectations

Cause: an announcement with other slots undid set_usable(0); a route that expects 0 s made all work long for good, which left short work without kept slots. Change: the bound on a server outlives announcements; 64 long runs in a row reset the short mean to the smallest observed route mean.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -49,6 +49,11 @@
     Then its slot counts as held by long work
     And after three such jobs its route is long before it starts
 
+  Scenario: A wrong expected length does not switch the protection off for good
+    Given a queue with 4 slots on each of 3 servers
+    When a route that expects 0 s runs 200 jobs of 0.05 s
+    Then the route is short and a route of 1 s is long
+
   Scenario: Work that cannot finish by its deadline is refused at once
     When jobs of 1 workspaces are offered at three times the capacity
     Then all started jobs finish in time and the slots are never idle
@@ -81,3 +86,4 @@
   Scenario: Impossible slot counts are rejected
     Given a queue with 4 slots on each of 3 servers
     Then slot counts of -1, 1000000 and 1.5 are rejected and 0 takes no work
+    And a drained server stays drained when it announces other slots
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -376,6 +376,20 @@
     assert context.policy.classify(job) is Lane.LONG
 
 
+@when("a route that expects 0 s runs {count:d} jobs of {run_s:g} s")
+def step_wrong_expectation(context, count, run_s):
+    for number in range(count):
+        context.queue.offer(make_job(number, run_s=0.0), float(number))
+        for work, _ in start_all(context.queue, float(number)):
+            context.queue.finish(work, number + run_s)
+
+
+@then("the route is short and a route of {run_s:g} s is long")
+def step_protected(context, run_s):
+    assert context.policy.classify(make_job("x", run_s=0.0)) is Lane.SHORT
+    assert context.policy.classify(make_job("y", run_s=run_s)) is Lane.LONG
+
+
 @when("jobs of {count:d} workspaces are offered at three times the capacity")
 def step_overload(context, count):
     queue = AdmissionQueue("orders")
@@ -472,3 +486,12 @@
     change = context.queue.set_server("server-9", 0)
     assert change is ServerChange.WITHOUT_SLOTS, change
     assert context.queue.measure_load(0.0).total_slots == 12
+
+
+@then("a drained server stays drained when it announces other slots")
+def step_drained(context):
+    context.queue.set_usable("server-0", 0)
+    context.queue.set_server("server-0", 8)
+    assert context.queue.measure_load(0.0).total_slots == 8
+    context.queue.set_usable("server-0", None)
+    assert context.queue.measure_load(0.0).total_slots == 16
--- a/src/flamingobank/admission/long_work.py
+++ b/src/flamingobank/admission/long_work.py
@@ -11,6 +11,9 @@
 SAMPLE_WEIGHT = 0.05
 MIN_SAMPLES = 3
 MAX_ROUTES = 1024
+# So many long runs in a row show that the short mean comes from a wrong expectation
+# or from work that no longer comes.
+LONG_RUNS_TO_RESET = 64
 # Refusals by an observed mean end after this time without new samples, or a route
 # that became slow once would be refused for ever.
 OBSERVATION_TTL_S = 10.0
@@ -52,6 +55,7 @@
         # Ordered by last use, so that the memory is bounded by forgetting.
         self._routes: OrderedDict[RouteName, _RouteStatistics] = OrderedDict()
         self._short_mean_s: float | None = None
+        self._long_runs = 0
 
     @property
     def short_mean_s(self) -> float:
@@ -103,8 +107,12 @@
                 self._routes.popitem(last=False)
         self._routes.move_to_end(route)
         statistics.add(duration_s, now)
-        if lane is Lane.LONG or self._short_mean_s is None:
+        if self._short_mean_s is None:
             return
+        if lane is Lane.LONG:
+            self._count_long_run()
+            return
+        self._long_runs = 0
         # Single long runs on short routes must not raise the limit they exceed.
         sample_s = min(duration_s, self.long_after_s)
         error_s = sample_s - self._short_mean_s
@@ -112,6 +120,18 @@
             MIN_COST_S, self._short_mean_s + SAMPLE_WEIGHT * error_s
         )
 
+    def _count_long_run(self) -> None:
+        self._long_runs += 1
+        if self._long_runs < LONG_RUNS_TO_RESET:
+            return
+        self._long_runs = 0
+        means_s = [
+            statistics.mean_s
+            for statistics in self._routes.values()
+            if statistics.samples >= MIN_SAMPLES
+        ]
+        self._short_mean_s = max(MIN_COST_S, min(means_s, default=MIN_COST_S))
+
     def _get_observed(self, route: RouteName) -> _RouteStatistics | None:
         statistics = self._routes.get(route)
         if statistics is None or statistics.samples < MIN_SAMPLES:
--- a/src/flamingobank/admission/queue.py
+++ b/src/flamingobank/admission/queue.py
@@ -73,8 +73,11 @@
         """Set the slots that a server announced."""
         return self._slots.set_slots(instance, slots)
 
-    def set_usable(self, instance: InstanceId, usable: int) -> ServerChange:
-        """Bound the slots to fill on a server; 0 for a drain or an ejection."""
+    def set_usable(self, instance: InstanceId, usable: int | None) -> ServerChange:
+        """Bound the slots to fill on a server; 0 for a drain or an ejection.
+
+        The bound outlives announcements; None removes it.
+        """
         return self._slots.set_usable(instance, usable)
 
     def remove_server(self, instance: InstanceId) -> bool:
--- a/src/flamingobank/admission/slots.py
+++ b/src/flamingobank/admission/slots.py
@@ -20,13 +20,22 @@
 class Server:
     """Hold the slots of one server."""
 
-    __slots__ = ("attached", "in_use", "instance", "long_in_use", "slots", "usable")
+    __slots__ = (
+        "attached",
+        "bound",
+        "in_use",
+        "instance",
+        "long_in_use",
+        "slots",
+        "usable",
+    )
 
     def __init__(self, instance: InstanceId, slots: int) -> None:
         self.instance = instance
         # Announced slots, and how many of them health and warm-up leave.
         self.slots = slots
         self.usable = slots
+        self.bound: int | None = None
         self.in_use = 0
         self.long_in_use = 0
         self.attached = True
@@ -49,7 +58,7 @@
 
     def set_slots(self, instance: InstanceId, slots: int) -> ServerChange:
         """Set what a server announced; work in its slots is not affected."""
-        if not isinstance(slots, int) or not 0 <= slots <= MAX_SLOTS:
+        if not _is_count(slots):
             return ServerChange.REJECTED
         server = self._servers.get(instance)
         if server is not None and server.slots == slots:
@@ -59,16 +68,18 @@
             server = self._servers[instance] = Server(instance, slots)
             change = ServerChange.ADDED
         server.slots = slots
-        server.usable = slots
+        # A new announcement must not undo a drain or an ejection.
+        server.usable = slots if server.bound is None else min(server.bound, slots)
         self._recount()
         return change if slots else ServerChange.WITHOUT_SLOTS
 
-    def set_usable(self, instance: InstanceId, usable: int) -> ServerChange:
-        """Bound the slots that may be taken, for a drain, an ejection or a ramp."""
+    def set_usable(self, instance: InstanceId, usable: int | None) -> ServerChange:
+        """Bound the slots that may be taken; None removes the bound."""
         server = self._servers.get(instance)
-        if server is None or not isinstance(usable, int) or usable < 0:
+        if server is None or not (usable is None or _is_count(usable)):
             return ServerChange.REJECTED
-        usable = min(usable, server.slots)
+        server.bound = usable
+        usable = server.slots if usable is None else min(usable, server.slots)
         if server.usable == usable:
             return ServerChange.UNCHANGED
         server.usable = usable
@@ -161,3 +172,7 @@
         self.usable = sum(server.usable for server in servers)
         self.free = sum(server.free for server in servers)
         self.long_in_use = sum(server.long_in_use for server in servers)
+
+
+def _is_count(value: object) -> bool:
+    return isinstance(value, int) and 0 <= value <= MAX_SLOTS
