Write and read audit entries in the format of the audit package

Cause: nodes and commands wrote the kind audit in two formats, so neither showed the other's entries. A conflict takes who and when from the history of the object.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -134,8 +134,12 @@
     And "anna" runs "rollback route order-status" with exit code 0
     Then the stored "route" "order-status" has "deadline_ms" "2000"
     When "anna" runs "audit --who farid --since 1h" with exit code 0
-    Then the last output has "farid  update  route  order-status  done"
+    Then the last output has "farid  update route order-status  done at revision"
+    And the last output has "deadline_ms = 2000  deadline_ms = 9000"
     And the last output lacks "anna"
+    When "anna" runs "audit --since 2026-12-04T05:00:00Z --kind service" with exit code 0
+    Then the last output has "create service orders"
+    And the last output lacks "route"
 
   Scenario: A service that a route needs is not deleted
     Given an empty store and the operators "anna" and "farid"
@@ -152,6 +156,12 @@
     When "anna" runs "get all -o ini" with exit code 0
     Then the last output is a manifest equal to "DIR/fleet.ini"
 
+  Scenario: Watching prints an object again only when it changed
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And "anna" watches "get route order-status --watch" for 3 rounds while "farid" runs "apply DIR/slower.ini"
+    Then the watch printed the values "2000, 9000" of deadline_ms
+
   Scenario: Random changes by two operators under faults leave a true record
     Then 60 random runs of changes, lost answers and outages agree with the store
 
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -128,6 +128,36 @@
     desk.sleep = run_other
 
 
+@when(
+    '"{operator}" watches "{command}" for {rounds:d} rounds '
+    'while "{other}" runs "{change}"'
+)
+def step_watch(context, operator, command, rounds, other, change):
+    desk = context.desk
+    left = iter(range(rounds))
+
+    def run_other(seconds):
+        turn = next(left)
+        if turn == 1:
+            assert desk.run(other, change) == 0, desk.err
+        if turn == rounds - 1:
+            raise KeyboardInterrupt
+
+    desk.sleep = run_other
+    try:
+        desk.run(operator, command)
+    except KeyboardInterrupt:
+        context.watched = desk.outs[operator].getvalue()
+
+
+@then('the watch printed the values "{values}" of deadline_ms')
+def step_watched(context, values):
+    table = [line.split() for line in context.watched.splitlines()]
+    column = table[0].index("deadline_ms")
+    shown = [row[column] for row in table if row[0] == "order-status"]
+    assert shown == values.split(", "), context.watched
+
+
 @when("the store is away")
 def step_away(context):
     context.desk.store.hook = lambda method, kind: "away"
--- a/src/flamingobank/cli/changes.py
+++ b/src/flamingobank/cli/changes.py
@@ -1,21 +1,24 @@
 """Make conditional changes that leave a history and an audit entry."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from flamingobank.cli.conflicts import describe_conflict, find_effect
 from flamingobank.cli.context import CommandContext, Session
 from flamingobank.cli.object_history import append_entry, make_entry, read_history
 from flamingobank.cli.records import (
-    AUDIT_KIND,
     Change,
+    make_audit_entry,
     make_audit_spec,
     make_write_id,
+    name_audit_object,
     read_current,
 )
 from flamingobank.cli.store_access import AWAY_KINDS
 from flamingobank.store import StoreError, StoreErrorKind
 
+AUDIT_KIND = "audit"
+
 
 class Outcome(enum.Enum):
     """Say what became of a change."""
@@ -56,8 +59,10 @@
         """
         now = self._context.read_utc()
         write_id = make_write_id(now, self._context.make_suffix())
-        audit = make_audit_spec(change, self._who, now)
-        recorded = self._store.put(AUDIT_KIND, write_id, audit, None, write_id)
+        audit = make_audit_entry(change, write_id, self._who, now)
+        name = name_audit_object(audit)
+        spec = make_audit_spec(audit)
+        recorded = self._store.put(AUDIT_KIND, name, spec, None, write_id)
         if recorded.is_error():
             return _report_unrecorded(recorded.error)
         entry = make_entry(change, write_id, self._who, now)
@@ -66,10 +71,9 @@
             result = _report_unrecorded(appended.error)
         else:
             result = self._write(change, write_id)
-        audit["outcome"] = result.outcome.value
-        audit["revision"] = result.revision
-        # A lost update leaves the outcome "started"; the history still tells it.
-        self._store.put(AUDIT_KIND, write_id, audit, recorded.ok.revision, write_id)
+        spec = make_audit_spec(replace(audit, result=_describe_result(result)))
+        # A lost update leaves the result "started"; the history still tells it.
+        self._store.put(AUDIT_KIND, name, spec, recorded.ok.revision, write_id)
         return result
 
     def _write(self, change: Change, write_id: str) -> ChangeResult:
@@ -112,6 +116,12 @@
         return unknown if effect is None else ChangeResult(Outcome.DONE, *effect)
 
 
+def _describe_result(result: ChangeResult) -> str:
+    if not result.revision:
+        return result.outcome.value
+    return f"{result.outcome.value} at revision {result.revision}"
+
+
 def _report_unrecorded(error: StoreError) -> ChangeResult:
     detail = f"the change could not be recorded: {error}"
     if error.kind in AWAY_KINDS or error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
--- a/src/flamingobank/cli/conflicts.py
+++ b/src/flamingobank/cli/conflicts.py
@@ -8,11 +8,9 @@
     read_history,
 )
 from flamingobank.cli.records import (
-    AUDIT_KIND,
     Change,
     describe_difference,
     get_spec,
-    read_current,
 )
 from flamingobank.store import BlockingStore, StoredObject
 
@@ -54,11 +52,11 @@
         return f"{change.title} was deleted by {by}; your change was not made"
     lines = describe_difference(get_spec(change.before), current.spec)
     what = "; ".join(lines) or "no key"
-    audit = read_current(store, AUDIT_KIND, current.write_id).default_value(None)
-    if audit is None:
-        by = f"an unknown writer (write id {current.write_id}, no audit entry)"
-    else:
-        by = f"{audit.spec.get('who')} at {audit.spec.get('when')}"
+    by = f"an unknown writer (write id {current.write_id}, no history entry)"
+    entries = read_history(store, change.kind, change.name).default_value([])
+    for entry in entries:
+        if entry.write_id == current.write_id:
+            by = f"{entry.who} at {entry.when}"
     return (
         f"{change.title} was changed by {by} to revision {current.revision} ({what}); "
         "your change was not made"
--- a/src/flamingobank/cli/records.py
+++ b/src/flamingobank/cli/records.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 
+from flamingobank.audit import AuditEntry, format_hour
 from flamingobank.store import (
     BlockingStore,
     StoredObject,
@@ -13,7 +14,6 @@
     StoreErrorKind,
 )
 
-AUDIT_KIND = "audit"
 STARTED = "started"
 
 
@@ -43,20 +43,32 @@
     return f"{now:%Y%m%dT%H%M%S.%f}Z-{suffix}"
 
 
-def make_audit_spec(
-    change: Change, who: str, now: datetime.datetime
-) -> dict[str, object]:
-    """Return the audit object of a change that is about to be made."""
-    return {
-        "who": who,
-        "when": format_time(now),
-        "action": change.action,
-        "kind": change.kind,
-        "name": change.name,
-        "changes": describe_difference(get_spec(change.before), change.spec),
-        "reason": change.reason,
-        "outcome": STARTED,
-    }
+def make_audit_entry(
+    change: Change, write_id: str, who: str, now: datetime.datetime
+) -> AuditEntry:
+    """Return the audit entry of a change that is about to be made."""
+    lines = describe_difference(get_spec(change.before), change.spec)
+    return AuditEntry(
+        entry_id=write_id,
+        who=who,
+        what=f"{change.action} {change.title}",
+        when_ms=int(now.timestamp() * 1000),
+        from_value="; ".join(line[1:] for line in lines if line.startswith("-")),
+        to_value="; ".join(line[1:] for line in lines if line.startswith("+")),
+        result=STARTED,
+        evidence=change.reason,
+    )
+
+
+def name_audit_object(entry: AuditEntry) -> str:
+    """Return a name in the order of time, as nodes' batches have it."""
+    hour = format_hour(entry.when_ms / 1000)
+    return f"{hour}/{entry.who}/{entry.entry_id}"
+
+
+def make_audit_spec(entry: AuditEntry) -> dict[str, object]:
+    """Return the audit object that holds one entry."""
+    return {"entries": [entry.to_json()]}
 
 
 def format_time(now: datetime.datetime) -> str:
