Connect membership, configuration and the store watch to the node

Cause: nodes found each other by all-to-all updates and took objects from files only. Change: members are found by SWIM datagrams; the directory is broadcast on change and compared every 2 s; packed tables answer route look-ups; two watch leases for each failure domain bring changes from the store, gossip spreads them.

--- a/src/flamingobank/cli/node.py
+++ b/src/flamingobank/cli/node.py
@@ -9,7 +9,7 @@
 
 from flamingobank.node import Node
 from flamingobank.objects import AnyObject, parse_manifest
-from flamingobank.settings import load_secrets, load_settings
+from flamingobank.settings import load_secrets, load_settings, load_token
 
 EXIT_BAD_INPUT = 2
 
@@ -51,7 +51,13 @@
         items.extend(parsed.ok)
     destination = options.log.open("a") if options.log is not None else sys.stderr
     eliot.to_file(destination)
-    node = Node(settings, secrets.ok, items)
+    token = ""
+    if settings.store_token_file is not None:
+        loaded_token = load_token(settings.store_token_file)
+        if loaded_token.is_error():
+            return _report([loaded_token.error])
+        token = loaded_token.ok
+    node = Node(settings, secrets.ok, items, token)
     eliot.log_message(message_type="node:started", node=settings.node_id)
     # Start-up objects live as long as the process; scanning them in each full
     # collection would add milliseconds to some requests.
--- a/src/flamingobank/directory/table.py
+++ b/src/flamingobank/directory/table.py
@@ -1,9 +1,15 @@
 """Keep which home nodes serve which service, by sequence and never by arrival."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from flamingobank.core import FailureDomain, InstanceId, NodeId, ServiceName
+from flamingobank.core import (
+    FailureDomain,
+    InstanceId,
+    NodeId,
+    ServiceName,
+    hash_text,
+)
 from flamingobank.wire import DirectoryUpdate
 
 Address = tuple[str, int]
@@ -83,6 +89,30 @@
         """Return the newest update of each home."""
         return iter(list(self._updates.values()))
 
+    def compute_digest(self) -> bytes:
+        """Return a digest of what this table knows; equal tables have equal ones."""
+        digest = 0
+        for home, update in self._updates.items():
+            digest ^= hash_text(f"{home}/{update.boot}/{update.sequence}")
+        return digest.to_bytes(8, "big")
+
+    def list_newer(self, summary: Mapping[str, list]) -> list[DirectoryUpdate]:
+        """Return the updates that a peer with this summary lacks."""
+        newer = []
+        for home, update in self._updates.items():
+            known = summary.get(home)
+            if known is None or (update.boot, update.sequence) > tuple(known):
+                newer.append(update)
+        return newer
+
+    def lacks(self, summary: Mapping[str, list]) -> bool:
+        """Tell whether a peer with this summary knows something newer."""
+        for home, known in summary.items():
+            update = self._updates.get(home)
+            if update is None or tuple(known) > (update.boot, update.sequence):
+                return True
+        return False
+
     def summarize(self) -> dict[str, list]:
         """Return boot and sequence of each home, for comparison with a peer."""
         return {
--- /dev/null
+++ b/src/flamingobank/node/configuration_sync.py
@@ -0,0 +1,160 @@
+"""Keep the configuration of this node in step with the fleet."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+import eliot
+
+from flamingobank.configuration import (
+    Applied,
+    Change,
+    ConfigurationLog,
+    Delta,
+    Gossip,
+    PackedTables,
+    PeerSend,
+    Pull,
+    SnapshotChunk,
+    SnapshotLoaded,
+    SnapshotRequest,
+    WentBack,
+)
+from flamingobank.core import Clock, FailureDomain, NodeId, Revision
+from flamingobank.loop import Timers
+from flamingobank.node.configuration_wire import pack_peer_message
+from flamingobank.objects import (
+    AnyObject,
+    Kind,
+    Route,
+    Selector,
+    Service,
+    get_kind,
+    parse_spec,
+    render_spec,
+)
+from flamingobank.wire import Message
+
+TICK_S = 0.1
+FIXED_REVISION = Revision(1)
+# Targets take a selection over all services, so their results are kept.
+TARGETS_KEPT = 4096
+
+
+class ConfigurationSync:
+    """Apply deltas from the store and from peers, and answer lookups."""
+
+    def __init__(
+        self,
+        failure_domain: FailureDomain,
+        clock: Clock,
+        timers: Timers,
+        rng: random.Random,
+        pick_peers: Callable,
+        send: Callable[[NodeId, Message], None],
+    ) -> None:
+        self.tables = PackedTables(parse_spec)
+        self.log = ConfigurationLog(self.tables)
+        self.gossip = Gossip(self.log, failure_domain, pick_peers, rng, clock.now())
+        self.went_back = 0
+        self.on_services_changed: Callable[[], None] = lambda: None
+        self.on_revision: Callable[[Revision], None] = lambda revision: None
+        self._clock = clock
+        self._send = send
+        self._targets: dict[str, str | None] = {}
+        self._targets_revision = Revision(0)
+        self._seen_revision = Revision(0)
+        timers.call_every(TICK_S, self._tick)
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force here."""
+        return self.log.revision
+
+    def load_fixed(self, items: Iterable[AnyObject]) -> None:
+        """Use objects from files, for a node without a store."""
+        changes = tuple(
+            Change(get_kind(item), item.name, FIXED_REVISION, render_spec(item))
+            for item in items
+        )
+        self.publish(Delta(Revision(0), FIXED_REVISION, changes))
+
+    def publish(self, delta: Delta) -> None:
+        """Apply a delta from the store and push it."""
+        self._send_all(self.gossip.publish(delta, self._clock.now()))
+        self._take_outcomes()
+
+    def receive(
+        self, sender: NodeId, message: Delta | Pull | SnapshotRequest | SnapshotChunk
+    ) -> None:
+        """Take a message of a peer."""
+        self._send_all(self.gossip.handle(sender, message, self._clock.now()))
+        self._take_outcomes()
+
+    def observe_revision(self, node: NodeId, revision: Revision) -> None:
+        """Note the revision that a peer reported."""
+        self.gossip.observe_revision(node, revision, self._clock.now())
+
+    def boot_from(self, node: NodeId) -> None:
+        """Pull the configuration from a peer."""
+        self._send_all(self.gossip.start_boot(node, self._clock.now()))
+
+    def list_services(self) -> list[Service]:
+        """Return all services in name order."""
+        return self.tables.find_services(Selector())
+
+    def find_route(
+        self,
+        host: str,
+        path: str,
+        method: str,
+        headers: Mapping[str, str],
+        labels: Mapping[str, str],
+    ) -> Route | None:
+        """Return the most specific route that matches."""
+        return self.tables.find_route(host, path, method, headers, labels)
+
+    def find_labels(self, workspace: str) -> Mapping[str, str]:
+        """Return the labels of a workspace."""
+        found = self.tables.find_workspace(workspace)
+        return found.labels if found is not None else {}
+
+    def find_service(self, route: Route) -> str | None:
+        """Return the first service in name order that a route's target selects."""
+        if self._targets_revision != self.revision or len(self._targets) > TARGETS_KEPT:
+            self._targets.clear()
+            self._targets_revision = self.revision
+        if route.name not in self._targets:
+            services = self.tables.find_services(route.target)
+            self._targets[route.name] = services[0].name if services else None
+        return self._targets[route.name]
+
+    def _tick(self) -> None:
+        self._send_all(self.gossip.tick(self._clock.now()))
+        self._take_outcomes()
+
+    def _send_all(self, sends: list[PeerSend]) -> None:
+        for send in sends:
+            self._send(send.node_id, pack_peer_message(send.message))
+
+    def _take_outcomes(self) -> None:
+        services_changed = False
+        for outcome in self.gossip.take_outcomes():
+            if isinstance(outcome, SnapshotLoaded):
+                services_changed = True
+            elif isinstance(outcome, Applied):
+                services_changed |= any(
+                    change.kind is Kind.SERVICE for change in outcome.changes
+                )
+            elif isinstance(outcome, WentBack):
+                self.went_back += 1
+                eliot.log_message(
+                    message_type="configuration:went-back",
+                    source=outcome.source,
+                    seen=outcome.seen,
+                    known=outcome.known,
+                )
+        if self.revision != self._seen_revision:
+            self._seen_revision = self.revision
+            self.on_revision(self.revision)
+        if services_changed:
+            self.on_services_changed()
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -9,30 +9,38 @@
 import eliot
 from circuits import Component, handler
 
-from flamingobank.core import InvariantError, MonotonicClock, NodeId
+from flamingobank.core import InvariantError, MonotonicClock, NodeId, Revision
 from flamingobank.directory import DirectoryTable
-from flamingobank.health import FloorMessage, Outcome, Stage
+from flamingobank.health import FloorMessage, Outcome
 from flamingobank.loop import Poller, Timers
+from flamingobank.membership import Member
 from flamingobank.node.announcements import Announcements
+from flamingobank.node.configuration_sync import ConfigurationSync
+from flamingobank.node.configuration_wire import unpack_peer_message
 from flamingobank.node.crashes import Crashes
 from flamingobank.node.directory_sync import DirectorySync
 from flamingobank.node.dispatcher import Dispatcher, DispatchObserver
 from flamingobank.node.edge import EdgeServer
 from flamingobank.node.ejections import Ejections
 from flamingobank.node.entry import Entry
-from flamingobank.node.fixed_routes import FixedRoutes
 from flamingobank.node.floor_wire import pack_floor_message, unpack_floor_message
 from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
+from flamingobank.node.members import MemberObserver, Members
 from flamingobank.node.metrics import NodeMetrics
 from flamingobank.node.remote import ServedStream
 from flamingobank.node.requests import HomeRequest
 from flamingobank.node.servers import Server
-from flamingobank.node.status import StatusPages
+from flamingobank.node.status import StatusPages, describe_node
+from flamingobank.node.store_watch import StoreWatch
 from flamingobank.objects import AnyObject
 from flamingobank.settings import CallerLimits, NodeSettings
+from flamingobank.store import StoreClient
+from flamingobank.store.transport import LoopTransport
 from flamingobank.wire import (
     CrashClearance,
     CrashNotice,
+    DirectoryDigest,
+    DirectorySummary,
     DirectoryUpdate,
     FloorNotice,
     Message,
@@ -62,7 +70,7 @@
         self._node = node
 
     def on_control_message(self, link: Link, message: Message) -> None:
-        self._node.receive(message)
+        self._node.receive(link, message)
 
     def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
         # Messages of streams that have ended here are discarded.
@@ -75,6 +83,31 @@
         eliot.log_message(message_type="links:refused", peer=peer, why=reason)
 
 
+class NodeMemberObserver(MemberObserver):
+    """Pass changes in the fleet to the parts of a node."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def on_joined(self) -> None:
+        self._node.sync.compare_now()
+        self._node.sync.announce_change()
+
+    def on_member_joined(self, member: Member) -> None:
+        self._node.sync.restore(member.node_id)
+
+    def on_member_gone(self, member: Member) -> None:
+        self._node.directory.remove(member.node_id)
+
+    def on_revision_seen(self, node: NodeId, revision: Revision) -> None:
+        self._node.configuration.observe_revision(node, revision)
+
+    def on_paused(self, gap_s: float) -> None:
+        # Floor leases notice the pause themselves; the directory may be old.
+        self._node.sync.compare_now()
+        self._node.sync.announce_change()
+
+
 class NodeDispatchObserver(DispatchObserver):
     """Pass what happens to work on servers to the judges of a node."""
 
@@ -108,6 +141,7 @@
         settings: NodeSettings,
         secrets: Sequence[bytes],
         items: Iterable[AnyObject] = (),
+        store_token: str = "",
         seed: int | None = None,
     ) -> None:
         super().__init__(channel=self.channel)
@@ -121,7 +155,6 @@
         rng = random.Random(seed)
         self.poller = Poller().register(self)
         self.timers = Timers(self.clock).register(self)
-        self.routes = FixedRoutes(items)
         self.directory = DirectoryTable()
         self.dispatcher = Dispatcher(self.poller, self.timers, self.clock, rng)
         self.links = Links(
@@ -133,6 +166,26 @@
             lambda: self._secrets,
             NodeLinkObserver(self),
         )
+        self.members = Members(
+            settings,
+            self.boot,
+            self.poller,
+            self.timers,
+            self.clock,
+            rng,
+            lambda: self._secrets,
+        )
+        self.configuration = ConfigurationSync(
+            settings.failure_domain,
+            self.clock,
+            self.timers,
+            rng,
+            self.members.pick_peers,
+            self._send_to_node,
+        )
+        self.dispatcher.list_services = self.configuration.list_services
+        self.configuration.on_services_changed = self.dispatcher.update_services
+        self.configuration.on_revision = self.members.set_revision
         self.sync = DirectorySync(
             settings,
             self.boot,
@@ -141,8 +194,9 @@
             self.directory,
             self.dispatcher,
             self.links,
-            rng,
+            self.members,
         )
+        self.members.observer = NodeMemberObserver(self)
         self.ejections = Ejections(
             settings.node_id,
             time.time_ns(),
@@ -169,7 +223,7 @@
             settings.failure_domain,
             self.clock,
             self.timers,
-            self.routes,
+            self.configuration,
             self.directory,
             self.dispatcher,
             self.links,
@@ -181,45 +235,17 @@
         self.servers = self._serve(settings.servers, INNER_LIMITS, "servers")
         self.operators = self._serve(settings.operators, INNER_LIMITS, "operators")
         self.links.listen(settings.peers)
-        self.dispatcher.update_services(self.routes.services.values())
+        self.store_watch = self._watch_store(store_token, rng)
+        items = list(items)
+        if items:
+            self.configuration.load_fixed(items)
 
     def read_status(self) -> dict:
         """Return what operators see of this node."""
-        revision = self.sync.read_revision()
-        count, total = self.sync.count_nodes_at(revision)
         self._update_metrics()
-        return {
-            "node": self.settings.node_id,
-            "boot": self.boot,
-            "revision": revision,
-            "members": [
-                {
-                    "node": update.home,
-                    "failure_domain": update.failure_domain,
-                    "state": "leaving" if update.leaving else "live",
-                    "revision": update.revision,
-                }
-                for update in self.sync.list_members()
-            ],
-            "in_force": {"count": count, "of": total},
-            "services": [self._describe_service(name) for name in self.routes.services],
-            "servers": [
-                {
-                    "instance": server.instance,
-                    "slots": server.slots.limit,
-                    "in_use": server.slots.in_use,
-                    "draining": server.draining,
-                    "stage": server.slots.stage.value,
-                }
-                for server in self.dispatcher.servers.values()
-            ],
-            "store": {"reachable": False, "last_contact_s": None},
-            "counters": dict(self.entry.counters),
-            "events": self.ejections.events[-20:],
-            "in_flight": len(self.entry.in_flight) + len(self.dispatcher.running),
-        }
-
-    def receive(self, message: Message) -> None:
+        return describe_node(self)
+
+    def receive(self, link: Link, message: Message) -> None:
         """React to a message of another node that belongs to no stream."""
         if isinstance(message, DirectoryUpdate):
             self.sync.receive(message)
@@ -227,8 +253,17 @@
             floor_message = unpack_floor_message(message)
             if floor_message is not None:
                 self.ejections.receive(floor_message)
-        elif self._is_new_crash_message(message):
-            self.sync.broadcast(message)
+        elif isinstance(message, DirectoryDigest):
+            self.sync.answer_digest(link, message)
+        elif isinstance(message, DirectorySummary):
+            self.sync.answer_summary(link, message)
+        elif isinstance(message, CrashNotice | CrashClearance):
+            if self._is_new_crash_message(message):
+                self.sync.broadcast(message)
+        else:
+            peer_message = unpack_peer_message(message)
+            if peer_message is not None:
+                self.configuration.receive(NodeId(link.peer), peer_message)
 
     def begin_shutdown(self) -> None:
         """Take no new work, and stop once everything in flight has ended."""
@@ -243,6 +278,7 @@
             in_flight=len(self.entry.in_flight) + len(self.dispatcher.running),
         )
         self.announcements.leaving = True
+        self.members.drain()
         self.sync.send_leaving()
         self.timers.call_at(now + LEAVE_NOTICE_S, self._drain_callers)
 
@@ -271,10 +307,34 @@
             return self.crashes.receive_clearance(message)
         return False
 
-    def _send_floor_message(self, node: NodeId, message: FloorMessage) -> None:
-        address = self.sync.find_address(node)
+    def _watch_store(self, token: str, rng: random.Random) -> StoreWatch | None:
+        settings = self.settings
+        if settings.store is None:
+            return None
+        transport = LoopTransport(
+            self.poller, self.timers, self.clock, settings.store, token
+        )
+        client = StoreClient(transport, self.timers, self.clock, rng, self.boot)
+        return StoreWatch(
+            settings.node_id,
+            self.boot,
+            settings.failure_domain,
+            f"{settings.peers[0]}:{settings.peers[1]}",
+            self.clock,
+            self.timers,
+            rng,
+            client,
+            self.configuration,
+            self.members.list_domain,
+        )
+
+    def _send_to_node(self, node: NodeId, message: Message) -> None:
+        address = self.members.find_address(node)
         if address is not None:
-            self.links.get(address).send(CONTROL_STREAM, pack_floor_message(message))
+            self.links.get(address).send(CONTROL_STREAM, message)
+
+    def _send_floor_message(self, node: NodeId, message: FloorMessage) -> None:
+        self._send_to_node(node, pack_floor_message(message))
 
     def _serve(
         self, address: tuple[str, int], limits: CallerLimits, channel: str
@@ -300,29 +360,11 @@
                 node=self.settings.node_id,
                 cut=len(self.entry.in_flight) + len(self.dispatcher.running),
             )
+            self.members.leave()
             self.root.stop()
             return
         self.timers.call_at(now + SHUTDOWN_CHECK_S, self._check_drained)
 
-    def _describe_service(self, name: str) -> dict:
-        service = self.routes.services[name]
-        homes = self.directory.list_homes(name)
-        announced = sum(len(home.instances) for home in homes)
-        pool = self.dispatcher.pools.get(name)
-        local = pool.servers.values() if pool is not None else []
-        return {
-            "service": name,
-            "floor": service.floor.count_servers(announced),
-            "announced": announced,
-            "healthy": sum(home.servers for home in homes),
-            "ejected": [
-                {"instance": server.instance, "why": server.why_ejected}
-                for server in local
-                if server.slots.stage is not Stage.IN_SERVICE
-            ],
-            "draining": sum(1 for server in local if server.draining),
-        }
-
     def _update_metrics(self) -> None:
         for name, count in self.entry.counters.items():
             self.metrics.set_event_count(name, count)
--- a/src/flamingobank/node/directory_sync.py
+++ b/src/flamingobank/node/directory_sync.py
@@ -2,26 +2,32 @@
 
 import itertools
 import math
-import random
-from collections.abc import Callable
 
 from flamingobank.core import Clock, FailureDomain, NodeId
 from flamingobank.directory import DirectoryTable
 from flamingobank.loop import Address, Timers
 from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.links import CONTROL_STREAM, Links
+from flamingobank.node.links import CONTROL_STREAM, Link, Links
+from flamingobank.node.members import Members
 from flamingobank.settings import NodeSettings
-from flamingobank.wire import DirectoryUpdate, Message
-
-REFRESH_S = 1.0
-EXPIRY_S = 3.5
+from flamingobank.wire import (
+    DirectoryDigest,
+    DirectorySummary,
+    DirectoryUpdate,
+    Message,
+)
+
+# Repairs what a broadcast did not reach.
+COMPARE_S = 2.0
 # Changes within this time travel in one update.
 COALESCE_S = 0.05
 BROADCAST_EXTRA = 4
+# Bounds one answer; the next comparison sends the rest.
+UPDATES_PER_SUMMARY = 500
 
 
 class DirectorySync:
-    """Send this node's entry to the known nodes when it changes."""
+    """Broadcast this node's entry when it changes; compare with peers."""
 
     def __init__(
         self,
@@ -32,10 +38,9 @@
         directory: DirectoryTable,
         dispatcher: Dispatcher,
         links: Links,
-        rng: random.Random,
+        members: Members,
     ) -> None:
         self.leaving = False
-        self.read_revision: Callable[[], int] = lambda: 0
         self._settings = settings
         self._boot = boot
         self._clock = clock
@@ -43,18 +48,17 @@
         self._directory = directory
         self._dispatcher = dispatcher
         self._links = links
-        self._rng = rng
+        self._members = members
         self._sequence = itertools.count(1)
-        self._heard_at: dict[str, float] = {}
         self._send_pending = False
         timers.call_soon(self._send)
-        timers.call_every(REFRESH_S, self._refresh)
+        timers.call_every(COMPARE_S, self._compare)
 
     def list_domain_nodes(self, domain: FailureDomain) -> dict[NodeId, Address]:
         """Return the server-facing addresses of live nodes; "" means all domains."""
         found = {}
         for update in self._directory.list_updates():
-            if update.leaving or not self._is_live(update.home):
+            if update.leaving or not self._members.is_live(update.home):
                 continue
             if domain and update.failure_domain != domain:
                 continue
@@ -69,30 +73,44 @@
         self._timers.call_at(self._clock.now() + COALESCE_S, self._send)
 
     def receive(self, update: DirectoryUpdate) -> None:
-        """Apply an update of another node."""
+        """Apply an update of another node and pass it on when it is new."""
         if update.home == self._settings.node_id:
             return
-        known = update.home in self._heard_at
-        self._heard_at[update.home] = self._clock.now()
-        self._directory.apply(update)
-        if not known:
-            self.announce_change()
-
-    def find_address(self, node: NodeId) -> Address | None:
-        """Return where a node takes links, or None when it is not known."""
-        update = self._directory.get_update(node)
-        return None if update is None else (update.host, update.port)
+        if not self._directory.apply(update):
+            return
+        if not self._members.is_live(update.home):
+            self._directory.remove(update.home)
+        self.broadcast(update)
+
+    def restore(self, home: str) -> None:
+        """List the services of a node that is in service again."""
+        self._directory.restore(home)
+
+    def answer_digest(self, link: Link, message: DirectoryDigest) -> None:
+        """Answer a peer whose directory differs with a summary."""
+        if message.digest != self._directory.compute_digest():
+            summary = DirectorySummary(self._directory.summarize(), True)
+            link.send(CONTROL_STREAM, summary)
+
+    def answer_summary(self, link: Link, message: DirectorySummary) -> None:
+        """Send a peer what it lacks, and ask for what this node lacks."""
+        newer = self._directory.list_newer(message.homes)
+        for update in newer[:UPDATES_PER_SUMMARY]:
+            link.send(CONTROL_STREAM, update)
+        if message.answer and self._directory.lacks(message.homes):
+            summary = DirectorySummary(self._directory.summarize(), False)
+            link.send(CONTROL_STREAM, summary)
+
+    def compare_now(self) -> None:
+        """Compare with a random member, as after joining."""
+        self._compare()
 
     def broadcast(self, message: Message) -> None:
         """Send a message to random nodes, which pass it on when it is new to them."""
-        others = [
-            (update.host, update.port)
-            for update in self.list_members()
-            if update.home != self._settings.node_id
-        ]
         # ln(n) + c targets a node reach all n nodes but for a share of exp(-c) / n.
-        count = min(len(others), math.ceil(math.log(len(others) + 1)) + BROADCAST_EXTRA)
-        for address in self._rng.sample(others, count):
+        count = len(self._members.membership.members())
+        fanout = math.ceil(math.log(count + 1)) + BROADCAST_EXTRA
+        for address in self._members.pick_addresses(fanout):
             self._links.get(address).send(CONTROL_STREAM, message)
 
     def send_leaving(self) -> None:
@@ -100,47 +118,16 @@
         self.leaving = True
         self._send()
 
-    def count_nodes_at(self, revision: int) -> tuple[int, int]:
-        """Return how many live nodes have a revision in force, and how many live."""
-        live = [
-            update
-            for update in self._directory.list_updates()
-            if self._is_live(update.home) and not update.leaving
-        ]
-        return sum(1 for update in live if update.revision >= revision), len(live)
-
-    def list_members(self) -> list[DirectoryUpdate]:
-        """Return the newest update of each live node."""
-        return [
-            update
-            for update in self._directory.list_updates()
-            if self._is_live(update.home)
-        ]
-
-    def _is_live(self, home: str) -> bool:
-        if home == self._settings.node_id:
-            return True
-        heard_at = self._heard_at.get(home, float("-inf"))
-        return heard_at > self._clock.now() - EXPIRY_S
-
-    def _refresh(self) -> None:
-        for home in list(self._heard_at):
-            if not self._is_live(home):
-                self._directory.remove(home)
-                del self._heard_at[home]
-        self._send()
+    def _compare(self) -> None:
+        digest = DirectoryDigest(self._directory.compute_digest())
+        for address in self._members.pick_addresses(1):
+            self._links.get(address).send(CONTROL_STREAM, digest)
 
     def _send(self) -> None:
         self._send_pending = False
         update = self._make_update()
         self._directory.apply(update)
-        addresses = set(self._settings.seeds)
-        for other in self._directory.list_updates():
-            if other.home != update.home:
-                addresses.add((other.host, other.port))
-        addresses.discard(self._settings.peers)
-        for address in addresses:
-            self._links.get(address).send(CONTROL_STREAM, update)
+        self.broadcast(update)
 
     def _make_update(self) -> DirectoryUpdate:
         settings = self._settings
@@ -162,7 +149,6 @@
             settings.region,
             self.leaving,
             services,
-            self.read_revision(),
             settings.servers[0],
             settings.servers[1],
         )
--- a/src/flamingobank/node/dispatcher.py
+++ b/src/flamingobank/node/dispatcher.py
@@ -1,7 +1,7 @@
 """Own the servers of this node and the requests that run on them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from flamingobank.core import (
     Clock,
@@ -70,42 +70,39 @@
         self.pools: dict[ServiceName, ServicePool] = {}
         self.running: set[HomeRequest] = set()
         self.observer = DispatchObserver()
+        self.list_services: Callable[[], Iterable[Service]] = tuple
         timers.call_every(REFRESH_S, self._refresh)
 
-    def update_services(self, services: Iterable[Service]) -> None:
-        """Apply the services in force."""
-        wanted = {ServiceName(service.name): service for service in services}
+    def update_services(self) -> None:
+        """Apply the services in force to the servers here."""
+        services = {service.name: service for service in self.list_services()}
         for name in list(self.pools):
-            if name in wanted:
-                self.pools[name].service = wanted[name]
+            if name in services:
+                self.pools[name].service = services[name]
                 continue
-            self.pools.pop(name).refuse_all(
-                Reason.NO_ROUTE, f"service {name} was deleted"
-            )
-        for name, service in wanted.items():
-            if name not in self.pools:
-                self.pools[name] = ServicePool(self, service)
-        for server in self.servers.values():
-            self.place_server(server)
-
-    def find_service(self, server: Server) -> Service | None:
-        """Return the first service by name that selects a server."""
-        for name in sorted(self.pools):
-            service = self.pools[name].service
-            if service.selector.matches(server.labels):
-                return service
-        return None
+            pool = self.pools.pop(name)
+            pool.refuse_all(Reason.NO_ROUTE, f"service {name} was deleted")
+        for server in list(self.servers.values()):
+            self._place(server, services.values())
 
     def place_server(self, server: Server) -> None:
         """Put a server into the pool of its service only."""
         self.servers[server.instance] = server
-        service = self.find_service(server)
+        self._place(server, self.list_services())
+
+    def _place(self, server: Server, services: Iterable[Service]) -> None:
+        service = select_service(server.labels, services)
+        server.service = None if service is None else ServiceName(service.name)
         for name, pool in self.pools.items():
-            if service is None or name != service.name:
+            if name != server.service:
                 pool.remove_server(server.instance)
         if service is None:
             return
-        pool = self.pools[service.name]
+        # Only services with a server here have a pool, so that 2,900 services do
+        # not cost memory on every node.
+        if server.service not in self.pools:
+            self.pools[server.service] = ServicePool(self, service)
+        pool = self.pools[server.service]
         pool.add_server(server)
         pool.start_waiting()
 
@@ -132,7 +129,7 @@
         pool = self.pools.get(ServiceName(message.service))
         if pool is not None:
             return pool.offer(message, body, sink)
-        detail = f"service {message.service!r} is not known here"
+        detail = f"no server of service {message.service!r} has its home here"
         refusal = Refusal(Disposition.NOT_RUN, Reason.NO_CAPACITY, 1.0, detail)
         sink.on_refused(refusal, Load(1e6, 0))
         return FinishedRequest()
@@ -189,6 +186,19 @@
             pool.refresh_all()
 
 
+def select_service(
+    labels: Mapping[str, str], services: Iterable[Service]
+) -> Service | None:
+    """Return the first service by name that selects a server."""
+    chosen = None
+    for service in services:
+        if not service.selector.matches(labels):
+            continue
+        if chosen is None or service.name < chosen.name:
+            chosen = service
+    return chosen
+
+
 def classify_attempt(attempt: Attempt) -> Outcome:
     """Return what an attempt says about its server."""
     if attempt.result is AttemptResult.NOT_SENT:
--- a/src/flamingobank/node/ejections.py
+++ b/src/flamingobank/node/ejections.py
@@ -59,11 +59,10 @@
 
     def announce(self, server: Server) -> None:
         """Note an announcement; only announced servers can be promised."""
-        service = self._dispatcher.find_service(server)
-        if service is None:
+        if server.service is None:
             return
         now = self._clock.now()
-        self.ledger.announce(ServiceName(service.name), server.instance, now)
+        self.ledger.announce(server.service, server.instance, now)
         if server.draining:
             self._send_all(self.ledger.set_in_service(server.instance, False, now))
 
@@ -141,10 +140,9 @@
             return
         now = self._clock.now()
         peers = self.ledger.get_summaries(instance)
-        service = self._dispatcher.find_service(server)
-        if service is None or decision.state is EjectionState.NONE:
+        if server.service is None or decision.state is EjectionState.NONE:
             return
-        others = len(self._list_announced(ServiceName(service.name))) - 1
+        others = len(self._list_announced(server.service)) - 1
         if decision.leases < decision.required and len(peers) < others:
             return
         self._judge(server, peers, now)
--- /dev/null
+++ b/src/flamingobank/node/members.py
@@ -0,0 +1,189 @@
+"""Connect membership to datagrams and timers."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import eliot
+
+from flamingobank.core import BootId, Clock, FailureDomain, NodeId, Revision
+from flamingobank.loop import Address, DatagramEndpoint, Poller, Timers
+from flamingobank.membership import (
+    TICK_INTERVAL_S,
+    DuplicateAddress,
+    DuplicateId,
+    Joined,
+    Member,
+    MemberJoined,
+    MemberRemoved,
+    MemberRestarted,
+    Membership,
+    MemberUnreachable,
+    Outcome,
+    Paused,
+    RevisionSeen,
+    Send,
+    decode_datagram,
+    encode_datagram,
+)
+from flamingobank.settings import NodeSettings
+
+MIN_TICK_S = TICK_INTERVAL_S / 2
+
+
+class MemberObserver:
+    """Hear of changes in the fleet; the default hears nothing."""
+
+    def on_joined(self) -> None:
+        """React to the first complete exchange with the fleet."""
+
+    def on_member_joined(self, member: Member) -> None:
+        """React to a member in service."""
+
+    def on_member_gone(self, member: Member) -> None:
+        """React to a member that is out of service."""
+
+    def on_revision_seen(self, node: NodeId, revision: Revision) -> None:
+        """React to a member with a higher configuration revision."""
+
+    def on_paused(self, gap_s: float) -> None:
+        """React to this process not having run for a while."""
+
+
+class Members:
+    """Run the membership of this node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        boot: str,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        rng: random.Random,
+        secrets: Callable[[], Sequence[bytes]],
+    ) -> None:
+        self.observer = MemberObserver()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._clock = clock
+        self._secrets = secrets
+        own = Member(
+            settings.node_id,
+            BootId(boot),
+            settings.peers,
+            settings.peers,
+            settings.failure_domain,
+            settings.region,
+        )
+        self.membership = Membership(own, settings.seeds, rng, clock.now())
+        self._endpoint = DatagramEndpoint(poller, settings.peers, self._receive)
+        timers.call_every(MIN_TICK_S, self._tick)
+
+    def is_live(self, node: str) -> bool:
+        """Tell whether a node is in service, this one included."""
+        if node == self.membership.own.node_id:
+            return True
+        member = self.membership.find(NodeId(node))
+        return member is not None and member.is_in_service
+
+    def find_address(self, node: NodeId) -> Address | None:
+        """Return where a node takes links, or None when it is not in service."""
+        member = self.membership.find(node)
+        if member is None or not member.is_in_service:
+            return None
+        return member.tcp
+
+    def pick_addresses(self, count: int) -> list[Address]:
+        """Return the link addresses of random members."""
+        return [member.tcp for member in self.membership.pick(count, _accept_all)]
+
+    def pick_peers(
+        self, count: int, outside: FailureDomain | None, excluded: frozenset[NodeId]
+    ) -> list[NodeId]:
+        """Return random members, outside a domain when one is given."""
+        picked = self.membership.pick(
+            count,
+            lambda member: (
+                member.node_id not in excluded and member.failure_domain != outside
+            ),
+        )
+        return [member.node_id for member in picked]
+
+    def list_domain(self, domain: FailureDomain) -> list[NodeId]:
+        """Return the nodes in service of a domain, this one included."""
+        members = [self.membership.own, *self.membership.members()]
+        return [
+            member.node_id
+            for member in members
+            if member.failure_domain == domain and not member.leaving
+        ]
+
+    def set_revision(self, revision: Revision) -> None:
+        """Tell the fleet which configuration is in force here."""
+        self.membership.set_revision(revision)
+
+    def drain(self) -> None:
+        """Tell the fleet that this node is leaving."""
+        self._send_all(self.membership.drain())
+
+    def leave(self) -> None:
+        """Say goodbye."""
+        self._send_all(self.membership.leave())
+
+    def _receive(self, data: bytes, address: Address) -> None:
+        self.bytes_received += len(data)
+        decoded = decode_datagram(data, self._secrets())
+        message = decoded.error if decoded.is_error() else decoded.ok
+        self._send_all(self.membership.handle(message, self._clock.now()))
+        self._report_outcomes()
+
+    def _tick(self) -> None:
+        self._send_all(self.membership.tick(self._clock.now()))
+        self._report_outcomes()
+
+    def _send_all(self, sends: list[Send]) -> None:
+        secret = self._secrets()[0]
+        for send in sends:
+            data = encode_datagram(send.message, secret)
+            self.bytes_sent += len(data)
+            self._endpoint.send(data, send.address)
+
+    def _report_outcomes(self) -> None:
+        for outcome in self.membership.take_outcomes():
+            self._report(outcome)
+
+    def _report(self, outcome: Outcome) -> None:
+        observer = self.observer
+        if isinstance(outcome, RevisionSeen):
+            observer.on_revision_seen(outcome.node_id, outcome.revision)
+        elif isinstance(outcome, Joined):
+            observer.on_joined()
+        elif isinstance(outcome, MemberJoined | MemberRestarted):
+            observer.on_member_joined(outcome.member)
+        elif isinstance(outcome, MemberRemoved | MemberUnreachable):
+            _log("members:gone", node=outcome.member.node_id)
+            observer.on_member_gone(outcome.member)
+        elif isinstance(outcome, Paused):
+            _log("members:paused", gap_s=outcome.gap_s)
+            observer.on_paused(outcome.gap_s)
+        elif isinstance(outcome, DuplicateId):
+            _log(
+                "members:duplicate-id",
+                node=outcome.node_id,
+                other=f"{outcome.other_address[0]}:{outcome.other_address[1]}",
+                stands_down=outcome.stands_down,
+            )
+        elif isinstance(outcome, DuplicateAddress):
+            _log(
+                "members:duplicate-address",
+                first=outcome.first,
+                second=outcome.second,
+            )
+
+
+def _accept_all(member: Member) -> bool:
+    return True
+
+
+def _log(message_type: str, **fields: object) -> None:
+    eliot.log_message(message_type=message_type, **fields)
--- a/src/flamingobank/node/servers.py
+++ b/src/flamingobank/node/servers.py
@@ -1,7 +1,7 @@
 """Hold what a home node knows about its servers."""
 
 from flamingobank.balancing import ServerSlots
-from flamingobank.core import BootId, FailureDomain, InstanceId
+from flamingobank.core import BootId, FailureDomain, InstanceId, ServiceName
 from flamingobank.health import DEFAULT_BASELINE, Readmission, ServerHealth
 from flamingobank.loop import Address, HttpClientConnection, Poller
 
@@ -26,6 +26,7 @@
         self.address = address
         self.failure_domain = FailureDomain("")
         self.labels: dict[str, str] = {}
+        self.service: ServiceName | None = None
         self.slots = ServerSlots(instance, slots, now, warm)
         self.health = ServerHealth(now)
         self.readmission = Readmission(now)
--- a/src/flamingobank/node/status.py
+++ b/src/flamingobank/node/status.py
@@ -3,11 +3,18 @@
 import html
 import json
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
 
+from flamingobank.health import Stage
 from flamingobank.node.edge import EdgeRequest, EdgeResponse
 from flamingobank.node.metrics import NodeMetrics
+from flamingobank.node.servers import Server
+from flamingobank.objects import Service
+
+if TYPE_CHECKING:
+    from flamingobank.node.daemon import Node
 
 PAGE_HEAD = (
     "<!doctype html><meta charset=utf-8><title>flamingobank</title>"
@@ -44,6 +51,80 @@
         return None
 
 
+def describe_node(node: "Node") -> dict:
+    """Return what operators see of a node."""
+    configuration = node.configuration
+    membership = node.members.membership
+    count, total = membership.count_at(configuration.revision)
+    watch = node.store_watch
+    last_contact_s = None
+    if watch is not None and watch.last_contact is not None:
+        last_contact_s = round(node.clock.now() - watch.last_contact, 3)
+    return {
+        "node": node.settings.node_id,
+        "boot": node.boot,
+        "revision": configuration.revision,
+        "members": [
+            {
+                "node": member.node_id,
+                "failure_domain": member.failure_domain,
+                "state": "leaving" if member.leaving else member.state.name.lower(),
+                "revision": member.revision,
+            }
+            for member in [membership.own, *membership.members()]
+        ],
+        "in_force": {"count": count, "of": total},
+        "services": [
+            _describe_service(node, service)
+            for service in configuration.list_services()
+        ],
+        "servers": [
+            _describe_server(server) for server in node.dispatcher.servers.values()
+        ],
+        "store": {
+            "reachable": watch is not None and watch.reachable,
+            "last_contact_s": last_contact_s,
+            "watcher": watch is not None and watch.is_watcher,
+        },
+        "counters": dict(node.entry.counters),
+        "events": node.ejections.events[-20:],
+        "in_flight": len(node.entry.in_flight) + len(node.dispatcher.running),
+        "datagram_bytes": {
+            "sent": node.members.bytes_sent,
+            "received": node.members.bytes_received,
+        },
+    }
+
+
+def _describe_service(node: "Node", service: Service) -> dict:
+    homes = node.directory.list_homes(service.name)
+    announced = sum(len(home.instances) for home in homes)
+    pool = node.dispatcher.pools.get(service.name)
+    local = list(pool.servers.values()) if pool is not None else []
+    return {
+        "service": service.name,
+        "floor": service.floor.count_servers(announced),
+        "announced": announced,
+        "healthy": sum(home.servers for home in homes),
+        "ejected": [
+            {"instance": server.instance, "why": server.why_ejected}
+            for server in local
+            if server.slots.stage is not Stage.IN_SERVICE
+        ],
+        "draining": sum(1 for server in local if server.draining),
+    }
+
+
+def _describe_server(server: Server) -> dict:
+    return {
+        "instance": server.instance,
+        "slots": server.slots.limit,
+        "in_use": server.slots.in_use,
+        "draining": server.draining,
+        "stage": server.slots.stage.value,
+    }
+
+
 def render_page(status: dict) -> str:
     """Return the status as an HTML page."""
     parts = [PAGE_HEAD, f"<h1>Node {html.escape(str(status['node']))}</h1>"]
--- /dev/null
+++ b/src/flamingobank/node/store_watch.py
@@ -0,0 +1,232 @@
+"""Run the store operations that the watch election asks for."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+import eliot
+from expression import Result
+
+from flamingobank.configuration import (
+    AnswerLost,
+    Change,
+    ChangesSeen,
+    ChangesWatched,
+    Delta,
+    LeaseAcquired,
+    LeaseConflict,
+    LeaseGone,
+    LeaseObject,
+    LeaseRead,
+    LeaseWritten,
+    ListingLoader,
+    ListingNeeded,
+    ReadLease,
+    StoreAway,
+    StoreOperation,
+    WatchChanges,
+    WatchCompacted,
+    WatchElection,
+    WriteLease,
+)
+from flamingobank.core import BootId, Clock, FailureDomain, NodeId, Revision
+from flamingobank.loop import Timers
+from flamingobank.node.configuration_sync import ConfigurationSync
+from flamingobank.objects import Kind
+from flamingobank.store import (
+    Listing,
+    StoreClient,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+
+TICK_S = 0.1
+LEASE_KIND = "lease"
+KINDS = {kind.value: kind for kind in Kind}
+# Errors after which a write may have taken effect.
+UNKNOWN_ERRORS = (StoreErrorKind.OUTCOME_UNKNOWN, StoreErrorKind.MALFORMED)
+
+
+class StoreWatch:
+    """Watch the store when this node holds a watch lease of its domain."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        boot: str,
+        domain: FailureDomain,
+        address: str,
+        clock: Clock,
+        timers: Timers,
+        rng: random.Random,
+        store: StoreClient,
+        configuration: ConfigurationSync,
+        list_domain: Callable[[FailureDomain], list[NodeId]],
+    ) -> None:
+        self.last_contact: float | None = None
+        self.reachable = False
+        self.election = WatchElection(
+            node_id, BootId(boot), domain, address, rng, clock.now()
+        )
+        self._domain = domain
+        self._clock = clock
+        self._store = store
+        self._configuration = configuration
+        self._list_domain = list_domain
+        self._listing = False
+        timers.call_every(TICK_S, self._tick)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Tell whether this node holds a watch lease."""
+        return bool(self.election.tokens)
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        self.election.set_members(self._list_domain(self._domain))
+        for operation in self.election.tick(now, self._configuration.revision):
+            self._run(operation)
+        self._take_outcomes()
+
+    def _run(self, operation: StoreOperation) -> None:
+        if isinstance(operation, ReadLease):
+            self._store.get(
+                LEASE_KIND,
+                operation.slot.object_name,
+                partial(self._on_lease_read, operation),
+            )
+            return
+        if isinstance(operation, WriteLease):
+            self._store.put(
+                LEASE_KIND,
+                operation.slot.object_name,
+                {
+                    "holder": operation.holder,
+                    "address": operation.address,
+                    "token": operation.token,
+                },
+                partial(self._on_lease_written, operation),
+                expected=operation.expected or None,
+                write_id=operation.write_id,
+            )
+            return
+        self._store.watch(
+            operation.after,
+            partial(self._on_watched, operation),
+            timeout_s=operation.timeout_s,
+        )
+
+    def _on_lease_read(self, operation: ReadLease, result: Result) -> None:
+        self._note_contact(result)
+        if result.is_ok():
+            self._finish(LeaseRead(operation.operation, _read_lease(result.ok)))
+            return
+        if result.error.kind is StoreErrorKind.NOT_FOUND:
+            self._finish(LeaseRead(operation.operation, None))
+            return
+        self._finish(_make_failure(operation, result.error))
+
+    def _on_lease_written(self, operation: WriteLease, result: Result) -> None:
+        self._note_contact(result)
+        if result.is_ok():
+            self._finish(LeaseWritten(operation.operation, result.ok.revision))
+            return
+        error = result.error
+        if error.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
+            lease = _read_lease(error.current) if error.current is not None else None
+            self._finish(LeaseConflict(operation.operation, lease))
+            return
+        self._finish(_make_failure(operation, error))
+
+    def _on_watched(self, operation: WatchChanges, result: Result) -> None:
+        self._note_contact(result)
+        if result.is_error():
+            if result.error.kind is StoreErrorKind.COMPACTED:
+                self._finish(WatchCompacted(operation.operation))
+                return
+            self._finish(_make_failure(operation, result.error))
+            return
+        answer = result.ok
+        changes = tuple(
+            Change(KINDS[change.kind], change.name, change.revision, change.spec)
+            for change in answer.changes
+            if change.kind in KINDS
+        )
+        delta = Delta(operation.after, answer.revision, changes)
+        self._finish(ChangesWatched(operation.operation, delta))
+
+    def _finish(self, result) -> None:
+        self.election.handle(result, self._clock.now())
+        self._take_outcomes()
+
+    def _take_outcomes(self) -> None:
+        for outcome in self.election.take_outcomes():
+            if isinstance(outcome, ChangesSeen):
+                self._configuration.publish(outcome.delta)
+            elif isinstance(outcome, ListingNeeded):
+                self._start_listing()
+            elif isinstance(outcome, LeaseAcquired):
+                eliot.log_message(
+                    message_type="watch:acquired",
+                    lease=outcome.slot.object_name,
+                    token=outcome.token,
+                )
+            elif isinstance(outcome, LeaseGone):
+                eliot.log_message(
+                    message_type="watch:gone",
+                    lease=outcome.slot.object_name,
+                    why=outcome.reason,
+                )
+
+    def _start_listing(self) -> None:
+        if self._listing:
+            return
+        self._listing = True
+        self._store.list_all("", self._on_listed, timeout_s=60.0)
+
+    def _on_listed(self, result: Result[Listing, StoreError]) -> None:
+        self._listing = False
+        self._note_contact(result)
+        if result.is_error():
+            return
+        listing = result.ok
+        now = self._clock.now()
+        loader = ListingLoader(self._configuration.log, listing.revision)
+        loader.load_page(
+            (
+                Change(KINDS[item.kind], item.name, item.revision, item.spec)
+                for item in listing.items
+                if item.kind in KINDS
+            ),
+            now,
+        )
+        loader.finish(now)
+        self._configuration.on_services_changed()
+        self._configuration.on_revision(self._configuration.revision)
+
+    def _note_contact(self, result: Result) -> None:
+        self.reachable = result.is_ok() or result.error.kind not in (
+            StoreErrorKind.AWAY,
+            StoreErrorKind.OUTCOME_UNKNOWN,
+            StoreErrorKind.BUDGET,
+        )
+        if self.reachable:
+            self.last_contact = self._clock.now()
+
+
+def _read_lease(stored: StoredObject) -> LeaseObject:
+    spec = stored.spec
+    return LeaseObject(
+        stored.revision,
+        stored.write_id,
+        NodeId(str(spec.get("holder", ""))),
+        str(spec.get("address", "")),
+        Revision(int(spec.get("token", 0))),
+    )
+
+
+def _make_failure(operation: StoreOperation, error: StoreError):
+    if error.kind in UNKNOWN_ERRORS:
+        return AnswerLost(operation.operation)
+    return StoreAway(operation.operation, error.retry_after_s)
--- a/src/flamingobank/wire/__init__.py
+++ b/src/flamingobank/wire/__init__.py
@@ -12,8 +12,14 @@
     AnswerPart,
     AnswerState,
     Cancel,
+    ConfigurationChunk,
+    ConfigurationChunkRequest,
+    ConfigurationDelta,
+    ConfigurationPull,
     CrashClearance,
     CrashNotice,
+    DirectoryDigest,
+    DirectorySummary,
     DirectoryUpdate,
     FloorNotice,
     Message,
@@ -28,6 +34,12 @@
 )
 
 __all__ = [
+    "ConfigurationChunk",
+    "ConfigurationChunkRequest",
+    "ConfigurationDelta",
+    "ConfigurationPull",
+    "DirectoryDigest",
+    "DirectorySummary",
     "AnswerHead",
     "AnswerPart",
     "AnswerState",
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -119,9 +119,8 @@
     leaving: bool
     # Each entry is [service, servers in service, slots, announced instances].
     services: list
-    revision: int = 0
-    servers_host: str = ""
-    servers_port: int = 0
+    servers_host: str
+    servers_port: int
 
 
 @dataclass(slots=True)
@@ -149,6 +148,55 @@
     crash_id: str
 
 
+@dataclass(slots=True)
+class ConfigurationDelta:
+    """Carry changes; each is [kind, name, revision, spec or None]."""
+
+    base_revision: int
+    revision: int
+    changes: list
+
+
+@dataclass(slots=True)
+class ConfigurationPull:
+    """Ask for the changes after a revision."""
+
+    base_revision: int
+
+
+@dataclass(slots=True)
+class ConfigurationChunkRequest:
+    """Ask for packed records after a key hash."""
+
+    after: int
+
+
+@dataclass(slots=True)
+class ConfigurationChunk:
+    """Carry packed records of a snapshot."""
+
+    revision: int
+    after: int
+    until: int
+    records: list
+
+
+@dataclass(slots=True)
+class DirectoryDigest:
+    """Compare directories; the digest covers every home's boot and sequence."""
+
+    digest: bytes
+
+
+@dataclass(slots=True)
+class DirectorySummary:
+    """List boot and sequence of each home by name."""
+
+    homes: dict
+    # The receiver answers with its own summary when it lacks something.
+    answer: bool
+
+
 Message = typing.Any
 
 _TYPES: dict[int, type] = {
@@ -163,6 +211,12 @@
     9: FloorNotice,
     10: CrashNotice,
     11: CrashClearance,
+    12: ConfigurationDelta,
+    13: ConfigurationPull,
+    14: ConfigurationChunkRequest,
+    15: ConfigurationChunk,
+    16: DirectoryDigest,
+    17: DirectorySummary,
 }
 _KINDS: dict[type, int] = {}
 _GETTERS: dict[type, Callable[[object], tuple]] = {}
