--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -184,7 +184,7 @@
             self._send_to_node,
         )
         self.dispatcher.list_services = self.configuration.list_services
-        self.configuration.on_services_changed = self.dispatcher.update_services
+        self.configuration.on_services_changed = self._apply_services
         self.configuration.on_revision = self.members.set_revision
         self.sync = DirectorySync(
             settings,
@@ -307,6 +307,10 @@
             return self.crashes.receive_clearance(message)
         return False
 
+    def _apply_services(self) -> None:
+        self.dispatcher.update_services()
+        self.sync.announce_change()
+
     def _watch_store(self, token: str, rng: random.Random) -> StoreWatch | None:
         settings = self.settings
         if settings.store is None:
--- a/src/flamingobank/node/edge.py
+++ b/src/flamingobank/node/edge.py
@@ -29,7 +29,8 @@
 )
 from flamingobank.settings import CallerLimits
 
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 0.5
+DRAIN_IDLE_S = 2.0
 HTTP_1_1 = (1, 1)
 
 STATUS_LINES = {
@@ -351,6 +352,7 @@
         self.clock = clock
         self.limits = limits
         self.draining = False
+        self._close_idle_at = 0.0
         self.secure = False
         self.display_banner = False
         self.refusals: dict[int, int] = {}
@@ -407,9 +409,9 @@
         if self._listener is not None:
             self._listener.close()
             self._listener = None
-        for connection in list(self._connections):
-            if not connection.busy and not connection.reading_request:
-                connection.close()
+        # Callers with requests at short intervals are told in an answer; closing
+        # their idle connections now could meet a request under way.
+        self._close_idle_at = self.clock.now() + DRAIN_IDLE_S
 
     @handler("write")
     def _on_write(self, connection: EdgeConnection, data: bytes) -> None:
@@ -452,6 +454,9 @@
         for connection in list(self._connections):
             if connection.busy:
                 continue
+            if self.draining and now >= self._close_idle_at:
+                connection.close()
+                continue
             age_ms = (now - connection.started_at) * 1000
             if connection.reading_request:
                 if age_ms > self.limits.request_timeout_ms:
--- a/src/flamingobank/node/ejections.py
+++ b/src/flamingobank/node/ejections.py
@@ -113,13 +113,13 @@
             return
         if server.readmission.get_stage(now) is not Stage.IN_SERVICE:
             return
-        service = self._dispatcher.find_service(server)
-        if service is None:
+        if server.service is None:
             return
         summary = server.health.summarize(now)
-        name = ServiceName(service.name)
         self._send_all(
-            self.ledger.request_leases(name, server.instance, found.score, now, summary)
+            self.ledger.request_leases(
+                server.service, server.instance, found.score, now, summary
+            )
         )
 
     def _answer(self, request: FloorRequest, now: float) -> None:
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -285,6 +285,8 @@
         lines.append(
             b"flamingobank-request-id: %s\r\n" % self.message.request_id.encode()
         )
+        if self.connection.server.draining:
+            lines.append(b"connection: close\r\n")
         bodiless = self._headless or start.status in NO_BODY_STATUSES
         if bodiless:
             self._expected_bytes = 0
--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -20,6 +20,7 @@
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 STOP_TIMEOUT_S = 40.0
+LOG_TAIL_CHARACTERS = 3000
 
 
 @dataclass(slots=True)
@@ -177,6 +178,7 @@
 
     def stop(self) -> None:
         """End all processes that this fleet started."""
+        self._report_crashes()
         processes = [node.process for node in self.nodes.values()]
         processes += [server.process for server in self.servers.values()]
         processes += self._others
@@ -187,6 +189,15 @@
             process.wait()
         self._directory.cleanup()
 
+    def _report_crashes(self) -> None:
+        """Show the end of the log of each node that ended by itself."""
+        for name, node in self.nodes.items():
+            if node.process.poll() in (None, 0, -signal.SIGKILL):
+                continue
+            tail = (self.path / f"{name}.log").read_text()[-LOG_TAIL_CHARACTERS:]
+            code = node.process.returncode
+            print(f"node {name} ended with {code}:\n{tail}", file=sys.stderr)
+
     def _spawn(self, arguments: list[str], name: str) -> subprocess.Popen:
         with (self.path / f"{name}.log").open("ab") as log:
             return subprocess.Popen(
