Keep history entries of other versions and tolerate malformed ones

Cause: one unknown field in a history object ended history, rollback and conflict messages with a traceback.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -58,6 +58,15 @@
     And the last history of "route" "order-status" has "not confirmed"
     And every object of the store has a history and an audit entry
 
+  Scenario: A history keeps entries it cannot read and stays within bounds
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And the history of "route" "order-status" gets an entry of a newer version
+    And the objects "DIR/slower.ini" and "DIR/faster.ini" are applied 60 times in turn
+    Then the history of "route" "order-status" has 100 confirmed entries
+    When "anna" runs "rollback route order-status" with exit code 0
+    Then the stored "route" "order-status" has "deadline_ms" "9000"
+
   Scenario: An edit of an older revision is refused
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -115,6 +115,25 @@
     desk.store.hook = write_first
 
 
+@when('the history of "{kind}" "{name}" gets an entry of a newer version')
+def step_newer_entry(context, kind, name):
+    table = context.desk.store.backend.table
+    held = table.get("history", f"{kind}/{name}")
+    entries = [*held.spec["entries"], {"format": 2}, "text"]
+    table.put("history", held.name, "newer", {"entries": entries})
+    assert context.desk.run("anna", f"history {kind} {name}") == 0, context.desk.err
+    assert len(context.desk.out.splitlines()) == 2, context.desk.out
+    assert context.desk.run("anna", "apply DIR/slower.ini") == 0, context.desk.err
+    assert "text" in table.get("history", held.name).spec["entries"]
+
+
+@when('the objects "{first}" and "{second}" are applied {count:d} times in turn')
+def step_apply_in_turn(context, first, second, count):
+    for _ in range(count):
+        for path in (first, second):
+            assert context.desk.run("anna", f"apply {path}") == 0, context.desk.err
+
+
 @when('the answer to a write of "{kind}" is lost, then "{other}" runs "{command}"')
 def step_lose_then(context, kind, other, command):
     desk = context.desk
--- a/src/flamingobank/cli/object_history.py
+++ b/src/flamingobank/cli/object_history.py
@@ -64,8 +64,8 @@
         held = read_current(store, HISTORY_KIND, f"{kind}/{name}")
         if held.is_error():
             return Error(held.error)
-        entries = _trim([*_parse_entries(held.ok), entry])
-        spec = {"entries": [asdict(item) for item in entries]}
+        # Entries of a newer version are kept as they are.
+        spec = {"entries": _trim([*_get_entries(held.ok), asdict(entry)])}
         revision = None if held.ok is None else held.ok.revision
         written = store.put(
             HISTORY_KIND, f"{kind}/{name}", spec, revision, entry.write_id
@@ -102,15 +102,34 @@
     return revisions
 
 
-def _parse_entries(held: StoredObject | None) -> list[HistoryEntry]:
-    if held is None:
-        return []
-    return [HistoryEntry(**fields) for fields in held.spec.get("entries", [])]
+def _get_entries(held: StoredObject | None) -> list[object]:
+    entries = [] if held is None else held.spec.get("entries")
+    return entries if isinstance(entries, list) else []
 
 
-def _trim(entries: list[HistoryEntry]) -> list[HistoryEntry]:
+def _parse_entries(held: StoredObject | None) -> list[HistoryEntry]:
+    parsed = [_parse_entry(value) for value in _get_entries(held)]
+    return [entry for entry in parsed if entry is not None]
+
+
+def _parse_entry(value: object) -> HistoryEntry | None:
+    """Return an entry, or None when a field is missing or has another type."""
+    if not isinstance(value, dict):
+        return None
+    names = ("write_id", "who", "when", "action", "replaced_write_id")
+    texts = [value.get(name) for name in names]
+    spec, revision = value.get("spec"), value.get("replaced_revision")
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if not isinstance(spec, dict | None) or type(revision) is not int:
+        return None
+    write_id, who, when, action, replaced_write_id = texts
+    return HistoryEntry(write_id, who, when, action, spec, revision, replaced_write_id)
+
+
+def _trim(entries: list[object]) -> list[object]:
     entries = entries[-MAX_ENTRIES:]
-    sizes = [len(json.dumps(asdict(entry))) for entry in entries]
+    sizes = [len(json.dumps(entry)) for entry in entries]
     while len(entries) > 1 and sum(sizes) > MAX_BYTES:
         entries.pop(0)
         sizes.pop(0)
