Show the state of nodes that miss a revision, and check documentation links

Cause: a wait that timed out named nodes without saying whether they are reachable, and a page linked to a file that did not exist.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -185,7 +185,7 @@
     Given nodes that apply a revision after 9999 polls
     When "anna" runs "apply --wait --timeout 2 DIR/slower.ini" with exit code 1
     Then the last error has "the changes are accepted"
-    And the last error has "missing on node-2, node-3"
+    And the last error has "missing on node-2 (alive), node-3 (alive)"
 
   Scenario: Status and drain go to a node over HTTP
     Given a node's operator address that knows the instance "orders-1"
@@ -220,6 +220,9 @@
       | settings/limits.max_streams | 2    | 'max_streams_per    |
       | rote                        | 2    | 'route'             |
 
+  Scenario: Links between the pages of the documentation lead somewhere
+    Then every relative link of the documentation names a file
+
   Scenario: Reference pages are those that the schemas give
     Then the pages about objects and settings are current
     And the page about the command line names every command
--- a/features/steps/command_line_output_steps.py
+++ b/features/steps/command_line_output_steps.py
@@ -3,6 +3,7 @@
 import http.server
 import io
 import json
+import re
 import threading
 from pathlib import Path
 
@@ -174,3 +175,20 @@
     actions = [item for item in parser._actions if item.dest == "command"]
     missing = [name for name in actions[0].choices if f"`{name}" not in page]
     assert actions[0].choices and not missing, missing
+
+
+@then("every relative link of the documentation names a file")
+def step_links(context):
+    pages = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+    links = [
+        (page, target)
+        for page in pages
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text())
+    ]
+    assert len(links) > 10, "the pattern found no links"
+    broken = [
+        (str(page), target)
+        for page, target in links
+        if not (page.parent / target).exists()
+    ]
+    assert not broken, broken
--- a/features/support/desk.py
+++ b/features/support/desk.py
@@ -86,7 +86,9 @@
         self._left -= 1
         reached = 0 if self._left > 0 else self._revision
         names = ["node-1", "node-2", "node-3"]
-        members = [{"node": name, "revision": reached} for name in names]
+        members = [
+            {"node": name, "revision": reached, "state": "alive"} for name in names
+        ]
         return Ok({"node": "node-1", "revision": self._revision, "members": members})
 
 
--- a/src/flamingobank/cli/status.py
+++ b/src/flamingobank/cli/status.py
@@ -48,6 +48,10 @@
         header = ["service", "floor", "announced", "healthy", "draining", "ejected"]
         rows = [dict(item, ejected=_format_ejected(item)) for item in services]
         parts.append(_format_rows(header, rows))
+    servers = status.get("servers", [])
+    if servers:
+        header = ["instance", "stage", "slots", "in_use", "draining"]
+        parts.append(_format_rows(header, servers))
     return "\n\n".join(parts)
 
 
--- a/src/flamingobank/cli/waiting.py
+++ b/src/flamingobank/cli/waiting.py
@@ -46,10 +46,16 @@
 
 
 def find_behind(status: dict, revision: int) -> tuple[list[str], int]:
-    """Return the nodes below a revision and the number of all nodes."""
+    """Return the nodes below a revision, with their state, and the number of nodes."""
     revisions = {str(status.get("node")): int(status.get("revision", 0))}
+    states: dict[str, str] = {}
     for member in status.get("members", []):
         name = str(member.get("node"))
         revisions[name] = max(revisions.get(name, 0), int(member.get("revision", 0)))
-    behind = [name for name, reached in revisions.items() if reached < revision]
+        states[name] = str(member.get("state", "unknown"))
+    behind = [
+        f"{name} ({states.get(name, 'alive')})"
+        for name, reached in revisions.items()
+        if reached < revision
+    ]
     return sorted(behind), len(revisions)
