--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -73,6 +73,7 @@
     And "farid" runs "apply DIR/slower.ini" with exit code 0
     And "anna" runs "apply --base 15 DIR/faster.ini" with exit code 3
     Then the last error has "changed by farid"
+    And the last error has "(-deadline_ms = 2000; +deadline_ms = 9000)"
     And the stored "route" "order-status" has "deadline_ms" "9000"
 
   Scenario: A store that is away changes nothing and says so
--- a/src/flamingobank/cli/apply.py
+++ b/src/flamingobank/cli/apply.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok, Result
 
 from flamingobank.cli.changes import ChangeMaker, Outcome
-from flamingobank.cli.conflicts import describe_conflict
+from flamingobank.cli.conflicts import describe_conflict, find_content_at
 from flamingobank.cli.context import CommandContext, Session, open_session
 from flamingobank.cli.documents import ObjectSet, read_one_set
 from flamingobank.cli.exit_codes import ExitCode
@@ -144,7 +144,8 @@
         if change.before is not None and change.before.revision > base
     ]
     for change in newer:
-        text = describe_conflict(session.store, change, change.before)
+        known = find_content_at(session.store, change, base)
+        text = describe_conflict(session.store, change, change.before, known)
         report_error(context, f"conflict: {text}")
     return ExitCode.CONFLICT if newer else ExitCode.DONE
 
--- a/src/flamingobank/cli/changes.py
+++ b/src/flamingobank/cli/changes.py
@@ -8,6 +8,7 @@
 from flamingobank.cli.object_history import append_entry, make_entry, read_history
 from flamingobank.cli.records import (
     Change,
+    get_spec,
     make_audit_entry,
     make_audit_spec,
     make_write_id,
@@ -82,7 +83,8 @@
             return ChangeResult(Outcome.DONE, revision=written.ok.revision or 0)
         error = written.error
         if error.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
-            detail = describe_conflict(self._store, change, error.current)
+            known = get_spec(change.before)
+            detail = describe_conflict(self._store, change, error.current, known)
             return ChangeResult(Outcome.CONFLICT, detail)
         if error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
             return self._resolve(change, write_id, error)
--- a/src/flamingobank/cli/conflicts.py
+++ b/src/flamingobank/cli/conflicts.py
@@ -1,6 +1,6 @@
 """Find out who changed an object and whether a lost write took effect."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from flamingobank.cli.object_history import (
     HistoryEntry,
@@ -10,7 +10,6 @@
 from flamingobank.cli.records import (
     Change,
     describe_difference,
-    get_spec,
 )
 from flamingobank.store import BlockingStore, StoredObject
 
@@ -43,15 +42,32 @@
     return None
 
 
+def find_content_at(
+    store: BlockingStore, change: Change, revision: int
+) -> Mapping[str, object] | None:
+    """Return the content that an object had at a revision of the store."""
+    entries = read_history(store, change.kind, change.name).default_value([])
+    revisions = find_revisions(entries, change.before)
+    known = [
+        entry
+        for entry in entries
+        if entry.write_id in revisions and revisions[entry.write_id] <= revision
+    ]
+    latest = max(known, key=lambda entry: revisions[entry.write_id], default=None)
+    return None if latest is None else latest.spec
+
+
 def describe_conflict(
-    store: BlockingStore, change: Change, current: StoredObject | None
+    store: BlockingStore,
+    change: Change,
+    current: StoredObject | None,
+    known: Mapping[str, object] | None,
 ) -> str:
-    """Say who changed what and when since the change was planned."""
+    """Say who changed what and when since the operator knew the content."""
     if current is None:
         by = _find_deletion(store, change)
         return f"{change.title} was deleted by {by}; your change was not made"
-    lines = describe_difference(get_spec(change.before), current.spec)
-    what = "; ".join(lines) or "no key"
+    what = "; ".join(describe_difference(known, current.spec)) or "no key"
     by = f"an unknown writer (write id {current.write_id}, no history entry)"
     entries = read_history(store, change.kind, change.name).default_value([])
     for entry in entries:
