--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -243,6 +243,7 @@
     def read_status(self) -> dict:
         """Return what operators see of this node."""
         self._update_metrics()
+        self.members.survey()
         return describe_node(self)
 
     def receive(self, link: Link, message: Message) -> None:
