--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -58,6 +58,15 @@
     And the last history of "route" "order-status" has "not confirmed"
     And every object of the store has a history and an audit entry
 
+  Scenario: A history keeps entries it cannot read and stays within bounds
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And the history of "route" "order-status" gets an entry of a newer version
+    And the objects "DIR/slower.ini" and "DIR/faster.ini" are applied 60 times in turn
+    Then the history of "route" "order-status" has 100 confirmed entries
+    When "anna" runs "rollback route order-status" with exit code 0
+    Then the stored "route" "order-status" has "deadline_ms" "9000"
+
   Scenario: An edit of an older revision is refused
     Given an empty store and the operators "anna" and "farid"
     When "anna" runs "apply DIR/fleet.ini" with exit code 0
@@ -134,8 +143,12 @@
     And "anna" runs "rollback route order-status" with exit code 0
     Then the stored "route" "order-status" has "deadline_ms" "2000"
     When "anna" runs "audit --who farid --since 1h" with exit code 0
-    Then the last output has "farid  update  route  order-status  done"
+    Then the last output has "farid  update route order-status  done at revision"
+    And the last output has "deadline_ms = 2000  deadline_ms = 9000"
     And the last output lacks "anna"
+    When "anna" runs "audit --since 2026-12-04T05:00:00Z --kind service" with exit code 0
+    Then the last output has "create service orders"
+    And the last output lacks "route"
 
   Scenario: A service that a route needs is not deleted
     Given an empty store and the operators "anna" and "farid"
@@ -152,6 +165,12 @@
     When "anna" runs "get all -o ini" with exit code 0
     Then the last output is a manifest equal to "DIR/fleet.ini"
 
+  Scenario: Watching prints an object again only when it changed
+    Given an empty store and the operators "anna" and "farid"
+    When "anna" runs "apply DIR/fleet.ini" with exit code 0
+    And "anna" watches "get route order-status --watch" for 3 rounds while "farid" runs "apply DIR/slower.ini"
+    Then the watch printed the values "2000, 9000" of deadline_ms
+
   Scenario: Random changes by two operators under faults leave a true record
     Then 60 random runs of changes, lost answers and outages agree with the store
 
@@ -166,7 +185,7 @@
     Given nodes that apply a revision after 9999 polls
     When "anna" runs "apply --wait --timeout 2 DIR/slower.ini" with exit code 1
     Then the last error has "the changes are accepted"
-    And the last error has "missing on node-2, node-3"
+    And the last error has "missing on node-2 (alive), node-3 (alive)"
 
   Scenario: Status and drain go to a node over HTTP
     Given a node's operator address that knows the instance "orders-1"
@@ -201,6 +220,9 @@
       | settings/limits.max_streams | 2    | 'max_streams_per    |
       | rote                        | 2    | 'route'             |
 
+  Scenario: Links between the pages of the documentation lead somewhere
+    Then every relative link of the documentation names a file
+
   Scenario: Reference pages are those that the schemas give
     Then the pages about objects and settings are current
     And the page about the command line names every command
