--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -14,7 +14,7 @@
     run_state_machine_as_test,
 )
 
-from flamingobank.core import Disposition
+from flamingobank.core import Disposition, Reason
 from flamingobank.idempotency import (
     ChosenKeys,
     ChosenRun,
@@ -234,8 +234,9 @@
     def receive_request(self, process, sender, request):
         """Let a keeper decide about a request, and check what it says."""
         fingerprint = request.fingerprint
+        deadline = self.now + 3.0 - request.sent_at % 7
         decision = process.keeper.accept(
-            request.key, fingerprint, self.now, request.generation
+            request.key, fingerprint, self.now, request.generation, deadline
         )
         if isinstance(decision, Prepare):
             process.waiting[decision.key_id] = request
@@ -250,6 +251,8 @@
             self.check_replay(request.key, decision)
         elif isinstance(decision, Invalid):
             assert not self.ran(request.key, fingerprint), decision
+            if decision.reason is Reason.DEADLINE:
+                self.decided[request.key] = self.steps
         else:
             assert isinstance(decision, StillRunning | Unknown | Moved), decision
 
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -13,14 +13,18 @@
 from urllib.parse import parse_qsl, urlsplit
 
 from behave import given, then, when
+from circuits import Manager
 from hypothesis import given as draw, settings, strategies as st
 
 from benchmarks.events import EventQueue
+from flamingobank.core import MonotonicClock
+from flamingobank.loop import Poller, Timers
 from flamingobank.store import (
     BlockingStore,
     CallFailed,
     Lease,
     LeaseActionKind,
+    LoopTransport,
     StoreAnswer,
     StoreClient,
     StoreErrorKind,
@@ -577,3 +581,52 @@
     with socket.create_connection(address) as connection:
         connection.sendall(f"{head}Connection: close\r\n\r\n".encode() + body)
         assert b" 200 " in connection.recv(65536)
+
+
+@when("the loop client writes with a lost answer, reads and watches on a socket")
+def step_loop(context):
+    set_fault(context.address, {"lose_next": 1})
+    manager = Manager()
+    poller = Poller().register(manager)
+    clock = MonotonicClock()
+    timers = Timers(clock).register(manager)
+    transport = LoopTransport(poller, timers, clock, context.address, "secret")
+    client = StoreClient(transport, timers, clock, random.Random(1), "node-1-e1")
+    context.seen = {}
+
+    def keep(name, following):
+        def on_result(result):
+            context.seen[name] = result
+            following()
+
+        return on_result
+
+    def stop():
+        transport.close()
+        manager.stop()
+
+    def hang():
+        set_fault(context.address, {"outage": "hang"})
+        client.get(KIND, "y", keep("hang", stop), timeout_s=0.5)
+
+    def write():
+        client.put(KIND, "x", {"text": "1"}, keep("put", read))
+
+    def read():
+        client.get(KIND, "x", keep("get", hang))
+
+    client.watch(0, keep("watch", lambda: None))
+    timers.call_soon(write)
+    timers.call_at(clock.now() + 30.0, stop)
+    # stop() turns the loop a few more times, each until the next timer.
+    timers.call_every(0.05, lambda: None)
+    manager.run()
+
+
+@then("its watch shows the write and a silent store ends as away")
+def step_loop_seen(context):
+    seen = context.seen
+    assert seen["put"].ok.revision == 1, seen
+    assert seen["get"].ok.spec == {"text": "1"}, seen
+    assert [change.name for change in seen["watch"].ok.changes] == ["x"], seen
+    assert seen["hang"].error.kind is StoreErrorKind.AWAY, seen
--- a/features/store.feature
+++ b/features/store.feature
@@ -44,3 +44,8 @@
   Scenario: The blocking client meets the store process on a socket
     Given a store process
     Then the blocking client writes, reads, conflicts and survives a lost answer
+
+  Scenario: The loop client meets the store process on a socket
+    Given a store process
+    When the loop client writes with a lost answer, reads and watches on a socket
+    Then its watch shows the write and a silent store ends as away
--- a/src/flamingobank/idempotency/keeper.py
+++ b/src/flamingobank/idempotency/keeper.py
@@ -22,7 +22,7 @@
 from flamingobank.idempotency.keys import (
     IssuedKey,
     KeeperName,
-    issue_key,
+    issue_batch,
     parse_key,
     shorten_fingerprint,
 )
@@ -104,15 +104,10 @@
         if not 1 <= count <= MAX_BATCH_KEYS or held >= self.limits.max_keys:
             detail = f"{count} keys, 1 to {MAX_BATCH_KEYS} at once; {held} are held"
             return Error(Refusal(Disposition.NOT_RUN, Reason.LIMIT, detail=detail))
-        expiry_s = int(self._get_wall(now)) + self.limits.key_lifetime_s
         first = self._sequence
         self._sequence += count
-        return Ok(
-            [
-                issue_key(self._secrets[0], self.name, sequence, expiry_s)
-                for sequence in range(first, first + count)
-            ]
-        )
+        expiry_s = int(self._get_wall(now)) + self.limits.key_lifetime_s
+        return Ok(issue_batch(self._secrets[0], self.name, first, count, expiry_s))
 
     def accept(
         self,
@@ -269,12 +264,15 @@
         deadline: float,
         now: float,
     ) -> Decision:
-        if now >= deadline or entry.generation >= MAX_GENERATION:
-            return Invalid(Reason.DEADLINE, "the deadline passed before the run")
+        if entry.generation >= MAX_GENERATION:
+            return Invalid(Reason.LIMIT, f"not run {MAX_GENERATION} times")
         table = self._tables[issued.keeper]
         preparing = KeyEntry(KeyState.PREPARING, entry.generation, 0, fingerprint)
         table.set(issued.sequence, preparing, issued.expiry_s)
         run = Run(issued.key_id, entry.generation, issued.expiry_s)
+        if now >= deadline:
+            change_entry(self._tables, run, KeyState.PREPARING, KeyState.NOT_RUN)
+            return Invalid(Reason.DEADLINE, "the deadline passed before the run")
         sends = self._replication.begin(run, fingerprint, deadline, now)
         if sends:
             return Prepare(run.key_id, sends)
@@ -283,29 +281,19 @@
         return self._start(run)
 
     def _start(self, run: Run) -> Run:
-        entry = self._change(run, KeyState.PREPARING, KeyState.RUNNING)
-        check_invariant(
-            Invariant.AT_MOST_ONCE,
-            not self.sealed and entry.generation == run.generation,
-            run=run,
-            entry=entry,
-            sealed=self.sealed,
-        )
+        check_invariant(Invariant.AT_MOST_ONCE, not self.sealed, run=run)
+        change_entry(self._tables, run, KeyState.PREPARING, KeyState.RUNNING)
         self._replication.mark_started(run.key_id)
         return run
 
     def _refuse(self, run: Run, reason: Reason) -> Refused:
         self._replication.forget(run.key_id)
-        self._change(run, KeyState.PREPARING, KeyState.NOT_RUN)
+        change_entry(self._tables, run, KeyState.PREPARING, KeyState.NOT_RUN)
         return Refused(run.key_id, reason)
 
     def _end(self, run: Run, state: KeyState, status: int, now: float) -> list[Send]:
-        entry = self._change(run, KeyState.RUNNING, state, status)
+        entry = change_entry(self._tables, run, KeyState.RUNNING, state, status)
         answer = self._answers.get(run.key_id) if state is KeyState.DONE else None
-        successor = self._get_successor_node()
-        return self._replication.end(run, entry, answer, successor, now)
-
-    def _change(
-        self, run: Run, before: KeyState, after: KeyState, status: int = 0
-    ) -> KeyEntry:
-        return change_entry(self._tables[run.key_id.keeper], run, before, after, status)
+        return self._replication.end(
+            run, entry, answer, self._get_successor_node(), now
+        )
--- a/src/flamingobank/idempotency/keys.py
+++ b/src/flamingobank/idempotency/keys.py
@@ -67,6 +67,16 @@
     return f"{text}.{_compute_mac(secret, text)}"
 
 
+def issue_batch(
+    secret: bytes, keeper: KeeperName, first: int, count: int, expiry_s: int
+) -> list[str]:
+    """Write keys with consecutive sequences."""
+    return [
+        issue_key(secret, keeper, sequence, expiry_s)
+        for sequence in range(first, first + count)
+    ]
+
+
 def parse_key(key: str, secrets: Sequence[bytes]) -> Result[IssuedKey, KeyProblem]:
     """Check a key against the fleet secrets, of which two hold during rotation."""
     if len(key) > MAX_KEY_CHARACTERS or not key.isascii():
--- a/src/flamingobank/idempotency/transitions.py
+++ b/src/flamingobank/idempotency/transitions.py
@@ -1,14 +1,22 @@
 """Move a key from one state to the next."""
 
+from collections.abc import Mapping
+
 from flamingobank.core import Invariant, check_invariant
+from flamingobank.idempotency.keys import KeeperName
 from flamingobank.idempotency.messages import Run
 from flamingobank.idempotency.table import KeyEntry, KeyState, KeyTable
 
 
 def change_entry(
-    table: KeyTable, run: Run, before: KeyState, after: KeyState, status: int
+    tables: Mapping[KeeperName, KeyTable],
+    run: Run,
+    before: KeyState,
+    after: KeyState,
+    status: int = 0,
 ) -> KeyEntry:
     """Move a key on; anything but the one expected step breaks a promise."""
+    table = tables[run.key_id.keeper]
     old = table.get(run.key_id.sequence)
     not_run = after is KeyState.NOT_RUN
     check_invariant(
--- a/src/flamingobank/store/__init__.py
+++ b/src/flamingobank/store/__init__.py
@@ -8,6 +8,7 @@
 from flamingobank.store.client import StoreClient
 from flamingobank.store.interfaces import ClientCounters, Scheduler, Transport
 from flamingobank.store.lease import Lease, LeaseAction, LeaseActionKind
+from flamingobank.store.transport import LoopTransport
 from flamingobank.store.values import (
     Listing,
     ObjectChange,
@@ -34,6 +35,7 @@
     "LeaseAction",
     "LeaseActionKind",
     "Listing",
+    "LoopTransport",
     "ObjectChange",
     "Removed",
     "Scheduler",
--- a/src/flamingobank/store/blocking.py
+++ b/src/flamingobank/store/blocking.py
@@ -9,7 +9,13 @@
 from expression import Result
 
 from flamingobank.core import Clock, MonotonicClock, Revision
-from flamingobank.store.calls import Answer, CallFailed, StoreAnswer, StoreCall
+from flamingobank.store.calls import (
+    Answer,
+    CallFailed,
+    StoreAnswer,
+    StoreCall,
+    limit_timeout,
+)
 from flamingobank.store.operations import (
     Finished,
     GetOperation,
@@ -103,7 +109,8 @@
         while not isinstance(step, Finished):
             if step.delay_s > 0:
                 self._sleep(step.delay_s)
-            answer = self._exchange(step.call)
+            left_s = operation.deadline - self._clock.now()
+            answer = self._exchange(limit_timeout(step.call, left_s))
             step = operation.take(answer, self._clock.now())
         return check_result(self._guard, mark, subject, step.result)
 
--- a/src/flamingobank/store/calls.py
+++ b/src/flamingobank/store/calls.py
@@ -2,13 +2,14 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import quote, urlencode
 
 from flamingobank.core import Revision
 from flamingobank.store.values import ObjectChange, Spec, StoredObject
 
 CALL_TIMEOUT_S = 2.0
+MIN_TIMEOUT_S = 0.05
 # The store may use the whole time of a watch; its answer needs time on top.
 WATCH_GRACE_S = 2.0
 
@@ -49,6 +50,13 @@
 Answer = StoreAnswer | CallFailed
 
 
+def limit_timeout(call: StoreCall, left_s: float) -> StoreCall:
+    """Let a call end with its operation."""
+    # A call that starts at the deadline still gets the time of a usual answer.
+    timeout_s = min(call.timeout_s, max(MIN_TIMEOUT_S, left_s))
+    return replace(call, timeout_s=timeout_s)
+
+
 def build_get(kind: str, name: str) -> StoreCall:
     """Build the call that reads one object."""
     return StoreCall("GET", _get_target(kind, name))
--- a/src/flamingobank/store/client.py
+++ b/src/flamingobank/store/client.py
@@ -10,7 +10,7 @@
 
 from flamingobank.core import Clock, Revision
 from flamingobank.store.budget import CallBudget
-from flamingobank.store.calls import Answer, CallFailed, StoreCall
+from flamingobank.store.calls import Answer, CallFailed, StoreCall, limit_timeout
 from flamingobank.store.circuit import Circuit, CircuitState
 from flamingobank.store.interfaces import ClientCounters, Scheduler, Transport
 from flamingobank.store.operations import (
@@ -234,6 +234,7 @@
             return
         self.counters.calls += 1
         active.sent_at = now
+        call = limit_timeout(call, active.operation.deadline - now)
         self._transport.send(call, partial(self._on_answer, active))
 
     def _may_send(self, active: Active, now: float) -> bool:
