--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -117,11 +117,84 @@
     failure_domain: str
     region: str
     leaving: bool
-    # Each entry is [service, servers in service, slots, servers announced].
+    # Each entry is [service, servers in service, slots, announced instances].
     services: list
-    revision: int = 0
-    servers_host: str = ""
-    servers_port: int = 0
+    servers_host: str
+    servers_port: int
+
+
+@dataclass(slots=True)
+class FloorNotice:
+    """Carry one floor lease message; flamingobank.node.floor_wire reads it."""
+
+    kind: int
+    fields: list
+
+
+@dataclass(slots=True)
+class CrashNotice:
+    """Say that a request was in flight on a server that crashed."""
+
+    fingerprint: bytes
+    instance: str
+    crash_id: str
+
+
+@dataclass(slots=True)
+class CrashClearance:
+    """Say that a request completed after a crash it was in flight in."""
+
+    fingerprint: bytes
+    crash_id: str
+
+
+@dataclass(slots=True)
+class ConfigurationDelta:
+    """Carry changes; each is [kind, name, revision, spec or None]."""
+
+    base_revision: int
+    revision: int
+    changes: list
+
+
+@dataclass(slots=True)
+class ConfigurationPull:
+    """Ask for the changes after a revision."""
+
+    base_revision: int
+
+
+@dataclass(slots=True)
+class ConfigurationChunkRequest:
+    """Ask for packed records after a key hash."""
+
+    after: int
+
+
+@dataclass(slots=True)
+class ConfigurationChunk:
+    """Carry packed records of a snapshot."""
+
+    revision: int
+    after: int
+    until: int
+    records: list
+
+
+@dataclass(slots=True)
+class DirectoryDigest:
+    """Compare directories; the digest covers every home's boot and sequence."""
+
+    digest: bytes
+
+
+@dataclass(slots=True)
+class DirectorySummary:
+    """List boot and sequence of each home by name."""
+
+    homes: dict
+    # The receiver answers with its own summary when it lacks something.
+    answer: bool
 
 
 Message = typing.Any
@@ -135,6 +208,15 @@
     6: Cancel,
     7: Window,
     8: DirectoryUpdate,
+    9: FloorNotice,
+    10: CrashNotice,
+    11: CrashClearance,
+    12: ConfigurationDelta,
+    13: ConfigurationPull,
+    14: ConfigurationChunkRequest,
+    15: ConfigurationChunk,
+    16: DirectoryDigest,
+    17: DirectorySummary,
 }
 _KINDS: dict[type, int] = {}
 _GETTERS: dict[type, Callable[[object], tuple]] = {}
