Judge suspects against the joint rate of normal peers

Cause: the random check of a service-wide failure at 9% found a healthy server ejected: the median of a few outcomes each was zero. One at 61% compared windows that covered different times. Change: the peers' rate is the larger of their median and the joint rate of those that are no outliers; a summary covers at most 100 outcomes, so that peers remember the same window; a suspicion needs 12 outcomes and a ratio of 9.

--- a/benchmarks/detection_cases.py
+++ b/benchmarks/detection_cases.py
@@ -115,8 +115,8 @@
 def _partition(dispatch: Dispatch, demand: Demand, rng: random.Random) -> None:
     """Cut paths to servers one way, and between homes."""
     cut = rng.sample(range(SERVERS), 2)
-    dispatch.set_path(cut[0], reachable=False, answers=True)
-    dispatch.set_path(cut[1], reachable=True, answers=False)
+    dispatch.servers[cut[0]].set_path(reachable=False, answers=True)
+    dispatch.servers[cut[1]].set_path(reachable=True, answers=False)
     if isinstance(dispatch, ProductDispatch):
         names = list(dispatch.fleet.homes)
         for _ in range(20):
@@ -124,7 +124,7 @@
             dispatch.fleet.faults.blocked.add(pair)
     _run(dispatch, DISTURBANCE_S)
     for index in cut:
-        dispatch.set_path(index, reachable=True, answers=True)
+        dispatch.servers[index].set_path(reachable=True, answers=True)
     if isinstance(dispatch, ProductDispatch):
         dispatch.fleet.faults.blocked.clear()
     _run(dispatch, RECOVERY_S)
--- a/benchmarks/detection_world.py
+++ b/benchmarks/detection_world.py
@@ -86,6 +86,14 @@
             self._maybe_fail(work)
             self._schedule(work)
 
+    def set_path(self, reachable: bool, answers: bool) -> None:
+        """Break or heal the path to the server; late answers arrive once healed."""
+        self.reachable, self.answers = reachable, answers
+        if answers:
+            lost, self.lost = self.lost, []
+            for done in lost:
+                done()
+
     def _maybe_fail(self, work: Running) -> None:
         if not self.fail_share or self._rng.random() >= self.fail_share:
             return
--- a/features/health.feature
+++ b/features/health.feature
@@ -34,3 +34,7 @@
     Then a live server that cannot be connected to gets another home
     And a server that acknowledges nothing is suspended until it announces
     And a silent server is removed
+
+  Scenario: A failure of the whole service ejects servers only in the plain version
+    When the same service-wide failure meets naive and product dispatch
+    Then the naive health dispatch breaks the floor and the product ejects none
--- a/features/steps/health_steps.py
+++ b/features/steps/health_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from hypothesis import given as hypothesis_given, settings, strategies as st
 
+from benchmarks.detection_cases import disturb
 from benchmarks.naive_health import count_in_order
 from flamingobank.health import (
     DEFAULT_BASELINE,
@@ -213,3 +214,17 @@
 def step_silent(context):
     assert judge_path(PathEvidence(10.0), 13.0) is PathDecision.REMOVE
     assert judge_path(PathEvidence(10.0, 5), 9.0) is PathDecision.KEEP
+
+
+@when("the same service-wide failure meets naive and product dispatch")
+def step_service_failure(context):
+    context.naive = disturb("naive", "service_failing", 1002)
+    context.product = disturb("product", "service_failing", 1002)
+
+
+@then("the naive health dispatch breaks the floor and the product ejects none")
+def step_compare(context):
+    ejections, breaches, requests = context.naive
+    assert ejections and breaches, context.naive
+    # The same demand met both.
+    assert context.product == (0, 0, requests), context.product
--- a/src/flamingobank/health/detector.py
+++ b/src/flamingobank/health/detector.py
@@ -31,7 +31,10 @@
 RECENT_OUTCOMES = 256
 # A summary covers at least this many outcomes, so that it also holds work from
 # before a sudden change and a chance run weighs less.
-SUMMARY_OUTCOMES = 16
+SUMMARY_OUTCOMES = 12
+# It covers at most this many: a peer that does twice the work must still remember
+# the whole window (RECENT_OUTCOMES), or the two would cover different times.
+SUMMARY_OUTCOMES_MAX = 100
 SUMMARY_WINDOW_MAX_S = 60.0
 # A longer time without any call means that the home was paused.
 CALL_GAP_S = 1.5
@@ -203,8 +206,10 @@
         window_s = 2.0 * (now - since)
         recent = self._recent
         if recent:
-            oldest = recent[-min(SUMMARY_OUTCOMES, len(recent))][0]
-            window_s = max(window_s, now - oldest)
+            size = len(recent)
+            shortest_s = now - recent[-min(SUMMARY_OUTCOMES, size)][0]
+            longest_s = now - recent[-min(SUMMARY_OUTCOMES_MAX, size)][0]
+            window_s = min(max(window_s, shortest_s), longest_s)
         return min(max(window_s, 0.05), SUMMARY_WINDOW_MAX_S)
 
     def _read_clock(self, now: float) -> None:
--- a/src/flamingobank/health/floor.py
+++ b/src/flamingobank/health/floor.py
@@ -27,11 +27,7 @@
 from flamingobank.objects import Floor
 
 _NO_EJECTION = EjectionDecision(EjectionState.NONE)
-_KEEPS_ONLY_FLOOR = (
-    EjectionState.EJECTED,
-    EjectionState.PROMISED,
-    EjectionState.QUIET,
-)
+_WITH_FLOOR = (EjectionState.EJECTED, EjectionState.PROMISED, EjectionState.QUIET)
 
 
 class FloorLedger:
@@ -139,7 +135,7 @@
         judged = self._leases.ejections[instance].judged
         if judged and decision.state is EjectionState.COVERED:
             return self.eject(instance, now)
-        if decision.state in _KEEPS_ONLY_FLOOR:
+        if decision.state in _WITH_FLOOR:
             return self._drop_surplus(instance, decision)
         return decision
 
@@ -276,9 +272,10 @@
     def _drop_surplus(
         self, instance: InstanceId, decision: EjectionDecision
     ) -> EjectionDecision:
-        sends = self._leases.release_surplus(instance, decision.required)
-        leases = decision.leases - len(sends)
-        return EjectionDecision(decision.state, leases, decision.required, tuple(sends))
+        required = decision.required
+        sends = self._leases.release_surplus(instance, required)
+        kept = min(decision.leases, required)
+        return EjectionDecision(decision.state, kept, required, tuple(sends))
 
     def _settle(self, now: float) -> None:
         """Expire leases and promises and end ejections that are not covered."""
--- a/src/flamingobank/health/outliers.py
+++ b/src/flamingobank/health/outliers.py
@@ -17,9 +17,9 @@
 
 # Generalized log-likelihood ratio at which a server differs from its peers. It is
 # below FAILURE_LLR because the summary also holds work from before the change.
-OUTLIER_LLR = 10.0
+OUTLIER_LLR = 9.0
 # A slow server must also be slower than its peers by this log ratio in the mean. A
-# higher gap rejects four stuck slots among 16 normal pieces of work (0.24).
+# higher gap rejects four stuck slots among 12 normal pieces of work (0.29).
 LATENCY_GAP = 0.1
 # An outlier's rate is also higher than its peers' by this much. Where all servers
 # fail nearly all work, ejecting one would gain nothing.
@@ -35,7 +35,7 @@
 
 
 def judge_outlier(own: ServerSummary, peers: Sequence[ServerSummary]) -> Verdict:
-    """Compare a suspect with the median of its peers.
+    """Compare a suspect with the median and the normal ones of its peers.
 
     The median stays at the good servers' rate while fewer than half are bad.
     """
@@ -45,15 +45,15 @@
         return Verdict(Finding.TOO_LITTLE_EVIDENCE)
     failures = _compare(
         Cause.FAILURES,
-        own.failures / own.n,
-        [peer.failures / peer.n for peer in seen],
-        (own.n, total, FAILURE_RATE_FLOOR),
+        (own.failures, own.n),
+        [(peer.failures, peer.n) for peer in seen],
+        FAILURE_RATE_FLOOR,
     )
     latency = _compare(
         Cause.LATENCY,
-        own.slow / own.n,
-        [peer.slow / peer.n for peer in seen],
-        (own.n, total, SLOW_RATE_FLOOR),
+        (own.slow, own.n),
+        [(peer.slow, peer.n) for peer in seen],
+        SLOW_RATE_FLOOR,
     )
     gap = own.log_mean - statistics.median(peer.log_mean for peer in seen)
     if failures.finding is Finding.OUTLIER:
@@ -95,20 +95,49 @@
 
 
 def _compare(
-    cause: Cause, own_rate: float, peer_rates: list[float], sizes: tuple
+    cause: Cause, own: tuple[int, int], peers: list[tuple[int, int]], floor: float
 ) -> Verdict:
-    own_n, peers_n, floor = sizes
-    median = statistics.median(peer_rates)
-    error = MEDIAN_ERROR_RATIO * math.sqrt(median * (1.0 - median) / peers_n)
-    peer_rate = clamp_rate(median + PEER_RATE_ERRORS * error, floor)
-    strength = 0.0
-    if own_rate > peer_rate:
-        strength = own_n * _diverge(own_rate, peer_rate)
+    """Compare (events, outcomes) of the suspect with those of its peers."""
+    own_rate = own[0] / own[1]
+    median = statistics.median(events / n for events, n in peers)
+    total = sum(n for _, n in peers)
+    peer_rate = clamp_rate(
+        max(
+            median + PEER_RATE_ERRORS * MEDIAN_ERROR_RATIO * _get_error(median, total),
+            _pool_rate(peers, clamp_rate(median, floor)),
+        ),
+        floor,
+    )
+    strength = _get_strength(own, peer_rate)
     outlier = strength >= OUTLIER_LLR and own_rate - median >= RATE_GAP
     finding = Finding.OUTLIER if outlier else Finding.COMMON_CAUSE
     return Verdict(finding, cause, own_rate, peer_rate, strength)
 
 
+def _pool_rate(peers: list[tuple[int, int]], median: float) -> float:
+    """Return the joint rate of the peers that are no outliers themselves.
+
+    The median of a few outcomes each is zero up to a rate of a tenth.
+    """
+    normal = [peer for peer in peers if _get_strength(peer, median) < OUTLIER_LLR]
+    total = sum(n for _, n in normal)
+    if not total:
+        return median
+    rate = sum(events for events, _ in normal) / total
+    return rate + _get_error(rate, total)
+
+
+def _get_error(rate: float, n: int) -> float:
+    """Return the standard error of a rate."""
+    return math.sqrt(rate * (1.0 - rate) / n)
+
+
+def _get_strength(counts: tuple[int, int], reference: float) -> float:
+    """Return the generalized log-likelihood ratio of a raised rate."""
+    rate = counts[0] / counts[1]
+    return counts[1] * _diverge(rate, reference) if rate > reference else 0.0
+
+
 def _diverge(rate: float, reference: float) -> float:
     """Return the Kullback-Leibler divergence of two yes-or-no distributions."""
     divergence = rate * math.log(rate / reference) if rate > 0.0 else 0.0
