Close gaps that changed code passed the scenarios with

Cause: of 22 single changes to the code, 4 passed all scenarios: a clock that jumps back, a start after the deadline, dead entries kept in one workspace, and a request whose crashes another one explains. Change: scenarios for these four.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -18,7 +18,7 @@
 
   Scenario: A bystander is cleared by its completion
     Given crash reports of request "P" from servers "s1, s2"
-    And request "B" in flight in the same crashes
+    And request "B" in flight in the first 2 crashes
     Then request "P" is not quarantined after 0 seconds
     When request "B" completes elsewhere
     Then request "P" is quarantined after 0 and 599 seconds
@@ -26,9 +26,15 @@
 
   Scenario: Two requests that cannot be told apart are refused after a third crash
     Given crash reports of request "P" from servers "s1, s2, s3"
-    And request "B" in flight in the same crashes
+    And request "B" in flight in the first 3 crashes
     Then request "P" is quarantined after 0 and 599 seconds
 
+  Scenario: A request is not refused when another one explains all its crashes
+    Given crash reports of request "P" from servers "s1, s2, s3, s4"
+    And request "B" in flight in the first 3 crashes
+    Then request "P" is quarantined after 0 and 599 seconds
+    And request "B" is not quarantined after 0 seconds
+
   Scenario: A flood of crash reports does not grow the ledger without bound
     When a crash ledger of 100 reports gets 1000 reports
     Then the ledger remembers at most 100 reports
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -70,12 +70,18 @@
             )
             getattr(self, action)(number)
             if self.rng.random() < 0.05:
-                # The queue must not trust a reading that jumped back.
-                self.queue.take_back = self.queue.expire(self.now - 100.0)
-                self.note_refused(self.queue.take_back)
+                self.jump_back(number)
             self.note_refused(self.queue.expire(self.now))
         self.drain()
 
+    def jump_back(self, number):
+        """Read an older time, which must not revive a deadline."""
+        self.note_refused(self.queue.expire(self.now))
+        late = make_job(f"{number}-late", self.now - 0.001)
+        if isinstance(self.queue.offer(late, self.now - 100.0), Admitted):
+            self.faults.append(("admitted after its deadline", late))
+        self.note_refused(self.queue.expire(self.now - 100.0))
+
     def drain(self):
         for work in list(self.running):
             self.finish_work(work)
@@ -113,6 +119,13 @@
             return
         if taken.work.deadline <= self.now:
             self.faults.append(("taken after the deadline", taken))
+        if self.rng.random() < 0.05:
+            late_s = taken.work.deadline + 0.001
+            outcome = self.queue.start(taken.work, taken.servers[0], late_s)
+            if outcome is not StartOutcome.NOT_TAKEN:
+                self.faults.append(("started after the deadline", taken))
+            self.now = late_s
+            return
         instance = self.rng.choice(taken.servers)
         outcome = self.queue.start(taken.work, instance, self.now)
         if outcome is not StartOutcome.STARTED or self.ends[taken.work.request_id]:
@@ -433,20 +446,30 @@
             1e6,
             SHORT_S,
         )
-        context.queue.offer(job, 0.0)
+        now = float(number)
+        context.queue.offer(job, now)
         if number % 2:
-            context.queue.cancel(job.request_id, 0.0)
+            context.queue.cancel(job.request_id, now)
             continue
-        for work, _ in start_all(context.queue, 0.0):
-            context.queue.finish(work, 0.0)
+        for work, _ in start_all(context.queue, now):
+            context.queue.finish(work, now + SHORT_S)
 
 
 @then("the queue and its policy hold a bounded number of items")
 def step_bounded_memory(context):
     group = context.queue._lanes.customer
+    for number in range(5):
+        context.queue.offer(make_job(f"kept-{number}", 1e6), 0.0)
+    start_all(context.queue, 0.0)
+    for number in range(1000):
+        context.queue.offer(make_job(number, 1e6), 0.0)
+        context.queue.cancel(RequestId(f"job-{number}"), 0.0)
+    (waiting,) = group.short._workspaces.values()
+    assert len(waiting.heap) <= 40, len(waiting.heap)
+    context.queue.cancel(RequestId("job-kept-4"), 0.0)
     assert context.policy.routes == 100, context.policy.routes
     assert context.queue.waiting == 0
-    assert len(context.queue._entries) == 0
+    assert len(context.queue._entries) == 4
     assert len(group.short._ring) + len(group.short._workspaces) <= 32
     assert len(group.expiry._heap) <= 64, len(group.expiry._heap)
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -25,7 +25,8 @@
                 InstanceId(f"s{crash % 3}"),
                 CrashId(f"c{crash}"),
             ),
-            NAMES,
+            # Few requests in many crashes give sets that contain each other.
+            st.integers(0, 2),
             NAMES,
         ),
         st.builds(
@@ -34,7 +35,7 @@
             NAMES,
         ),
     ),
-    max_size=25,
+    max_size=40,
 )
 
 
@@ -114,9 +115,9 @@
         _deliver(context.ledger, report, 0.0)
 
 
-@given('request "{name}" in flight in the same crashes')
-def step_beside(context, name):
-    for report in context.reports:
+@given('request "{name}" in flight in the first {count:d} crashes')
+def step_beside(context, name, count):
+    for report in context.reports[:count]:
         _deliver(
             context.ledger,
             CrashReport(Fingerprint(name.encode()), report.instance, report.crash_id),
