--- a/src/flamingobank/admission/slots.py
+++ b/src/flamingobank/admission/slots.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import operator
 
 from flamingobank.admission.work import Lane, ServerChange
 from flamingobank.core import InstanceId, Invariant, check_invariant
@@ -10,6 +11,9 @@
 MAX_SLOTS = 1024
 
 
+_GET_IN_USE = operator.attrgetter("in_use")
+
+
 class SlotLimit(enum.Enum):
     """Say how far work may fill a server."""
 
@@ -100,9 +104,10 @@
         open_servers = [
             server
             for server in self._servers.values()
-            if self._is_open(server, lane, limit)
+            if server.in_use < server.usable and self._is_open(server, lane, limit)
         ]
-        open_servers.sort(key=lambda server: server.in_use)
+        if len(open_servers) > 1:
+            open_servers.sort(key=_GET_IN_USE)
         return tuple([server.instance for server in open_servers])
 
     def acquire(
