--- /dev/null
+++ b/src/flamingobank/cli/changes.py
@@ -0,0 +1,119 @@
+"""Make conditional changes that leave a history and an audit entry."""
+
+import enum
+from dataclasses import dataclass
+
+from flamingobank.cli.conflicts import describe_conflict, find_effect
+from flamingobank.cli.context import CommandContext, Session
+from flamingobank.cli.object_history import append_entry, make_entry, read_history
+from flamingobank.cli.records import (
+    AUDIT_KIND,
+    Change,
+    make_audit_spec,
+    make_write_id,
+    read_current,
+)
+from flamingobank.cli.store_access import AWAY_KINDS
+from flamingobank.store import StoreError, StoreErrorKind
+
+
+class Outcome(enum.Enum):
+    """Say what became of a change."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    NOT_MADE = "not made"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeResult:
+    """Say what became of a change and why; revision is that of a made change.
+
+    The revision is 0 for a deletion whose answer was lost.
+    """
+
+    outcome: Outcome
+    detail: str = ""
+    revision: int = 0
+
+
+class ChangeMaker:
+    """Make the changes of one command."""
+
+    def __init__(self, session: Session, context: CommandContext) -> None:
+        self._store = session.store
+        self._who = session.config.operator
+        self._context = context
+
+    def make(self, change: Change) -> ChangeResult:
+        """Write the audit and history entries, then the object itself.
+
+        The records come first, so that no change exists without them. A record
+        whose change was not made is told by its outcome or by the chain of
+        replaced write ids.
+        """
+        now = self._context.read_utc()
+        write_id = make_write_id(now, self._context.make_suffix())
+        audit = make_audit_spec(change, self._who, now)
+        recorded = self._store.put(AUDIT_KIND, write_id, audit, None, write_id)
+        if recorded.is_error():
+            return _report_unrecorded(recorded.error)
+        entry = make_entry(change, write_id, self._who, now)
+        appended = append_entry(self._store, change.kind, change.name, entry)
+        if appended.is_error():
+            result = _report_unrecorded(appended.error)
+        else:
+            result = self._write(change, write_id)
+        audit["outcome"] = result.outcome.value
+        audit["revision"] = result.revision
+        # A lost update leaves the outcome "started"; the history still tells it.
+        self._store.put(AUDIT_KIND, write_id, audit, recorded.ok.revision, write_id)
+        return result
+
+    def _write(self, change: Change, write_id: str) -> ChangeResult:
+        written = self._send(change, write_id)
+        if written.is_ok():
+            return ChangeResult(Outcome.DONE, revision=written.ok.revision or 0)
+        error = written.error
+        if error.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
+            detail = describe_conflict(self._store, change, error.current)
+            return ChangeResult(Outcome.CONFLICT, detail)
+        if error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
+            return self._resolve(change, write_id, error)
+        if error.kind in AWAY_KINDS:
+            return ChangeResult(Outcome.NOT_MADE, error.detail)
+        return ChangeResult(Outcome.REFUSED, f"{error.kind.value}, {error.detail}")
+
+    def _send(self, change: Change, write_id: str):
+        before = change.before
+        if change.spec is None:
+            return self._store.delete(
+                change.kind, change.name, before.revision, write_id
+            )
+        revision = None if before is None else before.revision
+        return self._store.put(
+            change.kind, change.name, change.spec, revision, write_id
+        )
+
+    def _resolve(
+        self, change: Change, write_id: str, error: StoreError
+    ) -> ChangeResult:
+        """Follow the history to see whether a lost write took effect."""
+        unknown = ChangeResult(
+            Outcome.UNKNOWN, f"write {write_id} was sent: {error.detail}"
+        )
+        current = read_current(self._store, change.kind, change.name)
+        if current.is_error():
+            return unknown
+        entries = read_history(self._store, change.kind, change.name)
+        effect = find_effect(change, write_id, current.ok, entries.default_value([]))
+        return unknown if effect is None else ChangeResult(Outcome.DONE, *effect)
+
+
+def _report_unrecorded(error: StoreError) -> ChangeResult:
+    detail = f"the change could not be recorded: {error}"
+    if error.kind in AWAY_KINDS or error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
+        return ChangeResult(Outcome.NOT_MADE, detail)
+    return ChangeResult(Outcome.REFUSED, detail)
--- /dev/null
+++ b/src/flamingobank/cli/records.py
@@ -0,0 +1,98 @@
+"""Describe a change and the audit object that goes with it."""
+
+import datetime
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from flamingobank.store import (
+    BlockingStore,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+
+AUDIT_KIND = "audit"
+STARTED = "started"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Describe one write to an object.
+
+    The object must have the revision of ``before``, or must not exist without it.
+    """
+
+    action: str
+    kind: str
+    name: str
+    # None deletes the object.
+    spec: Mapping[str, str] | None
+    before: StoredObject | None
+    reason: str = ""
+
+    @property
+    def title(self) -> str:
+        """Return the kind and name."""
+        return f"{self.kind} {self.name}"
+
+
+def make_write_id(now: datetime.datetime, suffix: str) -> str:
+    """Return an id that sorts by time, so that lists are in order of time."""
+    return f"{now:%Y%m%dT%H%M%S.%f}Z-{suffix}"
+
+
+def make_audit_spec(
+    change: Change, who: str, now: datetime.datetime
+) -> dict[str, object]:
+    """Return the audit object of a change that is about to be made."""
+    return {
+        "who": who,
+        "when": format_time(now),
+        "action": change.action,
+        "kind": change.kind,
+        "name": change.name,
+        "changes": describe_difference(get_spec(change.before), change.spec),
+        "reason": change.reason,
+        "outcome": STARTED,
+    }
+
+
+def format_time(now: datetime.datetime) -> str:
+    """Return the time as records show it."""
+    return now.isoformat(timespec="milliseconds")
+
+
+def get_spec(item: StoredObject | None) -> Mapping[str, object] | None:
+    """Return the spec of an object that may not exist."""
+    return None if item is None else item.spec
+
+
+def describe_difference(
+    before: Mapping[str, object] | None, after: Mapping[str, object] | None
+) -> list[str]:
+    """Return one line for each key that differs, -old then +new."""
+    before = before or {}
+    after = after or {}
+    lines = []
+    for key in sorted({*before, *after}):
+        if before.get(key) == after.get(key):
+            continue
+        if key in before:
+            lines.append(f"-{key} = {before[key]}")
+        if key in after:
+            lines.append(f"+{key} = {after[key]}")
+    return lines
+
+
+def read_current(
+    store: BlockingStore, kind: str, name: str
+) -> Result[StoredObject | None, StoreError]:
+    """Return the object, or None when it does not exist."""
+    found = store.get(kind, name)
+    if found.is_ok():
+        return Ok(found.ok)
+    if found.error.kind is StoreErrorKind.NOT_FOUND:
+        return Ok(None)
+    return Error(found.error)
--- /dev/null
+++ b/src/flamingobank/node/daemon.py
@@ -0,0 +1,374 @@
+"""Connect the parts of a node to one loop."""
+
+import os
+import random
+import signal
+import time
+from collections.abc import Iterable, Sequence
+
+import eliot
+from circuits import Component, handler
+
+from flamingobank.core import InvariantError, MonotonicClock, NodeId, Revision
+from flamingobank.directory import DirectoryTable
+from flamingobank.health import FloorMessage, Outcome
+from flamingobank.loop import Poller, Timers
+from flamingobank.membership import Member
+from flamingobank.node.announcements import Announcements
+from flamingobank.node.configuration_sync import ConfigurationSync
+from flamingobank.node.configuration_wire import unpack_peer_message
+from flamingobank.node.crashes import Crashes
+from flamingobank.node.directory_sync import DirectorySync
+from flamingobank.node.dispatcher import Dispatcher, DispatchObserver
+from flamingobank.node.edge import EdgeServer
+from flamingobank.node.ejections import Ejections
+from flamingobank.node.entry import Entry
+from flamingobank.node.floor_wire import pack_floor_message, unpack_floor_message
+from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
+from flamingobank.node.members import MemberObserver, Members
+from flamingobank.node.metrics import NodeMetrics
+from flamingobank.node.remote import ServedStream
+from flamingobank.node.requests import HomeRequest
+from flamingobank.node.servers import Server
+from flamingobank.node.status import StatusPages, describe_node
+from flamingobank.node.store_watch import StoreWatch
+from flamingobank.objects import AnyObject
+from flamingobank.settings import CallerLimits, NodeSettings
+from flamingobank.store import StoreClient
+from flamingobank.store.transport import LoopTransport
+from flamingobank.wire import (
+    CrashClearance,
+    CrashNotice,
+    DirectoryDigest,
+    DirectorySummary,
+    DirectoryUpdate,
+    FloorNotice,
+    Message,
+    OpenRequest,
+)
+
+SHUTDOWN_CHECK_S = 0.05
+# Peers need this long to hear that a node leaves before it stops listening.
+LEAVE_NOTICE_S = 0.3
+# Announcements of servers and calls of operators are small and few.
+INNER_LIMITS = CallerLimits(max_connections=4096, max_body_bytes=65_536)
+
+
+def make_boot_id() -> str:
+    """Return an id that sorts after those of earlier processes of this node."""
+    return f"{time.time_ns():016x}-{os.urandom(4).hex()}"
+
+
+class NodeLinkObserver(LinkObserver):
+    """Pass what happens on links to the parts of a node.
+
+    A circuits component cannot derive from an abstract base class itself, as the
+    two have different metaclasses.
+    """
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def on_control_message(self, link: Link, message: Message) -> None:
+        self._node.receive(link, message)
+
+    def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
+        # Messages of streams that have ended here are discarded.
+        if isinstance(message, OpenRequest):
+            ServedStream(self._node.dispatcher, link, stream, message)
+
+    def on_link_refused(self, peer: str, reason: str) -> None:
+        refused = self._node.refused_links
+        refused[reason] = refused.get(reason, 0) + 1
+        eliot.log_message(message_type="links:refused", peer=peer, why=reason)
+
+
+class NodeMemberObserver(MemberObserver):
+    """Pass changes in the fleet to the parts of a node."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def on_joined(self) -> None:
+        self._node.sync.compare_now()
+        self._node.sync.announce_change()
+
+    def on_member_joined(self, member: Member) -> None:
+        self._node.sync.restore(member.node_id)
+
+    def on_member_gone(self, member: Member) -> None:
+        self._node.directory.remove(member.node_id)
+
+    def on_revision_seen(self, node: NodeId, revision: Revision) -> None:
+        self._node.configuration.observe_revision(node, revision)
+
+    def on_paused(self, gap_s: float) -> None:
+        # Floor leases notice the pause themselves; the directory may be old.
+        self._node.sync.compare_now()
+        self._node.sync.announce_change()
+
+
+class NodeDispatchObserver(DispatchObserver):
+    """Pass what happens to work on servers to the judges of a node."""
+
+    def __init__(self, ejections: Ejections, crashes: Crashes) -> None:
+        self._ejections = ejections
+        self._crashes = crashes
+
+    def on_outcome(self, server: Server, outcome: Outcome) -> None:
+        self._ejections.on_outcome(server, outcome)
+
+    def on_broken(self, request: HomeRequest, server: Server, detail: str) -> None:
+        self._crashes.report(request, server, detail)
+
+    def on_completed(self, request: HomeRequest) -> None:
+        self._crashes.report_completion(request)
+
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        return self._crashes.is_quarantined(request)
+
+    def is_suspect(self, request: HomeRequest) -> bool:
+        return self._crashes.is_suspect(request)
+
+
+class Node(Component):
+    """Run one node of the fleet."""
+
+    channel = "node"
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        secrets: Sequence[bytes],
+        items: Iterable[AnyObject] = (),
+        store_token: str = "",
+        seed: int | None = None,
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.settings = settings
+        self.boot = make_boot_id()
+        self.clock = MonotonicClock()
+        self.refused_links: dict[str, int] = {}
+        self.stopping = False
+        self._stop_deadline = 0.0
+        self._secrets = secrets
+        rng = random.Random(seed)
+        self.poller = Poller().register(self)
+        self.timers = Timers(self.clock).register(self)
+        self.directory = DirectoryTable()
+        self.dispatcher = Dispatcher(self.poller, self.timers, self.clock, rng)
+        self.links = Links(
+            self.poller,
+            self.timers,
+            self.clock,
+            settings.node_id,
+            self.boot,
+            lambda: self._secrets,
+            NodeLinkObserver(self),
+        )
+        self.members = Members(
+            settings,
+            self.boot,
+            self.poller,
+            self.timers,
+            self.clock,
+            rng,
+            lambda: self._secrets,
+        )
+        self.configuration = ConfigurationSync(
+            settings.failure_domain,
+            self.clock,
+            self.timers,
+            rng,
+            self.members.pick_peers,
+            self._send_to_node,
+        )
+        self.dispatcher.list_services = self.configuration.list_services
+        self.configuration.on_services_changed = self.dispatcher.update_services
+        self.configuration.on_revision = self.members.set_revision
+        self.sync = DirectorySync(
+            settings,
+            self.boot,
+            self.clock,
+            self.timers,
+            self.directory,
+            self.dispatcher,
+            self.links,
+            self.members,
+        )
+        self.members.observer = NodeMemberObserver(self)
+        self.ejections = Ejections(
+            settings.node_id,
+            time.time_ns(),
+            self.clock,
+            self.timers,
+            self.dispatcher,
+            self._send_floor_message,
+            self.directory.list_instances,
+            self.sync.announce_change,
+        )
+        self.crashes = Crashes(self.clock, self.sync.broadcast)
+        self.dispatcher.observer = NodeDispatchObserver(self.ejections, self.crashes)
+        self.announcements = Announcements(
+            settings.node_id,
+            self.clock,
+            self.timers,
+            self.dispatcher,
+            self.ejections,
+            self.sync.list_domain_nodes,
+            self.sync.announce_change,
+        ).register(self)
+        self.entry = Entry(
+            settings.node_id,
+            settings.failure_domain,
+            self.clock,
+            self.timers,
+            self.configuration,
+            self.directory,
+            self.dispatcher,
+            self.links,
+            rng,
+        ).register(self)
+        self.metrics = NodeMetrics(settings.node_id)
+        StatusPages(self.read_status, self.metrics).register(self)
+        self.callers = self._serve(settings.callers, settings.limits, "callers")
+        self.servers = self._serve(settings.servers, INNER_LIMITS, "servers")
+        self.operators = self._serve(settings.operators, INNER_LIMITS, "operators")
+        self.links.listen(settings.peers)
+        self.store_watch = self._watch_store(store_token, rng)
+        items = list(items)
+        if items:
+            self.configuration.load_fixed(items)
+
+    def read_status(self) -> dict:
+        """Return what operators see of this node."""
+        self._update_metrics()
+        return describe_node(self)
+
+    def receive(self, link: Link, message: Message) -> None:
+        """React to a message of another node that belongs to no stream."""
+        if isinstance(message, DirectoryUpdate):
+            self.sync.receive(message)
+        elif isinstance(message, FloorNotice):
+            floor_message = unpack_floor_message(message)
+            if floor_message is not None:
+                self.ejections.receive(floor_message)
+        elif isinstance(message, DirectoryDigest):
+            self.sync.answer_digest(link, message)
+        elif isinstance(message, DirectorySummary):
+            self.sync.answer_summary(link, message)
+        elif isinstance(message, CrashNotice | CrashClearance):
+            if self._is_new_crash_message(message):
+                self.sync.broadcast(message)
+        else:
+            peer_message = unpack_peer_message(message)
+            if peer_message is not None:
+                self.configuration.receive(NodeId(link.peer), peer_message)
+
+    def begin_shutdown(self) -> None:
+        """Take no new work, and stop once everything in flight has ended."""
+        if self.stopping:
+            return
+        self.stopping = True
+        now = self.clock.now()
+        self._stop_deadline = now + self.settings.shutdown_deadline_ms / 1000
+        eliot.log_message(
+            message_type="node:leaving",
+            node=self.settings.node_id,
+            in_flight=len(self.entry.in_flight) + len(self.dispatcher.running),
+        )
+        self.announcements.leaving = True
+        self.members.drain()
+        self.sync.send_leaving()
+        self.timers.call_at(now + LEAVE_NOTICE_S, self._drain_callers)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo: int, stack) -> None:
+        event.stop()
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.begin_shutdown()
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, error, trace, handler=None, fevent=None) -> None:
+        eliot.log_message(
+            message_type="node:exception",
+            node=self.settings.node_id,
+            error=f"{kind.__name__}: {error}",
+            trace="".join(trace) if isinstance(trace, list) else str(trace),
+        )
+        if isinstance(error, InvariantError):
+            # A broken promise must not be served on; the instance is replaced.
+            os._exit(70)
+
+    def _is_new_crash_message(self, message: Message) -> bool:
+        if isinstance(message, CrashNotice):
+            return self.crashes.receive_report(message)
+        if isinstance(message, CrashClearance):
+            return self.crashes.receive_clearance(message)
+        return False
+
+    def _watch_store(self, token: str, rng: random.Random) -> StoreWatch | None:
+        settings = self.settings
+        if settings.store is None:
+            return None
+        transport = LoopTransport(
+            self.poller, self.timers, self.clock, settings.store, token
+        )
+        client = StoreClient(transport, self.timers, self.clock, rng, self.boot)
+        return StoreWatch(
+            settings.node_id,
+            self.boot,
+            settings.failure_domain,
+            f"{settings.peers[0]}:{settings.peers[1]}",
+            self.clock,
+            self.timers,
+            rng,
+            client,
+            self.configuration,
+            self.members.list_domain,
+        )
+
+    def _send_to_node(self, node: NodeId, message: Message) -> None:
+        address = self.members.find_address(node)
+        if address is not None:
+            self.links.get(address).send(CONTROL_STREAM, message)
+
+    def _send_floor_message(self, node: NodeId, message: FloorMessage) -> None:
+        self._send_to_node(node, pack_floor_message(message))
+
+    def _serve(
+        self, address: tuple[str, int], limits: CallerLimits, channel: str
+    ) -> EdgeServer:
+        return EdgeServer(
+            self.poller, self.timers, self.clock, address, limits, channel
+        ).register(self)
+
+    def _drain_callers(self) -> None:
+        self.callers.drain()
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        now = self.clock.now()
+        idle = (
+            not self.entry.in_flight
+            and not self.dispatcher.running
+            and not self.callers.connection_count
+        )
+        if idle or now >= self._stop_deadline:
+            eliot.log_message(
+                message_type="node:stopped",
+                node=self.settings.node_id,
+                cut=len(self.entry.in_flight) + len(self.dispatcher.running),
+            )
+            self.members.leave()
+            self.root.stop()
+            return
+        self.timers.call_at(now + SHUTDOWN_CHECK_S, self._check_drained)
+
+    def _update_metrics(self) -> None:
+        for name, count in self.entry.counters.items():
+            self.metrics.set_event_count(name, count)
+        self.metrics.set_value("caller_connections", self.callers.connection_count)
+        self.metrics.set_value("links", self.links.count)
+        self.metrics.set_value("servers", len(self.dispatcher.servers))
+        self.metrics.set_value("in_flight", len(self.entry.in_flight))
--- /dev/null
+++ b/src/flamingobank/node/dispatcher.py
@@ -0,0 +1,212 @@
+"""Own the servers of this node and the requests that run on them."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+from flamingobank.core import (
+    Clock,
+    Disposition,
+    InstanceId,
+    Reason,
+    Refusal,
+    ServiceName,
+)
+from flamingobank.health import SLOW_FACTOR, Outcome
+from flamingobank.loop import Poller, Timers
+from flamingobank.node.exchange import AnswerSink, Load, RunningRequest
+from flamingobank.node.pool import ServicePool
+from flamingobank.node.requests import HomeRequest
+from flamingobank.node.servers import Server
+from flamingobank.node.upstream import Attempt, AttemptResult
+from flamingobank.objects import Service
+from flamingobank.wire import OpenRequest
+
+FIRST_FAILURE_STATUS = 500
+REFRESH_S = 0.1
+
+
+class FinishedRequest(RunningRequest):
+    """Stand for a request that was refused at once."""
+
+    def cancel(self) -> None:
+        """Do nothing; there is nothing to give up."""
+
+    def acknowledge(self, consumed: int) -> None:
+        """Do nothing; there is no answer."""
+
+
+class DispatchObserver:
+    """Hear how work ends on servers; the default hears nothing."""
+
+    def on_outcome(self, server: Server, outcome: Outcome) -> None:
+        """React to the end of work."""
+
+    def on_broken(self, request: HomeRequest, server: Server, detail: str) -> None:
+        """React to a connection that broke while a request ran."""
+
+    def on_completed(self, request: HomeRequest) -> None:
+        """React to a complete answer."""
+
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        """Tell whether a request must not run."""
+        return False
+
+    def is_suspect(self, request: HomeRequest) -> bool:
+        """Tell whether a request was in flight in a crash."""
+        return False
+
+
+class Dispatcher:
+    """Give each request to the pool of its service."""
+
+    def __init__(
+        self, poller: Poller, timers: Timers, clock: Clock, rng: random.Random
+    ) -> None:
+        self.poller = poller
+        self.timers = timers
+        self.clock = clock
+        self.rng = rng
+        self.servers: dict[InstanceId, Server] = {}
+        self.pools: dict[ServiceName, ServicePool] = {}
+        self.running: set[HomeRequest] = set()
+        self.observer = DispatchObserver()
+        self.list_services: Callable[[], Iterable[Service]] = tuple
+        timers.call_every(REFRESH_S, self._refresh)
+
+    def update_services(self) -> None:
+        """Apply the services in force to the servers here."""
+        services = {service.name: service for service in self.list_services()}
+        for name in list(self.pools):
+            if name in services:
+                self.pools[name].service = services[name]
+                continue
+            pool = self.pools.pop(name)
+            pool.refuse_all(Reason.NO_ROUTE, f"service {name} was deleted")
+        for server in list(self.servers.values()):
+            self._place(server, services.values())
+
+    def place_server(self, server: Server) -> None:
+        """Put a server into the pool of its service only."""
+        self.servers[server.instance] = server
+        self._place(server, self.list_services())
+
+    def _place(self, server: Server, services: Iterable[Service]) -> None:
+        service = select_service(server.labels, services)
+        server.service = None if service is None else ServiceName(service.name)
+        for name, pool in self.pools.items():
+            if name != server.service:
+                pool.remove_server(server.instance)
+        if service is None:
+            return
+        # Only services with a server here have a pool, so that 2,900 services do
+        # not cost memory on every node.
+        if server.service not in self.pools:
+            self.pools[server.service] = ServicePool(self, service)
+        pool = self.pools[server.service]
+        pool.add_server(server)
+        pool.start_waiting()
+
+    def remove_server(self, instance: InstanceId) -> None:
+        """Forget a server; work that runs there goes on."""
+        server = self.servers.pop(instance, None)
+        if server is None:
+            return
+        server.close_connections()
+        for pool in self.pools.values():
+            pool.remove_server(instance)
+
+    def refresh_server(self, server: Server) -> None:
+        """Apply a change of a server and start what may start."""
+        for pool in self.pools.values():
+            if server.instance in pool.servers:
+                pool.refresh(server)
+                pool.start_waiting()
+
+    def dispatch(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Run a request on a server here, or refuse it."""
+        pool = self.pools.get(ServiceName(message.service))
+        if pool is not None:
+            return pool.offer(message, body, sink)
+        detail = f"no server of service {message.service!r} has its home here"
+        refusal = Refusal(Disposition.NOT_RUN, Reason.NO_CAPACITY, 1.0, detail)
+        sink.on_refused(refusal, Load(1e6, 0))
+        return FinishedRequest()
+
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        """Tell whether a request must not run."""
+        return self.observer.is_quarantined(request)
+
+    def is_suspect(self, request: HomeRequest) -> bool:
+        """Tell whether a request was in flight in a crash."""
+        return self.observer.is_suspect(request)
+
+    def on_attempt(
+        self, request: HomeRequest, server: Server, attempt: Attempt
+    ) -> None:
+        """Judge how an attempt ended."""
+        if attempt.result is AttemptResult.NOT_SENT:
+            server.connect_failures += 1
+        else:
+            server.connect_failures = 0
+        outcome = classify_attempt(attempt)
+        if outcome is Outcome.SUCCEEDED:
+            server.slots.succeed()
+            self.observer.on_completed(request)
+        if attempt.result in (
+            AttemptResult.BROKEN_BEFORE_HEAD,
+            AttemptResult.BROKEN_AFTER_HEAD,
+        ):
+            self.observer.on_broken(request, server, attempt.detail)
+        end = attempt.head_at if attempt.was_paused else attempt.ended_at
+        self._record(request, server, outcome, end - attempt.started_at)
+
+    def on_timeout(self, request: HomeRequest, server: Server) -> None:
+        """Judge a request whose deadline passed while it ran."""
+        elapsed = self.clock.now() - request.exchange.started_at
+        self._record(request, server, Outcome.TIMED_OUT, elapsed)
+
+    def on_cancelled(self, request: HomeRequest, server: Server) -> None:
+        """Judge a request that its caller gave up."""
+        elapsed = self.clock.now() - request.exchange.started_at
+        self._record(request, server, Outcome.CANCELLED, elapsed)
+
+    def _record(
+        self, request: HomeRequest, server: Server, outcome: Outcome, latency_s: float
+    ) -> None:
+        now = self.clock.now()
+        server.health.record(outcome, latency_s, now, request.work.request_id)
+        slow = latency_s > SLOW_FACTOR * request.work.expected_s
+        server.readmission.record(outcome, now, slow)
+        self.observer.on_outcome(server, outcome)
+
+    def _refresh(self) -> None:
+        for pool in self.pools.values():
+            pool.refresh_all()
+
+
+def select_service(
+    labels: Mapping[str, str], services: Iterable[Service]
+) -> Service | None:
+    """Return the first service by name that selects a server."""
+    chosen = None
+    for service in services:
+        if not service.selector.matches(labels):
+            continue
+        if chosen is None or service.name < chosen.name:
+            chosen = service
+    return chosen
+
+
+def classify_attempt(attempt: Attempt) -> Outcome:
+    """Return what an attempt says about its server."""
+    if attempt.result is AttemptResult.NOT_SENT:
+        return Outcome.UNREACHABLE
+    if attempt.result is AttemptResult.SHED:
+        return Outcome.SHED
+    if attempt.result is not AttemptResult.COMPLETE:
+        return Outcome.FAILED
+    if attempt.status >= FIRST_FAILURE_STATUS:
+        return Outcome.FAILED
+    return Outcome.SUCCEEDED
