--- a/src/flamingobank/configuration/listing.py
+++ b/src/flamingobank/configuration/listing.py
@@ -53,5 +53,6 @@
         for held in gone:
             deletion = Change(held.kind, held.name, self._revision, None)
             self._log.apply_change(deletion, now)
+        self._log.tables.trim(START, MAX_KEY)
         self._log.finish_loading(self._revision)
         return SnapshotLoaded(self._revision, len(listed))
--- a/src/flamingobank/configuration/log.py
+++ b/src/flamingobank/configuration/log.py
@@ -107,6 +107,11 @@
         tombstone = self._tombstones.get((kind, name))
         return tombstone[0] if tombstone else None
 
+    @property
+    def has_tombstones(self) -> bool:
+        """Tell whether any deletion is remembered."""
+        return bool(self._tombstones)
+
     def advance(self, revision: Revision) -> None:
         """Raise the revision in force."""
         check_invariant(
--- a/src/flamingobank/configuration/packing.py
+++ b/src/flamingobank/configuration/packing.py
@@ -37,7 +37,12 @@
 
 def hash_key(kind: Kind, name: str) -> int:
     """Return the 64-bit hash by which records are ordered on all nodes."""
-    return hash_bytes(f"{KIND_CODES[kind]}\x00{name}".encode())
+    return hash_coded(KIND_CODES[kind], name)
+
+
+def hash_coded(code: int, name: str) -> int:
+    """Return the key hash of a kind given by its code."""
+    return hash_bytes(f"{code}\x00{name}".encode())
 
 
 def hash_bytes(data: bytes) -> int:
@@ -53,19 +58,36 @@
 
 def unpack_record(record: bytes) -> Change:
     """Return the object of a record; ValueError when it is malformed."""
+    code, name, revision, short = unpack_head(record)
+    spec = {
+        _expand_key(key): value if type(value) is str else _TEXTS[value]
+        for key, value in short.items()
+    }
+    return Change(_KINDS[code], name, revision, spec)
+
+
+def unpack_head(record: bytes) -> tuple[int, str, Revision, dict]:
+    """Return kind code, name, revision and packed spec; ValueError if malformed."""
     try:
         code, name, revision, short = msgpack.unpackb(record, strict_map_key=False)
-        spec = {
-            _expand_key(key): _TEXTS[value] if type(value) is int else value
-            for key, value in short.items()
-        }
-        kind = _KINDS[code]
-    except (TypeError, KeyError, IndexError, AttributeError) as error:
+        is_known = code in _KINDS
+    except (TypeError, ValueError) as error:
         raise ValueError(f"malformed record: {error!r}") from error
-    texts = [name, *spec, *spec.values()]
-    if type(revision) is not int or not all(isinstance(item, str) for item in texts):
+    if not is_known or type(revision) is not int:
         raise ValueError(f"malformed record of {name!r:.60}")
-    return Change(kind, name, Revision(revision), spec)
+    if type(name) is not str or type(short) is not dict or not _is_spec(short):
+        raise ValueError(f"malformed record of {name!r:.60}")
+    return code, name, revision, short
+
+
+def _is_spec(short: dict) -> bool:
+    for pair in short.items():
+        for text in pair:
+            if type(text) is str:
+                continue
+            if type(text) is not int or not 0 <= text < len(_TEXTS):
+                return False
+    return True
 
 
 def _shorten_key(key: str) -> str | int:
--- a/src/flamingobank/configuration/shards.py
+++ b/src/flamingobank/configuration/shards.py
@@ -57,6 +57,11 @@
         """Add a record, in place of another one if given."""
         offset = len(self._data)
         self._append(record)
+        if replaced is None and (not self._keys or key >= self._keys[-1]):
+            # Snapshots arrive in key order.
+            self._keys.append(key)
+            self._offsets.append(offset)
+            return
         if replaced is None:
             position = bisect_right(self._keys, key)
             self._keys.insert(position, key)
@@ -72,6 +77,12 @@
         del self._offsets[position]
         self._discard(record)
 
+    def trim(self) -> None:
+        """Give back the memory that was reserved for growth."""
+        self._keys = array("Q", self._keys)
+        self._offsets = array("I", self._offsets)
+        self._data = bytearray(bytes(self._data))
+
     def _find(self, key: int, record: bytes) -> int:
         position = bisect_left(self._keys, key)
         while self._read_at(self._offsets[position]) != record:
@@ -123,6 +134,13 @@
         """Return the bytes of all indexes and records."""
         return sum(shard.bytes_used for shard in self._shards)
 
+    def trim(self, after: int, until: int) -> None:
+        """Give back reserved memory of the shards that end in a range of keys."""
+        first = max(0, after) >> (64 - SHARD_BITS)
+        last = (until + 1) >> (64 - SHARD_BITS)
+        for shard in self._shards[first:last]:
+            shard.trim()
+
     def find(self, key: int) -> Shard:
         """Return the shard that holds a key."""
         return self._shards[key >> (64 - SHARD_BITS)]
--- a/src/flamingobank/configuration/snapshots.py
+++ b/src/flamingobank/configuration/snapshots.py
@@ -1,18 +1,27 @@
 """Copy the tables of a peer by ranges of key hashes."""
 
+from typing import NamedTuple
+
 from flamingobank.configuration.log import ConfigurationLog
 from flamingobank.configuration.messages import Change, SnapshotChunk
 from flamingobank.configuration.outcomes import Malformed, SnapshotLoaded
-from flamingobank.configuration.packing import hash_key, unpack_record
+from flamingobank.configuration.packing import (
+    KIND_CODES,
+    hash_coded,
+    unpack_head,
+    unpack_record,
+)
 from flamingobank.configuration.shards import MAX_KEY
 from flamingobank.core import Revision
+from flamingobank.objects import Kind
 
-# Building and loading a chunk blocks the loop; 200 KiB would take about 15 ms, three
-# times the latency that a request may gain.
+# Building and loading a chunk blocks the loop; 200 KiB would take about 8 ms, more
+# than the latency that a request may gain.
 CHUNK_BYTES = 24 * 1024
 MAX_CHUNK_BYTES = 200 * 1024
 RECORD_HEAD_BYTES = 5
 START = -1
+WORKSPACE_CODE = KIND_CODES[Kind.WORKSPACE]
 
 
 def build_chunk(log: ConfigurationLog, after: int) -> SnapshotChunk:
@@ -32,6 +41,19 @@
     return SnapshotChunk(log.revision, after, until, tuple(records))
 
 
+class _Item(NamedTuple):
+    key: int
+    record: bytes
+    # None for a workspace whose spec needs no index and is not read yet.
+    change: Change | None
+
+
+def _read_item(record: bytes) -> _Item:
+    code, name, _, _ = unpack_head(record)
+    change = None if code == WORKSPACE_CODE else unpack_record(record)
+    return _Item(hash_coded(code, name), record, change)
+
+
 class SnapshotLoader:
     """Make the own tables equal to a peer's, range by range, while in use.
 
@@ -66,37 +88,48 @@
                 f"expected at least {self._log.revision}"
             )
         try:
-            changes = [unpack_record(record) for record in chunk.records]
+            items = [_read_item(record) for record in chunk.records]
         except ValueError as error:
             return Malformed(str(error))
-        keys = [hash_key(change.kind, change.name) for change in changes]
-        if any(not chunk.after < key <= chunk.until for key in keys):
+        if any(not chunk.after < item.key <= chunk.until for item in items):
             return Malformed("a record lies outside the range of its chunk")
-        self._replace_range(chunk, changes, now)
+        self._replace_range(chunk, items, now)
         return self._finish(chunk)
 
     def _replace_range(
-        self, chunk: SnapshotChunk, changes: list[Change], now: float
+        self, chunk: SnapshotChunk, items: list[_Item], now: float
+    ) -> None:
+        local = [
+            unpack_record(record)
+            for _, record in self._log.tables.read_range(chunk.after, chunk.until)
+        ]
+        if local or self._log.has_tombstones:
+            self._merge_range(chunk, local, items, now)
+        else:
+            # Nothing to compare with: the packed form is taken as it is.
+            for item in items:
+                self._log.tables.load(item.key, item.record, item.change)
+        self._records += len(items)
+
+    def _merge_range(
+        self, chunk: SnapshotChunk, local: list[Change], items: list[_Item], now: float
     ) -> None:
+        changes = [item.change or unpack_record(item.record) for item in items]
         present = {(change.kind, change.name) for change in changes}
-        gone: list[Change] = []
-        for _, record in self._log.tables.read_range(chunk.after, chunk.until):
-            held = unpack_record(record)
-            if (held.kind, held.name) not in present:
-                gone.append(held)
-        for held in gone:
+        for held in local:
             # Newer than the snapshot: a delta or an earlier pull brought it.
-            if held.revision < chunk.revision:
-                deletion = Change(held.kind, held.name, chunk.revision, None)
-                self._log.apply_change(deletion, now)
+            if (held.kind, held.name) in present or held.revision >= chunk.revision:
+                continue
+            deletion = Change(held.kind, held.name, chunk.revision, None)
+            self._log.apply_change(deletion, now)
         for change in changes:
             self._log.apply_change(change, now)
-        self._records += len(changes)
 
     def _finish(self, chunk: SnapshotChunk) -> SnapshotLoaded | None:
         lowest = self._lowest
         self._lowest = chunk.revision if lowest is None else min(lowest, chunk.revision)
         self._after = chunk.until
+        self._log.tables.trim(chunk.after, chunk.until)
         if chunk.until < MAX_KEY:
             return None
         self._log.finish_loading(self._lowest)
--- a/src/flamingobank/configuration/tables.py
+++ b/src/flamingobank/configuration/tables.py
@@ -32,6 +32,7 @@
         self._routes = RouteIndex()
         self._services = ServiceNames()
         self._parsed: OrderedDict[tuple[Kind, str], AnyObject | None] = OrderedDict()
+        self._parsed_routes: OrderedDict[int, list] = OrderedDict()
         self.counts: dict[Kind, int] = dict.fromkeys(Kind, 0)
 
     def __len__(self) -> int:
@@ -67,6 +68,18 @@
         self._records.find(key).write(key, record, replaced)
         self._index(change, key)
 
+    def load(self, key: int, record: bytes, change: Change | None) -> None:
+        """Store a packed object that is not held; a workspace needs no change."""
+        if change is not None:
+            self._index(change, key)
+        else:
+            self.counts[Kind.WORKSPACE] += 1
+        self._records.find(key).write(key, record, None)
+
+    def trim(self, after: int, until: int) -> None:
+        """Give back memory that was reserved while a range of keys was loaded."""
+        self._records.trim(after, until)
+
     def delete(self, kind: Kind, name: str, revision: Revision) -> bool:
         """Drop an object as of a revision; tell whether it was held."""
         found = self._find(kind, name)
@@ -126,16 +139,30 @@
 
     def _read_routes(self, group: list[tuple[str, str, int]]) -> Iterator[Route]:
         for pattern, prefix, key in group:
-            for record in self._records.find(key).read(key):
-                change = unpack_record(record)
-                if change.kind is not Kind.ROUTE:
-                    continue
-                if read_place(change.spec) != (pattern, prefix):
-                    continue
-                route = self._parse(Kind.ROUTE, change.name)
-                if route is not None:
+            for place, route in self._parse_routes(key):
+                # Another place may have the same hash.
+                if place == (pattern, prefix):
                     yield route
 
+    def _parse_routes(self, key: int) -> list[tuple[tuple[str, str], Route]]:
+        """Return place and route of the usable routes with a key."""
+        known = self._parsed_routes.get(key)
+        if known is not None:
+            self._parsed_routes.move_to_end(key)
+            return known
+        routes = []
+        for record in self._records.find(key).read(key):
+            change = unpack_record(record)
+            if change.kind is not Kind.ROUTE:
+                continue
+            parsed = self._parse_spec(change.kind, change.name, change.spec)
+            if parsed.is_ok():
+                routes.append((read_place(change.spec), parsed.ok))
+        self._parsed_routes[key] = routes
+        if len(self._parsed_routes) > PARSED_OBJECTS:
+            self._parsed_routes.popitem(last=False)
+        return routes
+
     def _find(self, kind: Kind, name: str) -> tuple[bytes, Change] | None:
         key = hash_key(kind, name)
         for record in self._records.find(key).read(key):
@@ -163,6 +190,7 @@
     def _index(self, change: Change, key: int) -> None:
         self.counts[change.kind] += 1
         self._parsed.pop((change.kind, change.name), None)
+        self._parsed_routes.pop(key, None)
         if change.kind is Kind.ROUTE:
             self._routes.add(*read_place(change.spec), key)
         elif change.kind is Kind.SERVICE:
@@ -171,6 +199,7 @@
     def _unindex(self, change: Change, key: int) -> None:
         self.counts[change.kind] -= 1
         self._parsed.pop((change.kind, change.name), None)
+        self._parsed_routes.pop(key, None)
         if change.kind is Kind.ROUTE:
             self._routes.remove(*read_place(change.spec), key)
         elif change.kind is Kind.SERVICE:
