--- a/src/flamingobank/configuration/snapshots.py
+++ b/src/flamingobank/configuration/snapshots.py
@@ -107,8 +107,7 @@
             self._merge_range(chunk, local, items, now)
         else:
             # Nothing to compare with: the packed form is taken as it is.
-            for item in items:
-                self._log.tables.load(item.key, item.record, item.change)
+            self._log.tables.load(items)
         self._records += len(items)
 
     def _merge_range(
--- a/src/flamingobank/configuration/tables.py
+++ b/src/flamingobank/configuration/tables.py
@@ -1,7 +1,7 @@
 """Answer requests from packed objects."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from expression import Result
 
@@ -68,13 +68,19 @@
         self._records.find(key).write(key, record, replaced)
         self._index(change, key)
 
-    def load(self, key: int, record: bytes, change: Change | None) -> None:
-        """Store a packed object that is not held; a workspace needs no change."""
-        if change is not None:
-            self._index(change, key)
-        else:
-            self.counts[Kind.WORKSPACE] += 1
-        self._records.find(key).write(key, record, None)
+    def load(self, items: Iterable[tuple[int, bytes, Change | None]]) -> None:
+        """Store packed objects that are not held, as (key, record, change).
+
+        A workspace needs no change, because nothing indexes its spec.
+        """
+        workspaces = 0
+        for key, record, change in items:
+            if change is not None:
+                self._index(change, key)
+            else:
+                workspaces += 1
+            self._records.find(key).write(key, record, None)
+        self.counts[Kind.WORKSPACE] += workspaces
 
     def trim(self, after: int, until: int) -> None:
         """Give back memory that was reserved while a range of keys was loaded."""
--- a/src/flamingobank/membership/exchange.py
+++ b/src/flamingobank/membership/exchange.py
@@ -39,7 +39,8 @@
     ) -> None:
         self._records = records
         self._composer = composer
-        self._seeds = tuple(seeds)
+        self._seeds: tuple[Address, ...] = ()
+        self.add_seeds(seeds)
         self._rng = rng
         self.is_joined = not self._seeds
         self._peer: Address | None = None
@@ -66,7 +67,9 @@
 
     def add_seeds(self, seeds: Sequence[Address]) -> None:
         """Use more addresses where members may be found."""
-        self._seeds = tuple(dict.fromkeys((*self._seeds, *seeds)))
+        own = self._records.own.udp
+        known = dict.fromkeys((*self._seeds, *seeds))
+        self._seeds = tuple(seed for seed in known if seed != own)
 
     def hurry(self, now: float) -> None:
         """Ask again soon, because the own table may be out of date."""
--- a/src/flamingobank/membership/machine.py
+++ b/src/flamingobank/membership/machine.py
@@ -59,7 +59,6 @@
     ) -> None:
         self._records = Records(own)
         self._composer = Composer(self._records)
-        seeds = [seed for seed in seeds if seed != own.udp]
         self._exchange = StateExchange(self._records, self._composer, seeds, rng, now)
         self._prober = Prober(self._records, self._composer, rng, now)
         self._pusher = NewsPusher(self._records, self._composer, rng, now)
@@ -105,7 +104,7 @@
 
     def add_seeds(self, seeds: Sequence[Address]) -> None:
         """Use more addresses where members may be found, as of watch leases."""
-        self._exchange.add_seeds([seed for seed in seeds if seed != self.own.udp])
+        self._exchange.add_seeds(seeds)
 
     def set_revision(self, revision: Revision) -> None:
         """Report the configuration revision that this node has applied."""
@@ -268,13 +267,11 @@
     def _answer_ping(self, ping: Ping, told: Member | None) -> list[Send]:
         if ping.target != self.own.node_id:
             return self._reject_as(RejectReason.MISDIRECTED, ping)
-        address = ping.sender.udp
-        subject = self.own.node_id
-        return [
-            self._composer.compose(
-                Ack, address, first=told, probe=ping.probe, subject=subject
-            )
-        ]
+        probe, subject = ping.probe, self.own.node_id
+        ack = self._composer.compose(
+            Ack, ping.sender.udp, first=told, probe=probe, subject=subject
+        )
+        return [ack]
 
     def _take_part(
         self, part: StatePart, stale: list[Member], is_news: bool, now: float
@@ -286,13 +283,13 @@
             self._records.outcomes.append(joined)
             self._exchange.hurry(now)
         if stale:
-            address = part.sender.udp
-            sends.append(self._composer.compose_bounded(Gossip, address, stale))
+            peer = part.sender.udp
+            sends.append(self._composer.compose_bounded(Gossip, peer, stale))
         return sends
 
     def _reject_as(self, reason: RejectReason, message: Message) -> list[Send]:
-        detail = f"{type(message).__name__} of {message.sender.node_id}"
-        return self._reject(Rejected(reason, detail))
+        kind = type(message).__name__
+        return self._reject(Rejected(reason, f"{kind} of {message.sender.node_id}"))
 
     def _reject(self, rejected: Rejected) -> list[Send]:
         self.counts[rejected.reason.value] += 1
