Run keyed requests at most once through their keepers

Change: POST /.flamingobank/keys issues keys; any node brings a keyed request to its keeper, which records it on a replica in another failure domain before the one run; replicas answer for a lost keeper; a node that leaves hands its keys on. A route that is not idempotent and has no key is sent once. Caller-chosen keys are refused as not run until the store part is connected.

--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Iterable, Sequence
+from functools import partial
 
 import eliot
 from circuits import Component, handler
@@ -23,7 +24,11 @@
 from flamingobank.node.edge import EdgeServer
 from flamingobank.node.ejections import Ejections
 from flamingobank.node.entry import Entry
+from flamingobank.node.exchange import AnswerSink, RunningRequest
 from flamingobank.node.floor_wire import pack_floor_message, unpack_floor_message
+from flamingobank.node.key_wire import unpack_key_message
+from flamingobank.node.keyed_entry import KeyedCallerExchange
+from flamingobank.node.keyed_requests import KeyedRequests
 from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
 from flamingobank.node.members import MemberObserver, Members
 from flamingobank.node.metrics import NodeMetrics
@@ -43,6 +48,8 @@
     DirectorySummary,
     DirectoryUpdate,
     FloorNotice,
+    KeyedMode,
+    KeyNotice,
     Message,
     OpenRequest,
 )
@@ -75,7 +82,7 @@
     def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
         # Messages of streams that have ended here are discarded.
         if isinstance(message, OpenRequest):
-            ServedStream(self._node.dispatcher, link, stream, message)
+            ServedStream(self._node.serve, link, stream, message)
 
     def on_link_refused(self, peer: str, reason: str) -> None:
         refused = self._node.refused_links
@@ -98,6 +105,7 @@
 
     def on_member_gone(self, member: Member) -> None:
         self._node.directory.remove(member.node_id)
+        self._node.keyed.on_member_gone(member)
 
     def on_revision_seen(self, node: NodeId, revision: Revision) -> None:
         self._node.configuration.observe_revision(node, revision)
@@ -229,6 +237,22 @@
             self.links,
             rng,
         ).register(self)
+        self.keyed = KeyedRequests(
+            settings.node_id,
+            self.boot,
+            settings.failure_domain,
+            self.clock,
+            self.timers,
+            secrets,
+            self.members,
+            self._send_to_node,
+            self.sync.broadcast,
+        )
+        self.keyed.choose_home = self.entry.choose_home
+        self.keyed.send = self.entry.send
+        self.entry.keyed = self.keyed
+        self.entry.make_keyed_exchange = partial(KeyedCallerExchange, keyed=self.keyed)
+        self.entry.find_address = self.members.find_address
         self.metrics = NodeMetrics(settings.node_id)
         StatusPages(self.read_status, self.metrics).register(self)
         self.callers = self._serve(settings.callers, settings.limits, "callers")
@@ -261,11 +285,25 @@
         elif isinstance(message, CrashNotice | CrashClearance):
             if self._is_new_crash_message(message):
                 self.sync.broadcast(message)
+        elif isinstance(message, KeyNotice):
+            key_message = unpack_key_message(message)
+            if key_message is not None:
+                self.keyed.receive(NodeId(link.peer), key_message)
         else:
             peer_message = unpack_peer_message(message)
             if peer_message is not None:
                 self.configuration.receive(NodeId(link.peer), peer_message)
 
+    def serve(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Run a request that another node sent, in the role that it asks for."""
+        if message.keyed == KeyedMode.KEEPER:
+            return self.keyed.serve(message, body, sink)
+        if message.keyed == KeyedMode.REPLICA:
+            return self.keyed.replay(message, body, sink)
+        return self.dispatcher.dispatch(message, body, sink)
+
     def begin_shutdown(self) -> None:
         """Take no new work, and stop once everything in flight has ended."""
         if self.stopping:
@@ -350,6 +388,7 @@
 
     def _drain_callers(self) -> None:
         self.callers.drain()
+        self.keyed.seal()
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -357,6 +396,7 @@
         idle = (
             not self.entry.in_flight
             and not self.dispatcher.running
+            and self.keyed.is_idle
             and not self.callers.connection_count
         )
         if idle or now >= self._stop_deadline:
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -1,9 +1,11 @@
 """Route callers' requests to home nodes and pass the answers back."""
 
+import json
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+from urllib.parse import parse_qsl
 
 from circuits import BaseComponent, handler
 
@@ -28,7 +30,8 @@
     check_invariant,
 )
 from flamingobank.directory import DirectoryTable, HomeEntry
-from flamingobank.loop import TimerHandle, Timers
+from flamingobank.idempotency import is_issued
+from flamingobank.loop import Address, TimerHandle, Timers
 from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.edge import (
     ConnectionWatcher,
@@ -55,11 +58,15 @@
 )
 from flamingobank.wire import AnswerState, OpenRequest
 
+if TYPE_CHECKING:
+    from flamingobank.node.keyed_requests import KeyedRequests
+
 # Time beyond the deadline in which the home's own refusal may still arrive.
 DEADLINE_GRACE_S = 0.1
 WORKSPACE_HEADER = b"flamingobank-workspace"
 DEADLINE_HEADER = b"flamingobank-deadline-ms"
 KEY_HEADER = b"idempotency-key"
+KEYS_PATH = "/.flamingobank/keys"
 REASON_PHRASES = {200: b"OK", 206: b"Partial Content", 404: b"Not Found"}
 NO_BODY_STATUSES = (204, 304)
 # Headers that the fleet sets itself on the way to a server.
@@ -204,6 +211,10 @@
         self._known = merge_dispositions(self._known, refusal.disposition)
         merged = replace(refusal, disposition=self._known)
         decision = RetryDecision.NO_BUDGET
+        if not self.message.idempotent:
+            # Without a key, work that must not repeat is sent once.
+            self._refuse(merged)
+            return
         if refusal.reason is not Reason.QUARANTINED:
             decision = self.entry.decide_retry(self, self._known)
         if decision is not RetryDecision.RETRY:
@@ -355,10 +366,13 @@
         self._failure_domain = failure_domain
         self._directory = directory
         self._dispatcher = dispatcher
-        self._links = links
         self._rng = rng
         self._request_prefix = f"{node_id}-{rng.getrandbits(32):08x}"
         self._request_count = 0
+        self.links = links
+        self.keyed: KeyedRequests | None = None
+        self.make_keyed_exchange: Callable[..., CallerExchange] | None = None
+        self.find_address: Callable[[NodeId], Address | None] = lambda node: None
         self._budget = RetryBudget()
 
     @handler("request")
@@ -366,6 +380,9 @@
         """Start the request, or answer that nothing matches it."""
         # The exchange writes the answer; no success event is needed.
         event.success = False
+        if request.path == KEYS_PATH:
+            self._issue_keys(request)
+            return True
         route, workspace = self._find_route(request)
         self._request_count += 1
         request_id = f"{self._request_prefix}-{self._request_count:x}"
@@ -373,8 +390,7 @@
         if service is None:
             detail = "no route matches" if route is None else "no service is selected"
             refusal = Refusal(Disposition.NOT_RUN, Reason.NO_ROUTE, detail=detail)
-            request.sock.write(render_refusal(refusal, request_id))
-            request.sock.finish_answer(keep=True)
+            self._answer_refusal(request, refusal, request_id)
             return True
         remaining_ms = read_deadline(request, route.deadline_ms)
         message = OpenRequest(
@@ -392,19 +408,63 @@
             route.expected_ms,
             route.idempotent,
         )
-        exchange = CallerExchange(
+        exchange = self._make_exchange(request, message)
+        if isinstance(exchange, Refusal):
+            self._answer_refusal(request, exchange, request_id)
+            return True
+        self.in_flight.add(exchange)
+        self.count("requests")
+        self._budget.earn(self.clock.now())
+        exchange.start()
+        return True
+
+    def _make_exchange(
+        self, request: EdgeRequest, message: OpenRequest
+    ) -> CallerExchange | Refusal:
+        deadline = self.clock.now() + message.remaining_ms / 1000
+        arguments = (
             self,
             request.sock,
             message,
             request.content,
-            self.clock.now() + remaining_ms / 1000,
+            deadline,
             request.protocol == (1, 0),
         )
-        self.in_flight.add(exchange)
-        self.count("requests")
-        self._budget.earn(self.clock.now())
-        exchange.start()
-        return True
+        key = request.get_header(KEY_HEADER).decode("latin-1")
+        if message.idempotent or not key:
+            return CallerExchange(*arguments)
+        if not is_issued(key):
+            detail = f"take a key from POST {KEYS_PATH}; got {key[:80]!r}"
+            return Refusal(Disposition.NOT_RUN, Reason.KEY_INVALID, 1.0, detail)
+        parsed = self.keyed.parse(key)
+        if parsed.is_error():
+            detail = str(parsed.error)
+            return Refusal(Disposition.NOT_RUN, Reason.KEY_INVALID, 1.0, detail)
+        message.key = key
+        return self.make_keyed_exchange(*arguments, issued=parsed.ok)
+
+    def _issue_keys(self, request: EdgeRequest) -> None:
+        count = dict(parse_qsl(request.qs)).get("count", "1")
+        wanted = int(count) if count.isdecimal() and len(count) < 5 else 0
+        issued = self.keyed.issue_keys(wanted)
+        if request.method != "POST" or issued.is_error():
+            detail = "expected POST with count from 1 to 1000"
+            default = Refusal(Disposition.NOT_RUN, Reason.BAD_REQUEST, 1.0, detail)
+            refusal = issued.error if issued.is_error() and wanted else default
+            self._answer_refusal(request, refusal, self._request_prefix)
+            return
+        body = json.dumps({"keys": issued.ok}).encode()
+        request.sock.write(
+            b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+            b"content-length: %d\r\n\r\n%s" % (len(body), body)
+        )
+        request.sock.finish_answer(keep=True)
+
+    def _answer_refusal(
+        self, request: EdgeRequest, refusal: Refusal, request_id: str
+    ) -> None:
+        request.sock.write(render_refusal(refusal, request_id))
+        request.sock.finish_answer(keep=True)
 
     def choose_home(self, service: str, tried: set[NodeId]) -> HomeEntry | None:
         """Return a home that was not tried yet, or one that was."""
@@ -431,7 +491,7 @@
         """Run a request at a home node, which may be this one."""
         if home.node == self._node_id:
             return self._dispatcher.dispatch(message, body, sink)
-        return RemoteRequest(self._links.get(home.address), message, body, sink)
+        return RemoteRequest(self.links.get(home.address), message, body, sink)
 
     def decide_retry(
         self, exchange: CallerExchange, known: Disposition
--- /dev/null
+++ b/src/flamingobank/node/keeper_requests.py
@@ -0,0 +1,191 @@
+"""Run a keyed request at its keeper and record how it ended."""
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgpack
+
+from flamingobank.core import Disposition, NodeId, Reason, Refusal
+from flamingobank.idempotency import Run
+from flamingobank.loop import TimerHandle
+from flamingobank.node.exchange import AnswerSink, AnswerStart, Load, RunningRequest
+from flamingobank.wire import AnswerState, KeyedMode, OpenRequest
+
+if TYPE_CHECKING:
+    from flamingobank.node.keyed_requests import KeyedRequests
+
+MAX_ATTEMPTS = 3
+RECORDED_BYTES = 16_384
+# Time beyond the deadline in which the home's own refusal may still arrive.
+DEADLINE_GRACE_S = 0.1
+NO_LOAD = Load(0.0, 0)
+
+
+class KeeperRequest(AnswerSink, RunningRequest):
+    """Stand between whoever sent a keyed request and the home that runs it."""
+
+    def __init__(
+        self,
+        service: "KeyedRequests",
+        message: OpenRequest,
+        body: bytes,
+        sink: AnswerSink,
+    ) -> None:
+        self.message = message
+        self.body = body
+        self.deadline = service.clock.now() + message.remaining_ms / 1000
+        self._service = service
+        self._sink: AnswerSink | None = sink
+        self._run: Run | None = None
+        self._running: RunningRequest | None = None
+        self._tried: set[NodeId] = set()
+        self._status = 0
+        self._headers: list = []
+        self._recorded: list[bytes] = []
+        self._recorded_bytes = 0
+        self._started = False
+        self._ended = False
+        self._timer: TimerHandle | None = None
+
+    def start(self, run: Run) -> None:
+        """Run the request; called once, when the keeper allows it."""
+        self._run = run
+        self._timer = self._service.timers.call_at(
+            self.deadline + DEADLINE_GRACE_S, self._expire
+        )
+        self._attempt(None)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer without a run."""
+        sink = self._sink
+        self._sink = None
+        if sink is not None:
+            sink.on_refused(refusal, NO_LOAD)
+
+    def cancel(self) -> None:
+        """Lose interest; work that must not repeat goes on to its end."""
+        self._sink = None
+
+    def acknowledge(self, consumed: int) -> None:
+        """Report bytes that the caller has taken."""
+        if self._running is not None:
+            self._running.acknowledge(consumed)
+
+    def on_start(self, start: AnswerStart) -> None:
+        if self._ended:
+            return
+        self._started = True
+        self._status = start.status
+        self._headers = start.headers
+        if self._sink is not None:
+            self._sink.on_start(replace(start, data=b"", state=AnswerState.MORE))
+        self.on_part(start.data, start.state)
+
+    def on_part(self, data: bytes, state: AnswerState) -> None:
+        if self._ended:
+            return
+        self._record(data)
+        if state is AnswerState.COMPLETE:
+            # Recorded before it is passed on: a caller that has seen the answer
+            # must never hear "unknown" for the same key.
+            answer = msgpack.packb([self._headers, b"".join(self._recorded)])
+            if self._recorded_bytes > RECORDED_BYTES:
+                answer = b""
+            self._end()
+            self._service.record_done(self._run, self._status, answer)
+        elif state is AnswerState.BROKEN:
+            self._end()
+            self._service.record_unknown(self._run)
+        if self._sink is not None:
+            self._sink.on_part(data, state)
+        elif self._running is not None and data:
+            # Nobody reads, so nothing else would open the window.
+            self._running.acknowledge(len(data))
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if self._ended:
+            return
+        self._running = None
+        if refusal.disposition is Disposition.NOT_RUN and not self._started:
+            if self._may_try_again(refusal):
+                self._service.timers.call_soon(lambda: self._attempt(refusal))
+                return
+            self._end()
+            self._service.record_not_run(self._run)
+            self.refuse(refusal)
+            return
+        self._end()
+        self._service.record_unknown(self._run)
+        if self._started:
+            if self._sink is not None:
+                self._sink.on_part(b"", AnswerState.BROKEN)
+            return
+        self.refuse(replace(refusal, disposition=Disposition.UNKNOWN))
+
+    def _attempt(self, refusal: Refusal | None) -> None:
+        if self._ended:
+            return
+        service = self._service
+        home = service.choose_home(self.message.service, self._tried)
+        if home is None:
+            self._end()
+            service.record_not_run(self._run)
+            detail = f"no home serves {self.message.service!r}"
+            default = Refusal(Disposition.NOT_RUN, Reason.NO_CAPACITY, 1.0, detail)
+            self.refuse(refusal or default)
+            return
+        self._tried.add(home.node)
+        remaining_s = max(0.0, self.deadline - service.clock.now())
+        message = replace(
+            self.message,
+            keyed=KeyedMode.PLAIN,
+            remaining_ms=max(1, int(remaining_s * 1000)),
+            attempt=len(self._tried),
+        )
+        self._running = service.send(home, message, self.body, self)
+
+    def _may_try_again(self, refusal: Refusal) -> bool:
+        if refusal.reason in (Reason.QUARANTINED, Reason.DEADLINE):
+            return False
+        now = self._service.clock.now()
+        half = self.deadline - self.message.remaining_ms / 2000
+        return len(self._tried) < MAX_ATTEMPTS and now < half
+
+    def _expire(self) -> None:
+        if self._ended:
+            return
+        self._end()
+        if self._running is not None:
+            self._running.cancel()
+        self._service.record_unknown(self._run)
+        if self._started:
+            if self._sink is not None:
+                self._sink.on_part(b"", AnswerState.BROKEN)
+            return
+        detail = "its deadline has passed"
+        self.refuse(Refusal(Disposition.UNKNOWN, Reason.DEADLINE, 1.0, detail))
+
+    def _end(self) -> None:
+        self._ended = True
+        self._timer.cancel()
+
+    def _record(self, data: bytes) -> None:
+        self._recorded_bytes += len(data)
+        if self._recorded_bytes <= RECORDED_BYTES:
+            self._recorded.append(data)
+
+
+def make_replay(message: OpenRequest, status: int, answer: bytes | None) -> AnswerStart:
+    """Return a recorded answer; without its body, only the status."""
+    headers: list = []
+    body = b""
+    reason = b"replayed-without-body"
+    if answer:
+        headers, body = msgpack.unpackb(answer)
+        headers = [tuple(pair) for pair in headers if pair[0] != b"content-length"]
+        reason = b"replayed"
+    headers.append((b"content-length", str(len(body)).encode()))
+    headers.append((b"flamingobank-reason", reason))
+    return AnswerStart(
+        message.request_id, status, headers, "", NO_LOAD, body, AnswerState.COMPLETE
+    )
--- /dev/null
+++ b/src/flamingobank/node/keyed_entry.py
@@ -0,0 +1,92 @@
+"""Bring a caller's keyed request to its keeper, or to the keeper's replicas."""
+
+from flamingobank.core import Disposition, NodeId, Reason, Refusal
+from flamingobank.idempotency import IssuedKey
+from flamingobank.node.entry import CallerExchange
+from flamingobank.node.exchange import Load
+from flamingobank.node.keyed_requests import KeyedRequests
+from flamingobank.node.remote import RemoteRequest
+from flamingobank.wire import KeyedMode
+
+# Redirects, reopened generations and replicas together.
+MAX_STEPS = 8
+LOST_REASONS = (Reason.UNREACHABLE, Reason.KEEPER_LOST)
+
+
+class KeyedCallerExchange(CallerExchange):
+    """Ask the keeper, follow where it points, and ask replicas when it is lost."""
+
+    issued: IssuedKey
+    keyed: KeyedRequests
+
+    def __init__(self, *arguments, keyed: KeyedRequests, issued: IssuedKey) -> None:
+        super().__init__(*arguments)
+        self.keyed = keyed
+        self.issued = issued
+        self._steps = 0
+        self._target = keyed.find_keeper(issued).node
+        self._replicas: list[NodeId] | None = None
+        self.message.keyed = KeyedMode.KEEPER
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if self._finished:
+            return
+        self._running = None
+        if self._head_written:
+            self._finish("broken")
+            self.connection.abort()
+            return
+        self._steps += 1
+        if self._steps < MAX_STEPS and self._redirect(refusal):
+            self.entry.timers.call_soon(lambda: self._attempt(refusal))
+            return
+        if refusal.reason in LOST_REASONS:
+            detail = "the keeper of the key cannot be reached"
+            refusal = Refusal(Disposition.UNKNOWN, Reason.KEEPER_LOST, 1.0, detail)
+        self._refuse(refusal)
+
+    def _attempt(self, refusal: Refusal | None) -> None:
+        if self._finished:
+            return
+        remaining_s = max(0.0, self.deadline - self.entry.clock.now())
+        self.message.remaining_ms = max(1, int(remaining_s * 1000))
+        self.attempts += 1
+        keyed = self.keyed
+        if self._target == keyed.name.node:
+            serve = keyed.serve if self._replicas is None else keyed.replay
+            self._running = serve(self.message, self.body, self)
+            return
+        address = self.entry.find_address(self._target)
+        if address is None:
+            detail = f"node {self._target} is not in service"
+            lost = Refusal(Disposition.UNKNOWN, Reason.UNREACHABLE, 1.0, detail)
+            self.on_refused(lost, Load(0.0, 0))
+            return
+        link = self.entry.links.get(address)
+        self._running = RemoteRequest(link, self.message, self.body, self)
+
+    def _redirect(self, refusal: Refusal) -> bool:
+        """Choose whom to ask next; False when the refusal is the answer."""
+        if refusal.reason is Reason.KEEPER_MOVED:
+            self._target = NodeId(refusal.detail)
+            return bool(refusal.detail)
+        if refusal.reason is Reason.REOPENED:
+            self.message.generation = int(refusal.detail)
+            return self._has_time()
+        if refusal.reason not in LOST_REASONS:
+            return False
+        return self._choose_replica()
+
+    def _has_time(self) -> bool:
+        """Tell whether less than half of the time to the deadline has passed."""
+        now = self.entry.clock.now()
+        return now - self.accepted_at < (self.deadline - self.accepted_at) / 2
+
+    def _choose_replica(self) -> bool:
+        if self._replicas is None:
+            self._replicas = self.keyed.list_replicas(self.issued)
+            self.message.keyed = KeyedMode.REPLICA
+        if not self._replicas:
+            return False
+        self._target = self._replicas.pop(0)
+        return True
--- /dev/null
+++ b/src/flamingobank/node/keyed_requests.py
@@ -0,0 +1,313 @@
+"""Take part in keyed requests as keeper, replica and entry."""
+
+import time
+from collections.abc import Callable, Sequence
+
+import eliot
+from expression import Result
+
+from flamingobank.core import (
+    Clock,
+    Disposition,
+    FailureDomain,
+    NodeId,
+    Reason,
+    Refusal,
+    RouteName,
+)
+from flamingobank.directory import HomeEntry
+from flamingobank.idempotency import (
+    Decision,
+    HandoverAck,
+    HandoverPart,
+    Invalid,
+    IssuedKey,
+    Keeper,
+    KeeperMoved,
+    KeeperMoves,
+    KeeperName,
+    KeyId,
+    KeyRecord,
+    KeyRecordAck,
+    Moved,
+    Prepare,
+    Refused,
+    Reopen,
+    Replay,
+    ReplicaRecords,
+    Run,
+    Send,
+    Unknown,
+    parse_key,
+    rank_replicas,
+)
+from flamingobank.loop import Timers
+from flamingobank.membership import Member
+from flamingobank.node.exchange import AnswerSink, RunningRequest
+from flamingobank.node.keeper_requests import KeeperRequest, make_replay
+from flamingobank.node.key_wire import KeyMessage, pack_key_message
+from flamingobank.node.members import Members
+from flamingobank.quarantine import compute_fingerprint
+from flamingobank.wire import Message, OpenRequest
+
+TICK_S = 0.05
+REPLICAS = 3
+MEMBER_REFRESH_S = 0.5
+
+SendRequest = Callable[[HomeEntry, OpenRequest, bytes, AnswerSink], RunningRequest]
+
+
+class KeyedRequests:
+    """Hold this process's keeper and the records of others."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        boot: str,
+        domain: FailureDomain,
+        clock: Clock,
+        timers: Timers,
+        secrets: Sequence[bytes],
+        members: Members,
+        send_to_node: Callable[[NodeId, Message], None],
+        broadcast: Callable[[Message], None],
+    ) -> None:
+        self.clock = clock
+        self.timers = timers
+        self.choose_home: Callable[[str, set[NodeId]], HomeEntry | None]
+        self.send: SendRequest
+        self.name = KeeperName(node_id, boot)
+        wall_offset_s = time.time() - clock.now()
+        self.keeper = Keeper(self.name, secrets, wall_offset_s)
+        self.replica = ReplicaRecords(node_id)
+        self.moves = KeeperMoves()
+        self.handed_over = False
+        self._domain = domain
+        self._secrets = tuple(secrets)
+        self._members = members
+        self._send_to_node = send_to_node
+        self._broadcast = broadcast
+        self._prepared: dict[KeyId, KeeperRequest] = {}
+        self._running = 0
+        timers.call_every(TICK_S, self._tick)
+        timers.call_every(MEMBER_REFRESH_S, self._refresh_replicas)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether the keeper is sealed, handed over and runs nothing."""
+        return self.handed_over and not self._running
+
+    def issue_keys(self, count: int) -> Result[list[str], Refusal]:
+        """Issue keys that name this process."""
+        return self.keeper.issue_keys(count, self.clock.now())
+
+    def parse(self, key: str) -> Result[IssuedKey, object]:
+        """Read a fleet-issued key."""
+        return parse_key(key, self._secrets)
+
+    def find_keeper(self, issued: IssuedKey) -> KeeperName:
+        """Return the process that keeps a key now, as far as is known."""
+        return self.moves.find(issued.keeper)
+
+    def list_replicas(self, issued: IssuedKey) -> list[NodeId]:
+        """Return the nodes that may hold a lost keeper's records."""
+        member = self._members.membership.find(issued.keeper.node)
+        domain = member.failure_domain if member is not None else FailureDomain("")
+        nodes = self._map_members()
+        # This node may hold the records itself.
+        nodes[self.name.node] = self._domain
+        return rank_replicas(issued.keeper, domain, nodes)[:REPLICAS]
+
+    def serve(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Decide at the keeper about a request, and run it at most once."""
+        request = KeeperRequest(self, message, body, sink)
+        decision = self.keeper.accept(
+            message.key,
+            _compute_fingerprint(message, body),
+            self.clock.now(),
+            message.generation,
+            request.deadline,
+        )
+        self._follow(decision, request, sink)
+        return request
+
+    def replay(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Answer from a replica's records for a keeper that cannot be reached."""
+        request = KeeperRequest(self, message, body, sink)
+        parsed = self.parse(message.key)
+        if parsed.is_error():
+            request.refuse(_make_refusal(Reason.KEY_INVALID, str(parsed.error)))
+            return request
+        fingerprint = _compute_fingerprint(message, body)
+        self._follow(self.replica.answer(parsed.ok, fingerprint), request, sink)
+        return request
+
+    def record_done(self, run: Run, status: int, answer: bytes) -> None:
+        """Record a complete answer."""
+        self._running -= 1
+        self._send_all(self.keeper.record_done(run, status, answer, self.clock.now()))
+
+    def record_not_run(self, run: Run) -> None:
+        """Record that no byte of the request reached a server."""
+        self._running -= 1
+        self._send_all(self.keeper.record_not_run(run, self.clock.now()))
+
+    def record_unknown(self, run: Run) -> None:
+        """Record that the request may have run."""
+        self._running -= 1
+        self._send_all(self.keeper.record_unknown(run, self.clock.now()))
+
+    def receive(self, sender: NodeId, message: KeyMessage) -> None:
+        """Take a message of another keeper or replica."""
+        now = self.clock.now()
+        if isinstance(message, KeyRecord):
+            self._take_record(sender, message, now)
+        elif isinstance(message, KeyRecordAck):
+            self._take_ack(message, now)
+        elif isinstance(message, HandoverPart):
+            self._send_all(self.keeper.on_handover_part(message, now))
+        elif isinstance(message, HandoverAck):
+            if self.keeper.on_handover_ack(message):
+                self._finish_handover(message.successor)
+        elif isinstance(message, KeeperMoved) and self._is_new_move(message):
+            self.moves.record(message)
+            self._broadcast(pack_key_message(message))
+
+    def on_member_gone(self, member: Member) -> None:
+        """Give up on what a lost predecessor was still running."""
+        self.keeper.on_keeper_lost(KeeperName(member.node_id, member.boot_id))
+        self._refresh_replicas()
+
+    def seal(self) -> None:
+        """Stop keeping for good, and hand the records to a live member."""
+        if self.keeper.sealed:
+            return
+        members = [
+            member
+            for member in self._members.membership.members()
+            if not member.leaving
+        ]
+        successor = None
+        if members:
+            near = [one for one in members if one.failure_domain == self._domain]
+            chosen = min(near or members, key=lambda member: member.node_id)
+            successor = KeeperName(chosen.node_id, chosen.boot_id)
+        self.handed_over = successor is None
+        self._apply_effects(self.keeper.seal(successor, self.clock.now()))
+
+    def _follow(
+        self, decision: Decision, request: KeeperRequest, sink: AnswerSink
+    ) -> None:
+        if isinstance(decision, Run):
+            self._start(decision, request)
+        elif isinstance(decision, Prepare):
+            self._prepared[decision.key_id] = request
+            self._send_all(decision.sends)
+        elif isinstance(decision, Replay):
+            answer = decision.answer
+            sink.on_start(make_replay(request.message, decision.status, answer))
+        else:
+            request.refuse(_describe_decision(decision))
+
+    def _start(self, run: Run, request: KeeperRequest) -> None:
+        self._running += 1
+        request.start(run)
+
+    def _take_record(self, sender: NodeId, record: KeyRecord, now: float) -> None:
+        if record.key_id.keeper in self.keeper.list_names():
+            self._send_all(self.keeper.on_record(record, sender, now))
+        ack = self.replica.on_record(record)
+        if ack is not None:
+            self._send_to_node(sender, pack_key_message(ack))
+
+    def _take_ack(self, ack: KeyRecordAck, now: float) -> None:
+        decided = self.keeper.on_ack(ack, now)
+        if decided is None:
+            return
+        request = self._prepared.pop(decided.key_id, None)
+        if request is None:
+            return
+        if isinstance(decided, Run):
+            self._start(decided, request)
+            return
+        request.refuse(_make_refusal(decided.reason, "it was not recorded in time"))
+
+    def _tick(self) -> None:
+        self._apply_effects(self.keeper.tick(self.clock.now()))
+
+    def _apply_effects(self, effects: Sequence[Send | Refused]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send_all([effect])
+                continue
+            request = self._prepared.pop(effect.key_id, None)
+            if request is not None:
+                reason = effect.reason
+                if reason is Reason.UNREACHABLE:
+                    # The entry takes this reason for a keeper that it lost.
+                    reason = Reason.NO_CAPACITY
+                detail = "no replica confirmed its record"
+                request.refuse(_make_refusal(reason, detail))
+
+    def _send_all(self, sends: Sequence[Send]) -> None:
+        for send in sends:
+            self._send_to_node(send.to, pack_key_message(send.message))
+
+    def _refresh_replicas(self) -> None:
+        ranked = rank_replicas(self.name, self._domain, self._map_members())
+        self.keeper.set_replicas(ranked[:REPLICAS])
+
+    def _map_members(self) -> dict[NodeId, FailureDomain]:
+        return {
+            member.node_id: member.failure_domain
+            for member in self._members.membership.members()
+        }
+
+    def _is_new_move(self, message: KeeperMoved) -> bool:
+        return any(
+            self.moves.find(keeper) != message.successor
+            for keeper in message.keepers
+            if keeper != message.successor
+        )
+
+    def _finish_handover(self, successor: KeeperName) -> None:
+        self.handed_over = True
+        eliot.log_message(
+            message_type="keeper:moved", node=self.name.node, successor=successor.node
+        )
+        moved = KeeperMoved(tuple(self.keeper.list_names()), successor)
+        self.moves.record(moved)
+        self._broadcast(pack_key_message(moved))
+
+
+def _compute_fingerprint(message: OpenRequest, body: bytes):
+    target = message.target.decode("latin-1")
+    return compute_fingerprint(
+        RouteName(message.route), "", message.method, target, body
+    )
+
+
+def _make_refusal(
+    reason: Reason, detail: str, disposition: Disposition = Disposition.NOT_RUN
+) -> Refusal:
+    return Refusal(disposition, reason, 1.0, detail)
+
+
+def _describe_decision(decision: Decision) -> Refusal:
+    if isinstance(decision, Unknown):
+        detail = "a request with this key may have run"
+        return _make_refusal(decision.reason, detail, Disposition.UNKNOWN)
+    if isinstance(decision, Invalid):
+        return _make_refusal(decision.reason, decision.detail)
+    if isinstance(decision, Reopen):
+        return _make_refusal(Reason.REOPENED, str(decision.generation))
+    if isinstance(decision, Moved):
+        successor = decision.successor
+        name = "" if successor is None else successor.node
+        return _make_refusal(Reason.KEEPER_MOVED, name)
+    detail = "an earlier request with this key has not ended"
+    return _make_refusal(Reason.STILL_RUNNING, detail, Disposition.STILL_RUNNING)
--- a/src/flamingobank/node/pool.py
+++ b/src/flamingobank/node/pool.py
@@ -222,7 +222,10 @@
         else:
             server.slots.shed(now)
         self.refresh(server)
-        if request.attempts >= MAX_LOCAL_ATTEMPTS:
+        message = request.message
+        # Without a key, work that must not repeat is sent once, whatever became of it.
+        final = not message.idempotent and not message.key
+        if final or request.attempts >= MAX_LOCAL_ATTEMPTS:
             refusal = Refusal(Disposition.NOT_RUN, Reason.SHED, 1.0, attempt.detail)
             self._refuse(request, refusal)
             return
--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/remote.py
@@ -1,7 +1,8 @@
 """Run requests on other nodes, and requests of other nodes here."""
 
+from collections.abc import Callable
+
 from flamingobank.core import Disposition, Reason, Refusal
-from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.exchange import (
     AnswerSink,
     AnswerStart,
@@ -23,6 +24,7 @@
 
 # Request bodies and answers travel in parts well below the frame limit.
 PART_BYTES = 131_072
+Serve = Callable[[OpenRequest, bytes, AnswerSink], RunningRequest]
 UNREACHABLE_LOAD = Load(1e6, 0)
 
 
@@ -118,18 +120,18 @@
 
     __slots__ = (
         "_body",
-        "_dispatcher",
         "_done",
         "_link",
         "_message",
         "_running",
+        "_serve",
         "_stream",
     )
 
     def __init__(
-        self, dispatcher: Dispatcher, link: Link, stream: int, message: OpenRequest
+        self, serve: Serve, link: Link, stream: int, message: OpenRequest
     ) -> None:
-        self._dispatcher = dispatcher
+        self._serve = serve
         self._link = link
         self._stream = stream
         self._message = message
@@ -203,7 +205,7 @@
     def _dispatch(self) -> None:
         body = b"".join(self._body)
         self._body.clear()
-        self._running = self._dispatcher.dispatch(self._message, body, self)
+        self._running = self._serve(self._message, body, self)
 
     def _send_pieces(self, pieces: list[bytes], state: AnswerState) -> None:
         last = len(pieces) - 1
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -21,6 +21,14 @@
     BROKEN = 2
 
 
+class KeyedMode(enum.IntEnum):
+    """Say who is asked with an OpenRequest."""
+
+    PLAIN = 0
+    KEEPER = 1
+    REPLICA = 2
+
+
 @dataclass(frozen=True, slots=True)
 class MessageError:
     """Say why a message was refused."""
@@ -49,6 +57,10 @@
     idempotent: bool
     attempt: int = 1
     key: str = ""
+    # A KeyedMode.
+    keyed: int = 0
+    # Counts the times a key was surely not run; see flamingobank.idempotency.
+    generation: int = 0
 
 
 @dataclass(slots=True)
@@ -181,6 +193,14 @@
     records: list
 
 
+@dataclass(slots=True)
+class KeyNotice:
+    """Carry a message of keepers; flamingobank.node.key_wire reads it."""
+
+    kind: int
+    fields: list
+
+
 @dataclass(slots=True)
 class DirectoryDigest:
     """Compare directories; the digest covers every home's boot and sequence."""
@@ -217,6 +237,7 @@
     15: ConfigurationChunk,
     16: DirectoryDigest,
     17: DirectorySummary,
+    18: KeyNotice,
 }
 _KINDS: dict[type, int] = {}
 _GETTERS: dict[type, Callable[[object], tuple]] = {}
