--- /dev/null
+++ b/benchmarks/service_model/gossip.py
@@ -0,0 +1,73 @@
+"""Model how crash reports reach the other nodes."""
+
+import random
+from collections.abc import Callable
+
+from benchmarks.events import EventQueue
+from flamingobank.core import Fingerprint
+from flamingobank.quarantine import Clearance, CrashLedger, CrashReport
+
+# A node that learns something pushes it to 4 others, so each is sent about 4 copies.
+PUSHES = 4
+PUSH_S = (0.001, 0.02)
+LOSS_RATIO = 0.1
+# A node that missed all of them learns it in an exchange of revisions.
+REPAIR_S = (0.5, 2.0)
+
+
+class CrashGossip:
+    """Hold the ledger of one node and pass its reports on."""
+
+    def __init__(self, events: EventQueue, rng: random.Random) -> None:
+        self._events = events
+        self._rng = rng
+        self._ledger = CrashLedger()
+        self.peers: list[CrashGossip] = []
+
+    def report(self, report: CrashReport) -> None:
+        """Record a crash seen here and pass it on."""
+        self._spread(lambda node: node.receive(report))
+
+    def receive(self, report: CrashReport) -> None:
+        """Record a crash seen elsewhere."""
+        self._ledger.record_crash(
+            report.fingerprint,
+            report.instance,
+            report.crash_id,
+            self._events.clock.now(),
+        )
+
+    def report_completion(self, fingerprint: Fingerprint) -> None:
+        """Record that a request completed here."""
+        now = self._events.clock.now()
+        for clearance in self._ledger.record_completion(fingerprint, now):
+            self._spread_clearance(clearance)
+
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Ask the ledger of this node."""
+        return self._ledger.is_quarantined(fingerprint, self._events.clock.now())
+
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Ask the ledger of this node."""
+        return self._ledger.is_suspect(fingerprint, self._events.clock.now())
+
+    def _spread_clearance(self, clearance: Clearance) -> None:
+        def deliver(node: "CrashGossip") -> None:
+            node._ledger.record_clearance(clearance, self._events.clock.now())
+
+        self._spread(deliver)
+
+    def _spread(self, deliver: Callable[["CrashGossip"], None]) -> None:
+        deliver(self)
+        for peer in self.peers:
+            if peer is self:
+                continue
+            self._events.call_after(self._draw_delay(), lambda peer=peer: deliver(peer))
+
+    def _draw_delay(self) -> float:
+        delays = [
+            self._rng.uniform(*PUSH_S)
+            for _ in range(PUSHES)
+            if self._rng.random() >= LOSS_RATIO
+        ]
+        return min(delays) if delays else self._rng.uniform(*REPAIR_S)
--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -5,9 +5,7 @@
 from typing import Protocol
 
 from circuits.core.events import generate_events
-from circuits.core.handlers import handler
-from circuits.core.pollers import BasePoller
-from circuits.net.events import _disconnect, _read, _write
+from circuits.core.pollers import BasePoller, _disconnect, _read, _write
 
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
@@ -123,9 +121,7 @@
         self._masks[fileno] = new
         self._sources[fileno] = fd
 
-    @handler("generate_events", priority=-9)
-    def _on_generate_events(self, event: generate_events) -> None:
-        event.stop()
+    def _generate_events(self, event: generate_events) -> None:
         self._flush_output()
         ready = self._epoll.poll(event.time_left if event.time_left >= 0 else None)
         for fileno, events in ready:
@@ -140,12 +136,12 @@
         self._flush_output()
 
     def _flush_output(self) -> None:
-        if not self._flushables:
-            return
-        flushables = self._flushables
-        self._flushables = []
-        for flushable in flushables:
-            flushable.flush()
+        # A flush may queue another one: an answer flushes into its connection.
+        while self._flushables:
+            flushables = self._flushables
+            self._flushables = []
+            for flushable in flushables:
+                flushable.flush()
 
     def _fire_readiness(self, fileno: int, events: int) -> None:
         source = self._sources.get(fileno)
--- /dev/null
+++ b/src/flamingobank/node/directory_sync.py
@@ -0,0 +1,154 @@
+"""Tell other nodes which services this node is home of, and learn theirs."""
+
+import itertools
+import math
+
+from flamingobank.core import Clock, FailureDomain, NodeId
+from flamingobank.directory import DirectoryTable
+from flamingobank.loop import Address, Timers
+from flamingobank.node.dispatcher import Dispatcher
+from flamingobank.node.links import CONTROL_STREAM, Link, Links
+from flamingobank.node.members import Members
+from flamingobank.settings import NodeSettings
+from flamingobank.wire import (
+    DirectoryDigest,
+    DirectorySummary,
+    DirectoryUpdate,
+    Message,
+)
+
+# Repairs what a broadcast did not reach.
+COMPARE_S = 2.0
+# Changes within this time travel in one update.
+COALESCE_S = 0.05
+BROADCAST_EXTRA = 4
+# Bounds one answer; the next comparison sends the rest.
+UPDATES_PER_SUMMARY = 500
+
+
+class DirectorySync:
+    """Broadcast this node's entry when it changes; compare with peers."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        boot: str,
+        clock: Clock,
+        timers: Timers,
+        directory: DirectoryTable,
+        dispatcher: Dispatcher,
+        links: Links,
+        members: Members,
+    ) -> None:
+        self.leaving = False
+        self._settings = settings
+        self._boot = boot
+        self._clock = clock
+        self._timers = timers
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._links = links
+        self._members = members
+        self._sequence = itertools.count(1)
+        self._send_pending = False
+        timers.call_soon(self._send)
+        timers.call_every(COMPARE_S, self._compare)
+
+    def list_domain_nodes(self, domain: FailureDomain) -> dict[NodeId, Address]:
+        """Return the server-facing addresses of live nodes; "" means all domains."""
+        found = {}
+        for update in self._directory.list_updates():
+            if update.leaving or not self._members.is_live(update.home):
+                continue
+            if domain and update.failure_domain != domain:
+                continue
+            found[NodeId(update.home)] = (update.servers_host, update.servers_port)
+        return found
+
+    def announce_change(self) -> None:
+        """Send an update soon."""
+        if self._send_pending:
+            return
+        self._send_pending = True
+        self._timers.call_at(self._clock.now() + COALESCE_S, self._send)
+
+    def receive(self, update: DirectoryUpdate) -> None:
+        """Apply an update of another node and pass it on when it is new."""
+        if update.home == self._settings.node_id:
+            return
+        if not self._directory.apply(update):
+            return
+        if not self._members.is_live(update.home):
+            self._directory.remove(update.home)
+        self.broadcast(update)
+
+    def restore(self, home: str) -> None:
+        """List the services of a node that is in service again."""
+        self._directory.restore(home)
+
+    def answer_digest(self, link: Link, message: DirectoryDigest) -> None:
+        """Answer a peer whose directory differs with a summary."""
+        if message.digest != self._directory.compute_digest():
+            summary = DirectorySummary(self._directory.summarize(), True)
+            link.send(CONTROL_STREAM, summary)
+
+    def answer_summary(self, link: Link, message: DirectorySummary) -> None:
+        """Send a peer what it lacks, and ask for what this node lacks."""
+        newer = self._directory.list_newer(message.homes)
+        for update in newer[:UPDATES_PER_SUMMARY]:
+            link.send(CONTROL_STREAM, update)
+        if message.answer and self._directory.lacks(message.homes):
+            summary = DirectorySummary(self._directory.summarize(), False)
+            link.send(CONTROL_STREAM, summary)
+
+    def compare_now(self) -> None:
+        """Compare with a random member, as after joining."""
+        self._compare()
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to random nodes, which pass it on when it is new to them."""
+        # ln(n) + c targets a node reach all n nodes but for a share of exp(-c) / n.
+        count = len(self._members.membership.members())
+        fanout = math.ceil(math.log(count + 1)) + BROADCAST_EXTRA
+        for address in self._members.pick_addresses(fanout):
+            self._links.get(address).send(CONTROL_STREAM, message)
+
+    def send_leaving(self) -> None:
+        """Tell all nodes that this one takes no new work."""
+        self.leaving = True
+        self._send()
+
+    def _compare(self) -> None:
+        digest = DirectoryDigest(self._directory.compute_digest())
+        for address in self._members.pick_addresses(1):
+            self._links.get(address).send(CONTROL_STREAM, digest)
+
+    def _send(self) -> None:
+        self._send_pending = False
+        update = self._make_update()
+        self._directory.apply(update)
+        self.broadcast(update)
+
+    def _make_update(self) -> DirectoryUpdate:
+        settings = self._settings
+        now = self._clock.now()
+        services = []
+        for name, pool in self._dispatcher.pools.items():
+            if not pool.servers:
+                continue
+            usable = [server.count_usable(now) for server in pool.servers.values()]
+            in_service = sum(1 for slots in usable if slots)
+            services.append([name, in_service, sum(usable), list(pool.servers)])
+        return DirectoryUpdate(
+            settings.node_id,
+            self._boot,
+            next(self._sequence),
+            settings.peers[0],
+            settings.peers[1],
+            settings.failure_domain,
+            settings.region,
+            self.leaving,
+            services,
+            settings.servers[0],
+            settings.servers[1],
+        )
