Name wake-up times at which something is due

Cause: get_next_wakeup() named the latest start itself, at which work may still start, so a timer that fires exactly then changes nothing and is set again for the same time; on a clock that does not move by itself this never ends. Rounding could do the same for the end of the quiet time. Change: the wake-up is the next reading after the latest start, and both sides of the quiet time compare the same sum. The benchmark model no longer adds 1 us. Measured: the new scenario fails without the change and passes with it.

--- a/benchmarks/service_model/homes.py
+++ b/benchmarks/service_model/homes.py
@@ -194,7 +194,7 @@
         if wakeup_s >= self._wakeup_s or wakeup_s == float("inf"):
             return
         self._wakeup_s = wakeup_s
-        self.events.call_at(wakeup_s + 1e-6, self._wake)
+        self.events.call_at(wakeup_s, self._wake)
 
     def _wake(self) -> None:
         self._wakeup_s = float("inf")
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -64,6 +64,10 @@
     When jobs of 12 workspaces are offered at three times the capacity
     Then all started jobs finish in time and the slots are never idle
 
+  Scenario: A wake-up at the time that the queue names always changes something
+    When a queue of waiting work is only called at its wake-up times
+    Then all its work is refused and no time comes twice
+
   Scenario: Memory stays bounded
     When 5000 jobs of new routes and workspaces are cancelled or finished
     Then the queue and its policy hold a bounded number of items
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -434,6 +434,28 @@
     assert context.late == 0, context.late
 
 
+@when("a queue of waiting work is only called at its wake-up times")
+def step_wakeups(context):
+    step_servers(context, 4, 1)
+    for number in range(60):
+        run_s = LONG_S if number % 3 else SHORT_S
+        context.queue.offer(make_job(number, 9.3 + number / 7, run_s), 0.1)
+    start_all(context.queue, 0.1)
+    context.left = context.queue.waiting
+    context.wakeups = [0.1]
+    while context.queue.waiting and len(context.wakeups) < 200:
+        context.wakeups.append(context.queue.get_next_wakeup())
+        start_all(context.queue, context.wakeups[-1])
+        context.left -= len(context.queue.expire(context.wakeups[-1]))
+
+
+@then("all its work is refused and no time comes twice")
+def step_all_refused(context):
+    assert context.queue.waiting == context.left == 0, context.left
+    assert len(context.wakeups) > 10, context.wakeups
+    assert context.wakeups == sorted(set(context.wakeups)), context.wakeups
+
+
 @when("{count:d} jobs of new routes and workspaces are cancelled or finished")
 def step_churn(context, count):
     step_servers(context, 4, 1)
--- a/src/flamingobank/admission/lanes.py
+++ b/src/flamingobank/admission/lanes.py
@@ -156,7 +156,8 @@
 
     def is_short_quiet(self, now: float) -> bool:
         """Tell whether no short work waits or has come for some seconds."""
-        if now - self._last_short_at < SHORT_QUIET_S:
+        # The same sum as in get_quiet_at(), so that rounding cannot tell them apart.
+        if now < self._last_short_at + SHORT_QUIET_S:
             return False
         return not (self.customer.short.count or self.internal.short.count)
 
--- a/src/flamingobank/admission/queue.py
+++ b/src/flamingobank/admission/queue.py
@@ -220,7 +220,8 @@
         first = min(
             lanes.customer.expiry.get_first(), lanes.internal.expiry.get_first()
         )
-        return min(first, quiet_at)
+        # At its latest start work may still start; it is late right after it.
+        return min(math.nextafter(first, math.inf), quiet_at)
 
     def _advance(self, now: float) -> None:
         if now > self._now and now != math.inf:
