Tighten membership scenarios and measure six victims at every size

Change: the domain scenario forgets its seeds, the one-way scenario also demands that nobody was suspected, and a paused holder must notice by its own clock.

--- a/benchmarks/membership_model.py
+++ b/benchmarks/membership_model.py
@@ -12,7 +12,6 @@
 REGIONS = 4
 WARM_S = 3.0
 VICTIMS = 6
-DETECTION_S = 25.0
 GONE = (MemberRemoved, MemberUnreachable)
 
 
@@ -22,6 +21,9 @@
     parser.add_argument("--loss", type=float, default=0.01)
     parser.add_argument("--quiet-seconds", type=float, default=60.0)
     parser.add_argument("--large-quiet-seconds", type=float, default=10.0)
+    # A member that is not removed within this counts as undetected.
+    parser.add_argument("--detection-seconds", type=float, default=25.0)
+    parser.add_argument("--large-detection-seconds", type=float, default=12.0)
 
 
 def build_fleet(count: int, seed: int, loss: float) -> FleetModel:
@@ -104,13 +106,13 @@
 
 
 def _measure_faults(
-    fleet: FleetModel, rng: random.Random, count: int
+    fleet: FleetModel, rng: random.Random, wait_s: float
 ) -> dict[str, object]:
     killed: list[float] = []
     one_way: list[float] = []
     victims: set[str] = set()
     false_removals = 0
-    for turn in range(count):
+    for turn in range(VICTIMS):
         running = [node for node in fleet.nodes.values() if node.is_running]
         victim = rng.choice(running)
         victims.add(victim.name)
@@ -120,7 +122,7 @@
             fleet.is_blocked = lambda _, target, deaf=victim: target is deaf
         else:
             fleet.stop(victim)
-        fleet.run(DETECTION_S)
+        fleet.run(wait_s)
         (one_way if turn % 2 else killed).extend(_detect(fleet, victim, since))
         false_removals += _count_false(fleet, victims)
         fleet.stop(victim)
@@ -173,7 +175,10 @@
         fleet.run(WARM_S)
         row = _measure_quiet(fleet, quiet_s)
         rng = random.Random(options.seed)
-        row |= _measure_faults(fleet, rng, 2 if is_large else VICTIMS)
+        wait_s = options.detection_seconds
+        if is_large:
+            wait_s = options.large_detection_seconds
+        row |= _measure_faults(fleet, rng, wait_s)
         row["cpu_percent"] = round(row["cpu_us_per_s"] / 1e4, 3)
         row["largest_datagram"] = max(n.largest for n in fleet.nodes.values())
         by_nodes[text] = row
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -95,6 +95,10 @@
     assert knows_others(context.fleet)
     for node in context.fleet.nodes.values():
         node.outcomes.clear()
+    context.incarnations = {
+        node.name: node.membership.own.incarnation
+        for node in context.fleet.nodes.values()
+    }
 
 
 def run_blocked(context, is_blocked, seconds):
@@ -114,6 +118,9 @@
 @when('datagrams from "{first}" to "{second}" are lost for {seconds:d} seconds')
 def step_one_way(context, first, second, seconds):
     run_blocked(context, lambda a, b: (a.name, b.name) == (first, second), seconds)
+    # Helpers reach the member, so that it is not even suspected.
+    for node in context.fleet.nodes.values():
+        assert node.membership.own.incarnation == context.incarnations[node.name]
 
 
 @when('datagrams to "{name}" are lost for {seconds:d} seconds')
@@ -146,6 +153,9 @@
 
 @when('domain "{name}" of the model fleet is cut off for {seconds:d} seconds')
 def step_cut_domain(context, name, seconds):
+    for node in context.fleet.nodes.values():
+        # Seeds would bring the parts together as well.
+        node.membership._exchange._seeds = ()
     run_blocked(context, lambda a, b: (a.domain == name) != (b.domain == name), seconds)
     assert context.gone, "nobody noticed the partition"
 
--- a/features/steps/watchers_steps.py
+++ b/features/steps/watchers_steps.py
@@ -187,6 +187,9 @@
     fleet.paused[context.paused] = fleet.now + seconds
     fleet.queue.run_until(fleet.now + seconds - 1)
     assert fleet.holders()[0] != [context.paused], "nobody took the lease over"
+    # It must notice by its own clock, before the store says anything.
+    fleet.nodes[context.paused].tick(fleet.now, 0)
+    assert not fleet.nodes[context.paused].tokens
     fleet.queue.run_until(fleet.now + 10)
 
 
--- a/src/flamingobank/membership/datagrams.py
+++ b/src/flamingobank/membership/datagrams.py
@@ -176,11 +176,16 @@
 def _read_member(fields: list) -> Member:
     if not isinstance(fields, list):
         raise _MalformedError("a member is not an array")
+    udp = _read_address(fields[2])
+    tcp = _read_address(fields[3])
+    if tcp[0] == udp[0]:
+        # Usually the same host, which is then stored once.
+        tcp = (udp[0], tcp[1])
     return Member(
         node_id=NodeId(_read_text(fields[0])),
         boot_id=BootId(_read_text(fields[1])),
-        udp=_read_address(fields[2]),
-        tcp=_read_address(fields[3]),
+        udp=udp,
+        tcp=tcp,
         # A fleet has few domains and regions: interned, they are stored once.
         failure_domain=FailureDomain(sys.intern(_read_text(fields[4]))),
         region=sys.intern(_read_text(fields[5])),
