--- /dev/null
+++ b/src/flamingobank/health/outliers.py
@@ -0,0 +1,146 @@
+"""Tell a bad server from a cause that all servers of a service share."""
+
+import math
+import statistics
+from collections.abc import Sequence
+
+from flamingobank.health.evidence import (
+    FAILURE_RATE_FLOOR,
+    SLOW_RATE_FLOOR,
+    Baseline,
+    Cause,
+    Finding,
+    ServerSummary,
+    Verdict,
+    clamp_rate,
+)
+
+# Generalized log-likelihood ratio at which a server differs from its peers. It is
+# below FAILURE_LLR because the summary also holds work from before the change.
+OUTLIER_LLR = 9.0
+# A slow server must also be slower than its peers by this log ratio in the mean. A
+# higher gap rejects four stuck slots among 12 normal pieces of work (0.29).
+LATENCY_GAP = 0.1
+# An outlier's rate is also higher than its peers' by this much. Where all servers
+# fail nearly all work, ejecting one would gain nothing.
+RATE_GAP = 0.1
+PEERS_MIN = 2
+PEER_OUTCOMES_MIN = 8
+# Standard errors added to the peers' rate. The median of few outcomes is uncertain.
+PEER_RATE_ERRORS = 2.0
+# Ratio of the standard error of a median to that of a mean.
+MEDIAN_ERROR_RATIO = 1.25
+# A common cause is looked at again after this time.
+BASELINE_LIFE_S = 30.0
+
+
+def judge_outlier(own: ServerSummary, peers: Sequence[ServerSummary]) -> Verdict:
+    """Compare a suspect with the median and the normal ones of its peers.
+
+    The median stays at the good servers' rate while fewer than half are bad.
+    """
+    seen = [peer for peer in peers if _is_usable(peer)]
+    total = sum(peer.n for peer in seen)
+    if not _is_usable(own) or len(seen) < PEERS_MIN or total < PEER_OUTCOMES_MIN:
+        return Verdict(Finding.TOO_LITTLE_EVIDENCE)
+    failures = _compare(
+        Cause.FAILURES,
+        (own.failures, own.n),
+        [(peer.failures, peer.n) for peer in seen],
+        FAILURE_RATE_FLOOR,
+    )
+    latency = _compare(
+        Cause.LATENCY,
+        (own.slow, own.n),
+        [(peer.slow, peer.n) for peer in seen],
+        SLOW_RATE_FLOOR,
+    )
+    gap = own.log_mean - statistics.median(peer.log_mean for peer in seen)
+    if failures.finding is Finding.OUTLIER:
+        return failures
+    if latency.finding is Finding.OUTLIER and gap >= LATENCY_GAP:
+        return latency
+    worse = max(failures, latency, key=lambda verdict: verdict.own_rate)
+    return Verdict(
+        Finding.COMMON_CAUSE,
+        worse.cause,
+        worse.own_rate,
+        worse.peer_rate,
+        worse.strength,
+    )
+
+
+def derive_baseline(peers: Sequence[ServerSummary], now: float) -> Baseline:
+    """Take the peers' median rates as normal for a while."""
+    seen = [peer for peer in peers if _is_usable(peer)]
+    if not seen:
+        return Baseline(deadline=now)
+    failure_rate = statistics.median(peer.failures / peer.n for peer in seen)
+    slow_rate = statistics.median(peer.slow / peer.n for peer in seen)
+    return Baseline(
+        clamp_rate(failure_rate, FAILURE_RATE_FLOOR),
+        clamp_rate(slow_rate, SLOW_RATE_FLOOR),
+        now + BASELINE_LIFE_S,
+    )
+
+
+def _is_usable(summary: ServerSummary) -> bool:
+    """Tell whether counts received from another node make sense."""
+    return (
+        summary.n > 0
+        and 0 <= summary.failures <= summary.n
+        and 0 <= summary.slow <= summary.n
+        and math.isfinite(summary.log_sum)
+    )
+
+
+def _compare(
+    cause: Cause, own: tuple[int, int], peers: list[tuple[int, int]], floor: float
+) -> Verdict:
+    """Compare (events, outcomes) of the suspect with those of its peers."""
+    own_rate = own[0] / own[1]
+    median = statistics.median(events / n for events, n in peers)
+    total = sum(n for _, n in peers)
+    peer_rate = clamp_rate(
+        max(
+            median + PEER_RATE_ERRORS * MEDIAN_ERROR_RATIO * _get_error(median, total),
+            _pool_rate(peers, clamp_rate(median, floor)),
+        ),
+        floor,
+    )
+    strength = _get_strength(own, peer_rate)
+    outlier = strength >= OUTLIER_LLR and own_rate - median >= RATE_GAP
+    finding = Finding.OUTLIER if outlier else Finding.COMMON_CAUSE
+    return Verdict(finding, cause, own_rate, peer_rate, strength)
+
+
+def _pool_rate(peers: list[tuple[int, int]], median: float) -> float:
+    """Return the joint rate of the peers that are no outliers themselves.
+
+    The median of a few outcomes each is zero up to a rate of a tenth.
+    """
+    normal = [peer for peer in peers if _get_strength(peer, median) < OUTLIER_LLR]
+    total = sum(n for _, n in normal)
+    if not total:
+        return median
+    rate = sum(events for events, _ in normal) / total
+    return rate + _get_error(rate, total)
+
+
+def _get_error(rate: float, n: int) -> float:
+    """Return the standard error of a rate."""
+    return math.sqrt(rate * (1.0 - rate) / n)
+
+
+def _get_strength(counts: tuple[int, int], reference: float) -> float:
+    """Return the generalized log-likelihood ratio of a raised rate."""
+    rate = counts[0] / counts[1]
+    return counts[1] * _diverge(rate, reference) if rate > reference else 0.0
+
+
+def _diverge(rate: float, reference: float) -> float:
+    """Return the Kullback-Leibler divergence of two yes-or-no distributions."""
+    divergence = rate * math.log(rate / reference) if rate > 0.0 else 0.0
+    if rate < 1.0:
+        divergence += (1.0 - rate) * math.log((1.0 - rate) / (1.0 - reference))
+    return divergence
