--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -53,6 +53,7 @@
         self.store_address: tuple[str, int] | None = None
         self._directory = tempfile.TemporaryDirectory(prefix="flamingobank-")
         self.path = Path(self._directory.name)
+        self.run_log = self.path / "runs.log"
         self._others: list[subprocess.Popen] = []
         self._secret_file = self._write_secret("fleet.secret", os.urandom(24).hex())
         self.token_file = self._write_secret("store.token", os.urandom(16).hex())
@@ -132,6 +133,8 @@
             failure_domain,
             "--slots",
             str(slots),
+            "--run-log",
+            str(self.run_log),
         ]
         for name, value in labels.items():
             arguments += ["--label", f"{name}={value}"]
@@ -176,6 +179,15 @@
         address = self.servers[instance].address
         return call_json(address, method, "/control", fields or None)
 
+    def count_runs(self) -> dict[str, int]:
+        """Return how often each key ran on any server, killed ones included."""
+        runs: dict[str, int] = {}
+        if not self.run_log.exists():
+            return runs
+        for key in self.run_log.read_text().split():
+            runs[key] = runs.get(key, 0) + 1
+        return runs
+
     def stop(self) -> None:
         """End all processes that this fleet started."""
         self._report_crashes()
--- a/src/flamingobank_standins/upstream/__main__.py
+++ b/src/flamingobank_standins/upstream/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import sys
+from pathlib import Path
 
 from flamingobank.core import MonotonicClock
 from flamingobank_standins.upstream.server import Upstream
@@ -17,6 +18,9 @@
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--node", action="append", default=[], metavar="HOST:PORT")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--run-log", type=Path, metavar="FILE", help="append each key that runs"
+    )
     options = parser.parse_args(arguments)
     upstream = Upstream(
         options.instance,
@@ -27,6 +31,7 @@
         [_read_address(text) for text in options.node],
         MonotonicClock(),
         options.seed,
+        options.run_log,
     )
     upstream.run()
     return 0
--- a/src/flamingobank_standins/upstream/server.py
+++ b/src/flamingobank_standins/upstream/server.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+from pathlib import Path
 
 from circuits import Component, handler
 
@@ -101,6 +102,7 @@
         nodes: list[Address],
         clock: Clock,
         seed: int,
+        run_log: Path | None = None,
     ) -> None:
         super().__init__(channel=self.channel)
         self.instance = instance
@@ -110,6 +112,8 @@
         self.cancelled = 0
         self.draining = False
         self.runs: dict[str, int] = {}
+        # Unbuffered, so that a killed process has written every run it began.
+        self._run_log = run_log.open("ab", buffering=0) if run_log else None
         self.work_after_drain = 0
         self.served = 0
         self._slots = slots
@@ -196,6 +200,8 @@
         key = request.get_header(b"idempotency-key").decode("latin-1")
         if key:
             self.runs[key] = self.runs.get(key, 0) + 1
+            if self._run_log is not None:
+                self._run_log.write(f"{key}\n".encode())
         Job(
             self,
             request,
