Refuse malformed entries and misplaced answers on links

A frame with an unhashable map key raised TypeError out of the decoder. Entries of headers, directory services and summaries were not checked, so receivers raised TypeError after they had changed state. A second head, or one of another request, broke the own_answer invariant and stopped the entry's process; a part before the head was written to the caller.

The decoder and unpack_message now refuse these, and RemoteRequest refuses answers out of order, so that only the sender's link ends.

--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/remote.py
@@ -29,7 +29,7 @@
 class RemoteRequest(StreamHandler, RunningRequest):
     """Stand at the entry node for a request that another node runs."""
 
-    __slots__ = ("_done", "_link", "_sink", "_stream")
+    __slots__ = ("_done", "_has_head", "_link", "_request_id", "_sink", "_stream")
 
     def __init__(
         self, link: Link, message: OpenRequest, body: bytes, sink: AnswerSink
@@ -37,6 +37,8 @@
         self._link = link
         self._sink = sink
         self._done = False
+        self._has_head = False
+        self._request_id = message.request_id
         self._stream = link.open_stream(self)
         message.body = body[:PART_BYTES]
         message.body_continues = len(body) > PART_BYTES
@@ -64,6 +66,8 @@
             return
         if isinstance(message, AnswerPart):
             state = AnswerState(message.state)
+            if not self._has_head:
+                raise ValueError("part of an answer without its head")
             if state is not AnswerState.MORE:
                 self._end()
             self._sink.on_part(message.data, state)
@@ -94,6 +98,10 @@
 
     def _pass_head(self, message: AnswerHead) -> None:
         state = AnswerState(message.state)
+        # A hostile peer must end its own link here, not the process by own_answer.
+        if self._has_head or message.request_id != self._request_id:
+            raise ValueError("head of an answer to no request of this stream")
+        self._has_head = True
         if state is not AnswerState.MORE:
             self._end()
         self._sink.on_start(
--- a/src/flamingobank/wire/frames.py
+++ b/src/flamingobank/wire/frames.py
@@ -88,7 +88,8 @@
         self._sequence += 1
         try:
             decoded = msgpack.unpackb(payload, raw=False, strict_map_key=False)
-        except (ValueError, msgpack.UnpackException) as error:
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            # TypeError reports a map whose key cannot be hashed.
             return FrameError(f"frame is not msgpack: {error}")
         if not isinstance(decoded, list) or len(decoded) != 3:
             return FrameError("frame is not an array of type, stream and fields")
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -270,7 +270,44 @@
                 f"{message_class.__name__} has a field of type "
                 f"{type(value).__name__}, expected {names}",
             )
-    return message_class(*fields)
+    message = message_class(*fields)
+    has_valid_entries = _ENTRY_CHECKS.get(message_class)
+    if has_valid_entries is not None and not has_valid_entries(message):
+        reason = f"{message_class.__name__} has malformed entries"
+        return MessageError(kind, reason)
+    return message
+
+
+def _are_headers(message: OpenRequest | AnswerHead) -> bool:
+    return all(_has_types(header, (bytes, bytes)) for header in message.headers)
+
+
+def _are_services(message: DirectoryUpdate) -> bool:
+    return all(
+        _has_types(service, (str, int, int, list))
+        and all(type(instance) is str for instance in service[3])
+        for service in message.services
+    )
+
+
+def _are_versions(message: DirectorySummary) -> bool:
+    return all(
+        type(home) is str and _has_types(version, (str, int))
+        for home, version in message.homes.items()
+    )
+
+
+def _has_types(values: object, expected: tuple[type, ...]) -> bool:
+    return type(values) is list and tuple(map(type, values)) == expected
+
+
+# Receivers unpack the entries of these messages without a check of their own.
+_ENTRY_CHECKS: dict[type, Callable[[Message], bool]] = {
+    OpenRequest: _are_headers,
+    AnswerHead: _are_headers,
+    DirectoryUpdate: _are_services,
+    DirectorySummary: _are_versions,
+}
 
 
 def _list_accepted_types(hint: object) -> tuple[type, ...]:
