Refuse announcements that cannot be true and let a drained server return

A port of a non-ASCII digit and deep JSON nesting raised out of the handler. A host name as address was looked up inside the loop. A lone surrogate in a name could not be encoded for peers, which stopped this node's directory updates. A server that announced that it stays after a drain never got work again.

Names are printable and at most 255 characters, addresses are IPv4 numbers, and a server that no longer drains is returned to service and to the floor.

--- a/src/flamingobank/balancing/servers.py
+++ b/src/flamingobank/balancing/servers.py
@@ -107,6 +107,10 @@
         if self.draining_since is None:
             self.draining_since = now
 
+    def return_to_service(self) -> None:
+        """Note that a draining server stays."""
+        self.draining_since = None
+
     def set_slots(self, slots: float) -> SlotProblem | None:
         """Change the limit; work above a lower limit ends before new work starts."""
         if not isinstance(slots, int | float) or not math.isfinite(slots):
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -1,5 +1,6 @@
 """Take the announcements of servers and keep those this node is home of."""
 
+import ipaddress
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,6 +27,9 @@
 RENEW_MS = 1000
 EXPIRY_S = 3.0
 MAX_SLOTS = 1024
+# Names travel in the directory to all nodes, whose frames are bounded.
+MAX_NAME_CHARACTERS = 255
+MAX_PORT_DIGITS = 5
 CHECK_INTERVAL_S = 0.25
 
 
@@ -65,16 +69,17 @@
     """Check the JSON body of an announcement."""
     try:
         fields = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return Error(AnnouncementError("body", body[:64], "a JSON object"))
     if not isinstance(fields, dict):
         return Error(AnnouncementError("body", fields, "a JSON object"))
     for name in ("instance", "boot", "address", "failure_domain"):
         value = fields.get(name)
-        if not isinstance(value, str) or not value:
-            return Error(AnnouncementError(name, value, "a string"))
-    host, _, port = fields["address"].rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        if not _is_name(value):
+            expected = f"printable text of 1 to {MAX_NAME_CHARACTERS} characters"
+            return Error(AnnouncementError(name, value, expected))
+    address = _parse_address(fields["address"])
+    if address is None:
         return Error(AnnouncementError("address", fields["address"], "IP:port"))
     labels = fields.get("labels", {})
     if not isinstance(labels, dict) or not all(
@@ -90,7 +95,7 @@
         Announcement(
             InstanceId(fields["instance"]),
             BootId(fields["boot"]),
-            (host, int(port)),
+            address,
             labels,
             slots,
             FailureDomain(fields["failure_domain"]),
@@ -102,6 +107,28 @@
     )
 
 
+def _is_name(value: object) -> bool:
+    # Printable text holds no lone surrogates, which cannot be encoded for peers.
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARACTERS
+        and value.isprintable()
+    )
+
+
+def _parse_address(text: str) -> Address | None:
+    """Return an address by IP number; a name would be looked up in the loop."""
+    host, _, port = text.rpartition(":")
+    if not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
+        return None
+    if not 0 < int(port) < 65536:
+        return None
+    try:
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        return None
+
+
 def _clamp_count(value: object, slots: int) -> int:
     """Return a reported count, or none when it cannot be true."""
     if type(value) is not int or not 0 <= value <= slots:
@@ -206,6 +233,10 @@
         server.slots.set_slots(announcement.slots)
         if announcement.draining:
             server.slots.drain(now)
+        elif server.draining:
+            # It stays after all; floor promises may count on it again.
+            server.slots.return_to_service()
+            self._ejections.return_to_service(server)
         if changed:
             self._dispatcher.place_server(server)
             self._on_change()
--- a/src/flamingobank/node/ejections.py
+++ b/src/flamingobank/node/ejections.py
@@ -66,6 +66,10 @@
         if server.draining:
             self._send_all(self.ledger.set_in_service(server.instance, False, now))
 
+    def return_to_service(self, server: Server) -> None:
+        """Note that a draining server stays after all."""
+        self.ledger.set_in_service(server.instance, True, self._clock.now())
+
     def remove(self, instance: InstanceId) -> None:
         """Forget a server that is gone or has another home."""
         now = self._clock.now()
