Blame a request for a crash only when its server's process has ended

Cause: each broken connection was reported as a crash, so a legitimate request that met two of them could be quarantined; a report could reach the entry after its retry decision. Change: after a broken connection the home connects once; only a refused connection reports the request. The report goes to the entry before the refusal, the entry checks the ledger before each attempt, and retried work runs apart.

--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -21,7 +21,7 @@
 from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.edge import EdgeRequest, EdgeResponse
 from flamingobank.node.ejections import Ejections
-from flamingobank.node.servers import Server
+from flamingobank.node.servers import CONNECT_BACKOFF_S, Server
 
 ANNOUNCE_PATH = "/.flamingobank/announce"
 RENEW_MS = 1000
@@ -229,6 +229,9 @@
         server.labels = announcement.labels
         server.failure_domain = announcement.failure_domain
         server.announced_at = now
+        server.unreachable_until = min(
+            server.unreachable_until, now + CONNECT_BACKOFF_S
+        )
         server.slots.warm = announcement.warm
         server.slots.set_slots(announcement.slots)
         if announcement.draining:
--- a/src/flamingobank/node/crashes.py
+++ b/src/flamingobank/node/crashes.py
@@ -4,11 +4,11 @@
 
 import eliot
 
-from flamingobank.core import Clock, Fingerprint, InstanceId
+from flamingobank.core import Clock, Fingerprint, InstanceId, RouteName
 from flamingobank.node.requests import HomeRequest
 from flamingobank.node.servers import Server
-from flamingobank.quarantine import Clearance, CrashId, CrashLedger
-from flamingobank.wire import CrashClearance, CrashNotice, Message
+from flamingobank.quarantine import Clearance, CrashId, CrashLedger, compute_fingerprint
+from flamingobank.wire import CrashClearance, CrashNotice, Message, OpenRequest
 
 
 class Crashes:
@@ -21,10 +21,13 @@
         self._broadcast = broadcast
 
     def report(self, request: HomeRequest, server: Server, detail: str) -> None:
-        """Report a request whose connection broke while it ran."""
+        """Report a request that was in flight when its server's process ended."""
         notice = CrashNotice(
             request.fingerprint, server.instance, f"{server.instance}/{server.boot}"
         )
+        # The entry must know it before it decides about a retry, and a broadcast
+        # may reach the entry later than the refusal.
+        request.sink.on_notice(notice)
         if not self.receive_report(notice):
             return
         self.reported += 1
@@ -66,8 +69,24 @@
             return False
         return self.ledger.is_quarantined(request.fingerprint, self._clock.now())
 
+    def is_message_quarantined(self, message: OpenRequest, body: bytes) -> bool:
+        """Tell at the entry whether a request must not be sent to a home."""
+        if not len(self.ledger):
+            return False
+        fingerprint = compute_fingerprint(
+            RouteName(message.route),
+            message.key,
+            message.method,
+            message.target.decode("latin-1"),
+            body,
+        )
+        return self.ledger.is_quarantined(fingerprint, self._clock.now())
+
     def is_suspect(self, request: HomeRequest) -> bool:
         """Tell whether a request was in flight in a crash."""
+        if request.work.attempt > 0:
+            # A report of its first attempt may still be under way.
+            return True
         if not len(self.ledger):
             return False
         return self.ledger.is_suspect(request.fingerprint, self._clock.now())
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -126,7 +126,7 @@
     def on_outcome(self, server: Server, outcome: Outcome) -> None:
         self._ejections.on_outcome(server, outcome)
 
-    def on_broken(self, request: HomeRequest, server: Server, detail: str) -> None:
+    def on_crash(self, request: HomeRequest, server: Server, detail: str) -> None:
         self._crashes.report(request, server, detail)
 
     def on_completed(self, request: HomeRequest) -> None:
@@ -251,6 +251,7 @@
         self.keyed.choose_home = self.entry.choose_home
         self.keyed.send = self.entry.send
         self.entry.keyed = self.keyed
+        self.entry.is_quarantined = self.crashes.is_message_quarantined
         self.entry.make_keyed_exchange = partial(KeyedCallerExchange, keyed=self.keyed)
         self.entry.find_address = self.members.find_address
         self.metrics = NodeMetrics(settings.node_id)
--- a/src/flamingobank/node/dispatcher.py
+++ b/src/flamingobank/node/dispatcher.py
@@ -15,6 +15,7 @@
 from flamingobank.loop import Poller, Timers
 from flamingobank.node.exchange import AnswerSink, Load, RunningRequest
 from flamingobank.node.pool import ServicePool
+from flamingobank.node.process_check import ProcessCheck
 from flamingobank.node.requests import HomeRequest
 from flamingobank.node.servers import Server
 from flamingobank.node.upstream import Attempt, AttemptResult
@@ -23,6 +24,9 @@
 
 FIRST_FAILURE_STATUS = 500
 REFRESH_S = 0.1
+# A server whose process ended gets no work before its next announcement, which
+# ends this time early.
+CRASHED_S = 3600.0
 
 
 class FinishedRequest(RunningRequest):
@@ -41,8 +45,8 @@
     def on_outcome(self, server: Server, outcome: Outcome) -> None:
         """React to the end of work."""
 
-    def on_broken(self, request: HomeRequest, server: Server, detail: str) -> None:
-        """React to a connection that broke while a request ran."""
+    def on_crash(self, request: HomeRequest, server: Server, detail: str) -> None:
+        """React to a server whose process ended while a request ran there."""
 
     def on_completed(self, request: HomeRequest) -> None:
         """React to a complete answer."""
@@ -154,14 +158,30 @@
         if outcome is Outcome.SUCCEEDED:
             server.slots.succeed()
             self.observer.on_completed(request)
-        if attempt.result in (
-            AttemptResult.BROKEN_BEFORE_HEAD,
-            AttemptResult.BROKEN_AFTER_HEAD,
-        ):
-            self.observer.on_broken(request, server, attempt.detail)
         end = attempt.head_at if attempt.was_paused else attempt.ended_at
         self._record(request, server, outcome, end - attempt.started_at)
 
+    def check_crash(
+        self,
+        request: HomeRequest,
+        server: Server,
+        detail: str,
+        then: Callable[[], None],
+    ) -> None:
+        """Report a crash if the server's process has ended, and go on.
+
+        A broken connection alone blames nobody: a legitimate request may meet two.
+        """
+
+        def finish(ended: bool) -> None:
+            if ended:
+                server.unreachable_until = self.clock.now() + CRASHED_S
+                self.refresh_server(server)
+                self.observer.on_crash(request, server, detail)
+            then()
+
+        ProcessCheck(self.poller, self.timers, self.clock.now(), server.address, finish)
+
     def on_timeout(self, request: HomeRequest, server: Server) -> None:
         """Judge a request whose deadline passed while it ran."""
         elapsed = self.clock.now() - request.exchange.started_at
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -237,6 +237,10 @@
     def _attempt(self, refusal: Refusal | None) -> None:
         if self._finished:
             return
+        if self.entry.is_quarantined(self.message, self.body):
+            detail = "this request crashed servers and is not run for now"
+            self._refuse(Refusal(self._known, Reason.QUARANTINED, 600.0, detail))
+            return
         now = self.entry.clock.now()
         home = self.entry.choose_home(self.message.service, self._tried)
         if home is None or now >= self.deadline:
@@ -373,6 +377,7 @@
         self.keyed: KeyedRequests | None = None
         self.make_keyed_exchange: Callable[..., CallerExchange] | None = None
         self.find_address: Callable[[NodeId], Address | None] = lambda node: None
+        self.is_quarantined: Callable[[OpenRequest, bytes], bool] = _allow
         self._budget = RetryBudget()
 
     @handler("request")
@@ -536,6 +541,10 @@
         return route, workspace
 
 
+def _allow(message: OpenRequest, body: bytes) -> bool:
+    return False
+
+
 def read_deadline(request: EdgeRequest, route_deadline_ms: int) -> int:
     """Return the milliseconds left: the caller's own, at most the route's."""
     text = request.get_header(DEADLINE_HEADER)
--- a/src/flamingobank/node/exchange.py
+++ b/src/flamingobank/node/exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from flamingobank.core import Refusal
-from flamingobank.wire import AnswerState
+from flamingobank.wire import AnswerState, CrashNotice
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -48,6 +48,10 @@
     def on_refused(self, refusal: Refusal, load: Load) -> None:
         """React to there being no answer."""
 
+    def on_notice(self, notice: CrashNotice) -> None:
+        """React to a crash report that precedes the refusal."""
+        return None
+
 
 class RunningRequest(abc.ABC):
     """Control a request that was handed over."""
--- a/src/flamingobank/node/pool.py
+++ b/src/flamingobank/node/pool.py
@@ -204,6 +204,10 @@
         self._dispatcher.on_attempt(request, server, attempt)
         if attempt.result in ANSWERED:
             self._forget(request)
+            if not completed:
+                self._dispatcher.check_crash(
+                    request, server, attempt.detail, _do_nothing
+                )
         else:
             self._continue_after_failure(request, server, attempt)
         self.start_waiting()
@@ -215,7 +219,12 @@
         request.exchange = None
         if attempt.result is AttemptResult.BROKEN_BEFORE_HEAD:
             refusal = Refusal(Disposition.UNKNOWN, Reason.BROKEN, 1.0, attempt.detail)
-            self._refuse(request, refusal)
+            self._dispatcher.check_crash(
+                request,
+                server,
+                attempt.detail,
+                lambda: None if request.finished else self._refuse(request, refusal),
+            )
             return
         if attempt.result is AttemptResult.NOT_SENT:
             server.unreachable_until = now + CONNECT_BACKOFF_S
@@ -277,6 +286,10 @@
         self._wakeup = self._dispatcher.timers.call_at(wakeup_at, self.start_waiting)
 
 
+def _do_nothing() -> None:
+    """End a check that nobody waits for."""
+
+
 def render_request(message: OpenRequest, body: bytes, remaining_s: float) -> bytes:
     """Return the bytes of the request for a server."""
     lines = [b"%s %s HTTP/1.1\r\n" % (message.method.encode(), message.target)]
--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/remote.py
@@ -9,12 +9,13 @@
     Load,
     RunningRequest,
 )
-from flamingobank.node.links import Link, StreamHandler
+from flamingobank.node.links import CONTROL_STREAM, Link, StreamHandler
 from flamingobank.wire import (
     AnswerHead,
     AnswerPart,
     AnswerState,
     Cancel,
+    CrashNotice,
     Message,
     OpenRequest,
     Refused,
@@ -194,6 +195,9 @@
         if not self._done:
             self._send_pieces(_split(data), state)
 
+    def on_notice(self, notice: CrashNotice) -> None:
+        self._link.send(CONTROL_STREAM, notice)
+
     def on_refused(self, refusal: Refusal, load: Load) -> None:
         if self._done:
             return
