--- /dev/null
+++ b/benchmarks/outage.py
@@ -0,0 +1,149 @@
+"""Serve through a store outage while a third of the nodes are replaced."""
+
+import http.client
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+
+from flamingobank_standins.local_fleet import (
+    LocalFleet,
+    call_json,
+    wait_until,
+)
+
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+NODES = 9
+SERVERS = 9
+CALLERS = 6
+CALL_PAUSE_S = 0.01
+SERVING_TIMEOUT_S = 20.0
+SPECS = {
+    ("service", "bench"): {"selector": "app=bench", "floor": "50%"},
+    ("route", "bench"): {
+        "target": "service=bench",
+        "path": "/",
+        "expected_ms": "10",
+        "deadline_ms": "5000",
+    },
+}
+
+
+@dataclass
+class Calls:
+    """Count calls by how they ended."""
+
+    answered: int = 0
+    failed: dict[str, int] = field(default_factory=dict)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, result: str) -> None:
+        """Count one call."""
+        with self.lock:
+            if result == "answered":
+                self.answered += 1
+            else:
+                self.failed[result] = self.failed.get(result, 0) + 1
+
+
+def add_arguments(parser) -> None:
+    """Describe the options."""
+    parser.add_argument("--seconds", type=float, default=30.0)
+
+
+def measure(options) -> dict:
+    """Return the figures of one run."""
+    calls = Calls()
+    with LocalFleet("bench") as fleet:
+        fleet.start_store()
+        for index in range(NODES):
+            fleet.start_node(f"node-{index}", DOMAINS[index % 3])
+        fleet.wait_for_nodes()
+        for index in range(SERVERS):
+            fleet.start_server(f"server-{index}", DOMAINS[index % 3], {"app": "bench"})
+        for (kind, name), spec in SPECS.items():
+            fleet.write_object(kind, name, spec)
+        fleet.wait_for_servers({"bench": SERVERS})
+        call_json(fleet.store_address, "POST", "/control", {"outage": "hang"})
+        print("the store is away", file=sys.stderr)
+        stop = threading.Event()
+        threads = [
+            threading.Thread(target=_send_calls, args=(fleet, calls, index, stop))
+            for index in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        serving_s = _replace_nodes(fleet, options.seconds)
+        stop.set()
+        for thread in threads:
+            thread.join()
+    total = calls.answered + sum(calls.failed.values())
+    return {
+        "answered_ratio": round(calls.answered / total, 5),
+        "replaced_serving_p99_s": round(max(serving_s), 3),
+        "replaced": len(serving_s),
+        "requests": total,
+        "failed": calls.failed,
+    }
+
+
+def _replace_nodes(fleet: LocalFleet, seconds: float) -> list[float]:
+    """Replace a third of the nodes: half of them killed, half told to leave."""
+    names = list(fleet.nodes)[: NODES // 3]
+    serving_s = []
+    for index, name in enumerate(names):
+        time.sleep(seconds / (len(names) + 1))
+        old = fleet.nodes[name]
+        if index % 2:
+            old.process.terminate()
+        else:
+            old.process.kill()
+        old.process.wait()
+        started = time.monotonic()
+        node = fleet.start_node(
+            name, old.settings.failure_domain, settings=old.settings
+        )
+        address = node.settings.callers
+        wait_until(
+            lambda address=address: _call(address) == "answered",
+            f"{name} serves",
+            SERVING_TIMEOUT_S,
+        )
+        serving_s.append(time.monotonic() - started)
+    time.sleep(seconds / (len(names) + 1))
+    return serving_s
+
+
+def _send_calls(
+    fleet: LocalFleet, calls: Calls, index: int, stop: threading.Event
+) -> None:
+    """Send idempotent calls; a caller whose node has gone asks the next one.
+
+    Callers stay with a node as long as it answers, as connected callers do.
+    """
+    turn = index
+    while not stop.is_set():
+        addresses = [node.settings.callers for node in list(fleet.nodes.values())]
+        result = _call(addresses[turn % len(addresses)])
+        for _ in range(2):
+            if result != "gone":
+                break
+            turn += 1
+            result = _call(addresses[turn % len(addresses)])
+        calls.add(result)
+        time.sleep(CALL_PAUSE_S)
+
+
+def _call(address: tuple[str, int]) -> str:
+    connection = http.client.HTTPConnection(*address, timeout=8)
+    try:
+        connection.request("GET", "/?ms=10&echo=x")
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, http.client.HTTPException):
+        return "gone"
+    finally:
+        connection.close()
+    if response.status == 200 and body.endswith(b" x\n"):
+        return "answered"
+    return response.getheader("Flamingobank-Reason") or str(response.status)
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -3,9 +3,7 @@
 Real node processes; meanwhile one node is replaced and the store is slowed.
 """
 
-import contextlib
 import http.client
-import json
 import sys
 import time
 
@@ -120,20 +118,8 @@
 
 
 def _write(fleet: LocalFleet, number: int) -> int:
-    """Write one service, as an operator does, and return its revision."""
-    connection = http.client.HTTPConnection(*fleet.store_address, timeout=10)
-    with contextlib.closing(connection):
-        body = {
-            "spec": {"selector": f"app=bench-{number}", "floor": "50%"},
-            "write_id": f"bench-{number}",
-        }
-        headers = {
-            "Authorization": f"Bearer {fleet.token_file.read_text().strip()}",
-            "If-None-Match": "*",
-        }
-        path = f"/v1/objects/service/bench-{number}"
-        connection.request("PUT", path, json.dumps(body), headers)
-        return json.loads(connection.getresponse().read())["revision"]
+    spec = {"selector": f"app=bench-{number}", "floor": "50%"}
+    return fleet.write_object("service", f"bench-{number}", spec)
 
 
 def _control(fleet: LocalFleet, **fields: object) -> dict:
--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -179,6 +179,16 @@
         address = self.servers[instance].address
         return call_json(address, method, "/control", fields or None)
 
+    def write_object(self, kind: str, name: str, spec: dict[str, str]) -> int:
+        """Write a new object, as an operator does, and return its revision."""
+        connection = http.client.HTTPConnection(*self.store_address, timeout=10)
+        with contextlib.closing(connection):
+            body = json.dumps({"spec": spec, "write_id": f"local-{kind}-{name}"})
+            token = self.token_file.read_text().strip()
+            headers = {"Authorization": f"Bearer {token}", "If-None-Match": "*"}
+            connection.request("PUT", f"/v1/objects/{kind}/{name}", body, headers)
+            return json.loads(connection.getresponse().read())["revision"]
+
     def count_runs(self) -> dict[str, int]:
         """Return how often each key ran on any server, killed ones included."""
         runs: dict[str, int] = {}
