Run requests with caller-chosen keys at most once through the store

Cause: callers that make their own keys were refused. Change: a node creates the key's object in the store before the run and records the end after it; a conflict replays, reports still running, or unknown once the owner is gone. Watchers get a larger call budget. Local fleets take ports below the ephemeral range, where outgoing connections took some before their bind.

--- a/benchmarks/at_most_once.py
+++ b/benchmarks/at_most_once.py
@@ -19,6 +19,8 @@
 MAX_SENDS = 8
 CALL_TIMEOUT_S = 3.0
 KEYS_PER_CALL = 20
+# Share of the batches whose keys the caller chooses; they need the store.
+CHOSEN_SHARE = 0.2
 MANIFEST = """\
 [service bench]
 selector = app=bench
@@ -136,6 +138,8 @@
 ) -> None:
     keys: list[str] = []
     while not stop.is_set():
+        if not keys and rng.random() < CHOSEN_SHARE:
+            keys = [f"chosen-{rng.getrandbits(64):016x}" for _ in range(KEYS_PER_CALL)]
         if not keys:
             keys = _try_to_take_keys(fleet, rng)
             continue
--- /dev/null
+++ b/src/flamingobank/node/chosen_requests.py
@@ -0,0 +1,178 @@
+"""Run requests with caller-chosen keys at most once, through the store."""
+
+import base64
+import binascii
+import time
+from collections.abc import Callable
+from functools import partial
+
+from expression import Result
+
+from flamingobank.core import (
+    Clock,
+    Disposition,
+    NodeId,
+    Reason,
+    Refusal,
+    WorkspaceId,
+)
+from flamingobank.directory import HomeEntry
+from flamingobank.idempotency import (
+    ChosenKeys,
+    ChosenRun,
+    KeeperName,
+    KeyWrite,
+    Replay,
+    StillRunning,
+    name_chosen_key,
+)
+from flamingobank.loop import Timers
+from flamingobank.node.exchange import AnswerSink, RunningRequest
+from flamingobank.node.keeper_requests import (
+    KeeperRequest,
+    RunRecorder,
+    SendRequest,
+    make_replay,
+)
+from flamingobank.node.keyed_requests import compute_key_fingerprint, describe_decision
+from flamingobank.node.members import Members
+from flamingobank.store import GroupBudget, StoreClient, StoredObject
+from flamingobank.wire import OpenRequest
+
+KEY_KIND = "key"
+LIFETIME_S = 86_400
+# A part of the several hundred writes a second of the whole fleet; each key takes
+# one write before and one after its run.
+FLEET_KEYS_PER_S = 100.0
+DONE, NOT_RUN, UNKNOWN = "done", "not-run", "unknown"
+RECORD_TIMEOUT_S = 60.0
+
+
+class ChosenRequests(RunRecorder):
+    """Create a key's object before its request runs, and record how it ended."""
+
+    def __init__(
+        self,
+        owner: KeeperName,
+        clock: Clock,
+        timers: Timers,
+        store: StoreClient,
+        members: Members,
+        choose_home: Callable[[str, set[NodeId]], HomeEntry | None],
+        send: SendRequest,
+    ) -> None:
+        self.clock = clock
+        self.timers = timers
+        self.choose_home = choose_home
+        self.send = send
+        self._store = store
+        self._members = members
+        count = len(members.membership.members()) + 1
+        self._budget = GroupBudget(FLEET_KEYS_PER_S, count, clock.now())
+        self._keys = ChosenKeys(owner, self._budget)
+        self._unrecorded = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether every end of a run has been recorded."""
+        return not self._unrecorded
+
+    def serve(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Run a request unless its key has been used."""
+        now = self.clock.now()
+        self._budget.set_members(len(self._members.membership.members()) + 1, now)
+        request = KeeperRequest(self, message, body, sink)
+        name = name_chosen_key(WorkspaceId(message.workspace), message.key)
+        expiry_s = int(time.time()) + LIFETIME_S
+        fingerprint = compute_key_fingerprint(message, body)
+        begun = self._keys.begin(name, fingerprint, expiry_s, now)
+        if not isinstance(begun, KeyWrite):
+            request.refuse(describe_decision(begun))
+            return request
+        self._write(begun, request, sink)
+        return request
+
+    def record_done(self, run: ChosenRun, status: int, answer: bytes) -> None:
+        """Record a complete answer."""
+        text = base64.b64encode(answer).decode()
+        self._end(run, DONE, status, text)
+
+    def record_not_run(self, run: ChosenRun) -> None:
+        """Record that no byte of the request reached a server."""
+        self._end(run, NOT_RUN)
+
+    def record_unknown(self, run: ChosenRun) -> None:
+        """Record that the request may have run."""
+        self._end(run, UNKNOWN)
+
+    def _write(self, write: KeyWrite, request: KeeperRequest, sink: AnswerSink) -> None:
+        left_s = max(0.05, request.deadline - self.clock.now())
+        self._store.put(
+            KEY_KIND,
+            write.name,
+            write.spec,
+            partial(self._on_written, write, request, sink),
+            expected=write.expected,
+            timeout_s=left_s / 2,
+            prepaid=True,
+        )
+
+    def _on_written(
+        self, write: KeyWrite, request: KeeperRequest, sink: AnswerSink, result: Result
+    ) -> None:
+        decision = self._keys.on_written(write, result, self.clock.now())
+        if isinstance(decision, KeyWrite):
+            self._write(decision, request, sink)
+        elif isinstance(decision, ChosenRun):
+            self._unrecorded += 1
+            request.start(decision)
+        elif isinstance(decision, Replay):
+            answer = _decode_answer(decision.answer)
+            sink.on_start(make_replay(request.message, decision.status, answer))
+        elif isinstance(decision, StillRunning) and not self._is_owner_live(
+            result.error.current
+        ):
+            detail = "the node that ran the request is gone"
+            request.refuse(
+                Refusal(Disposition.UNKNOWN, Reason.KEEPER_LOST, 1.0, detail)
+            )
+        else:
+            request.refuse(describe_decision(decision))
+
+    def _is_owner_live(self, held: StoredObject | None) -> bool:
+        owner = str(held.spec.get("owner", "")) if held is not None else ""
+        node, _, epoch = owner.rpartition("/")
+        own = self._members.membership.own
+        if node == own.node_id:
+            return epoch == own.boot_id
+        member = self._members.membership.find(NodeId(node))
+        return member is not None and member.is_in_service and member.boot_id == epoch
+
+    def _end(self, run: ChosenRun, state: str, status: int = 0, text: str = "") -> None:
+        expiry_s = int(time.time()) + LIFETIME_S
+        write = self._keys.end(run, state, expiry_s, status, text)
+        self._store.put(
+            KEY_KIND,
+            write.name,
+            write.spec,
+            self._on_recorded,
+            expected=write.expected,
+            timeout_s=RECORD_TIMEOUT_S,
+            prepaid=True,
+        )
+
+    def _on_recorded(self, result: Result) -> None:
+        # A record that could not be written leaves the key "running"; once this
+        # process is gone, that reads as outcome unknown.
+        self._unrecorded -= 1
+
+
+def _decode_answer(answer: bytes | None) -> bytes | None:
+    if answer is None:
+        return None
+    try:
+        return base64.b64decode(answer, validate=True)
+    except binascii.Error:
+        return None
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -16,6 +16,7 @@
 from flamingobank.loop import Poller, Timers
 from flamingobank.membership import Member
 from flamingobank.node.announcements import Announcements
+from flamingobank.node.chosen_requests import ChosenRequests
 from flamingobank.node.configuration_sync import ConfigurationSync
 from flamingobank.node.configuration_wire import unpack_peer_message
 from flamingobank.node.crashes import Crashes
@@ -359,6 +360,15 @@
             self.poller, self.timers, self.clock, settings.store, token
         )
         client = StoreClient(transport, self.timers, self.clock, rng, self.boot)
+        self.entry.chosen = ChosenRequests(
+            self.keyed.name,
+            self.clock,
+            self.timers,
+            client,
+            self.members,
+            self.entry.choose_home,
+            self.entry.send,
+        )
         return StoreWatch(
             settings.node_id,
             self.boot,
@@ -398,6 +408,7 @@
             not self.entry.in_flight
             and not self.dispatcher.running
             and self.keyed.is_idle
+            and (self.entry.chosen is None or self.entry.chosen.is_idle)
             and not self.callers.connection_count
         )
         if idle or now >= self._stop_deadline:
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -59,6 +59,7 @@
 from flamingobank.wire import AnswerState, OpenRequest
 
 if TYPE_CHECKING:
+    from flamingobank.node.chosen_requests import ChosenRequests
     from flamingobank.node.keyed_requests import KeyedRequests
 
 # Time beyond the deadline in which the home's own refusal may still arrive.
@@ -341,6 +342,19 @@
         self._running.acknowledge(consumed)
 
 
+class ChosenCallerExchange(CallerExchange):
+    """Bring a request with a caller-chosen key to the store's record of it."""
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if not self._finished:
+            self._running = None
+            self._refuse(refusal)
+
+    def _attempt(self, refusal: Refusal | None) -> None:
+        self.attempts += 1
+        self._running = self.entry.chosen.serve(self.message, self.body, self)
+
+
 class Entry(BaseComponent):
     """Take the requests of callers."""
 
@@ -375,6 +389,7 @@
         self._request_count = 0
         self.links = links
         self.keyed: KeyedRequests | None = None
+        self.chosen: ChosenRequests | None = None
         self.make_keyed_exchange: Callable[..., CallerExchange] | None = None
         self.find_address: Callable[[NodeId], Address | None] = lambda node: None
         self.is_quarantined: Callable[[OpenRequest, bytes], bool] = _allow
@@ -438,16 +453,21 @@
         key = request.get_header(KEY_HEADER).decode("latin-1")
         if message.idempotent or not key:
             return CallerExchange(*arguments)
+        message.key = key
         if not is_issued(key):
-            detail = f"take a key from POST {KEYS_PATH}; got {key[:80]!r}"
-            return Refusal(Disposition.NOT_RUN, Reason.KEY_INVALID, 1.0, detail)
+            return self._make_chosen_exchange(arguments)
         parsed = self.keyed.parse(key)
         if parsed.is_error():
             detail = str(parsed.error)
             return Refusal(Disposition.NOT_RUN, Reason.KEY_INVALID, 1.0, detail)
-        message.key = key
         return self.make_keyed_exchange(*arguments, issued=parsed.ok)
 
+    def _make_chosen_exchange(self, arguments: tuple) -> CallerExchange | Refusal:
+        if self.chosen is not None:
+            return ChosenCallerExchange(*arguments)
+        detail = f"chosen keys need a store; take a key from POST {KEYS_PATH}"
+        return Refusal(Disposition.NOT_RUN, Reason.STORE_AWAY, 1.0, detail)
+
     def _issue_keys(self, request: EdgeRequest) -> None:
         count = dict(parse_qsl(request.qs)).get("count", "1")
         wanted = int(count) if count.isdecimal() and len(count) < 5 else 0
--- a/src/flamingobank/node/keeper_requests.py
+++ b/src/flamingobank/node/keeper_requests.py
@@ -1,19 +1,18 @@
 """Run a keyed request at its keeper and record how it ended."""
 
+import abc
+from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 import msgpack
 
-from flamingobank.core import Disposition, NodeId, Reason, Refusal
-from flamingobank.idempotency import Run
-from flamingobank.loop import TimerHandle
+from flamingobank.core import Clock, Disposition, NodeId, Reason, Refusal
+from flamingobank.directory import HomeEntry
+from flamingobank.idempotency import ChosenRun, Run
+from flamingobank.loop import TimerHandle, Timers
 from flamingobank.node.exchange import AnswerSink, AnswerStart, Load, RunningRequest
 from flamingobank.wire import AnswerState, KeyedMode, OpenRequest
 
-if TYPE_CHECKING:
-    from flamingobank.node.keyed_requests import KeyedRequests
-
 MAX_ATTEMPTS = 3
 RECORDED_BYTES = 16_384
 # Time beyond the deadline in which the home's own refusal may still arrive.
@@ -21,12 +20,36 @@
 NO_LOAD = Load(0.0, 0)
 
 
+SendRequest = Callable[[HomeEntry, OpenRequest, bytes, AnswerSink], RunningRequest]
+
+
+class RunRecorder(abc.ABC):
+    """Provide homes to a run, and record how it ended, exactly once."""
+
+    clock: Clock
+    timers: Timers
+    choose_home: Callable[[str, set[NodeId]], HomeEntry | None]
+    send: SendRequest
+
+    @abc.abstractmethod
+    def record_done(self, run, status: int, answer: bytes) -> None:
+        """Record a complete answer."""
+
+    @abc.abstractmethod
+    def record_not_run(self, run) -> None:
+        """Record that no byte of the request reached a server."""
+
+    @abc.abstractmethod
+    def record_unknown(self, run) -> None:
+        """Record that the request may have run."""
+
+
 class KeeperRequest(AnswerSink, RunningRequest):
     """Stand between whoever sent a keyed request and the home that runs it."""
 
     def __init__(
         self,
-        service: "KeyedRequests",
+        service: RunRecorder,
         message: OpenRequest,
         body: bytes,
         sink: AnswerSink,
@@ -36,7 +59,7 @@
         self.deadline = service.clock.now() + message.remaining_ms / 1000
         self._service = service
         self._sink: AnswerSink | None = sink
-        self._run: Run | None = None
+        self._run: Run | ChosenRun | None = None
         self._running: RunningRequest | None = None
         self._tried: set[NodeId] = set()
         self._status = 0
@@ -47,7 +70,7 @@
         self._ended = False
         self._timer: TimerHandle | None = None
 
-    def start(self, run: Run) -> None:
+    def start(self, run: Run | ChosenRun) -> None:
         """Run the request; called once, when the keeper allows it."""
         self._run = run
         self._timer = self._service.timers.call_at(
--- a/src/flamingobank/node/keyed_requests.py
+++ b/src/flamingobank/node/keyed_requests.py
@@ -10,6 +10,7 @@
     Clock,
     Disposition,
     FailureDomain,
+    Fingerprint,
     NodeId,
     Reason,
     Refusal,
@@ -44,7 +45,12 @@
 from flamingobank.loop import Timers
 from flamingobank.membership import Member
 from flamingobank.node.exchange import AnswerSink, RunningRequest
-from flamingobank.node.keeper_requests import KeeperRequest, make_replay
+from flamingobank.node.keeper_requests import (
+    KeeperRequest,
+    RunRecorder,
+    SendRequest,
+    make_replay,
+)
 from flamingobank.node.key_wire import KeyMessage, pack_key_message
 from flamingobank.node.members import Members
 from flamingobank.quarantine import compute_fingerprint
@@ -54,10 +60,8 @@
 REPLICAS = 3
 MEMBER_REFRESH_S = 0.5
 
-SendRequest = Callable[[HomeEntry, OpenRequest, bytes, AnswerSink], RunningRequest]
-
 
-class KeyedRequests:
+class KeyedRequests(RunRecorder):
     """Hold this process's keeper and the records of others."""
 
     def __init__(
@@ -125,7 +129,7 @@
         request = KeeperRequest(self, message, body, sink)
         decision = self.keeper.accept(
             message.key,
-            _compute_fingerprint(message, body),
+            compute_key_fingerprint(message, body),
             self.clock.now(),
             message.generation,
             request.deadline,
@@ -142,7 +146,7 @@
         if parsed.is_error():
             request.refuse(_make_refusal(Reason.KEY_INVALID, str(parsed.error)))
             return request
-        fingerprint = _compute_fingerprint(message, body)
+        fingerprint = compute_key_fingerprint(message, body)
         self._follow(self.replica.answer(parsed.ok, fingerprint), request, sink)
         return request
 
@@ -211,7 +215,7 @@
             answer = decision.answer
             sink.on_start(make_replay(request.message, decision.status, answer))
         else:
-            request.refuse(_describe_decision(decision))
+            request.refuse(describe_decision(decision))
 
     def _start(self, run: Run, request: KeeperRequest) -> None:
         self._running += 1
@@ -284,7 +288,8 @@
         self._broadcast(pack_key_message(moved))
 
 
-def _compute_fingerprint(message: OpenRequest, body: bytes):
+def compute_key_fingerprint(message: OpenRequest, body: bytes) -> Fingerprint:
+    """Return what all sends of one keyed request have in common."""
     target = message.target.decode("latin-1")
     return compute_fingerprint(
         RouteName(message.route), "", message.method, target, body
@@ -297,7 +302,8 @@
     return Refusal(disposition, reason, 1.0, detail)
 
 
-def _describe_decision(decision: Decision) -> Refusal:
+def describe_decision(decision: Decision) -> Refusal:
+    """Return the refusal for a decision that neither runs nor replays."""
     if isinstance(decision, Unknown):
         detail = "a request with this key may have run"
         return _make_refusal(decision.reason, detail, Disposition.UNKNOWN)
--- a/src/flamingobank/node/store_watch.py
+++ b/src/flamingobank/node/store_watch.py
@@ -40,9 +40,14 @@
     StoreError,
     StoreErrorKind,
 )
+from flamingobank.store.client import CALL_BURST, CALLS_PER_S
 
 TICK_S = 0.1
 LEASE_KIND = "lease"
+# 20 watchers at this rate use a fifth of the store's reads; one call a change and
+# pages of a listing need more than a node's share.
+WATCHER_CALLS_PER_S = 20.0
+WATCHER_BURST = 40.0
 KINDS = {kind.value: kind for kind in Kind}
 # Errors after which a write may have taken effect.
 UNKNOWN_ERRORS = (StoreErrorKind.OUTCOME_UNKNOWN, StoreErrorKind.MALFORMED)
@@ -160,6 +165,13 @@
         self.election.handle(result, self._clock.now())
         self._take_outcomes()
 
+    def _set_budget(self) -> None:
+        """Let only a watcher read for the nodes of its domain."""
+        if self.is_watcher:
+            self._store.set_call_rate(WATCHER_CALLS_PER_S, WATCHER_BURST)
+        else:
+            self._store.set_call_rate(CALLS_PER_S, CALL_BURST)
+
     def _take_outcomes(self) -> None:
         for outcome in self.election.take_outcomes():
             if isinstance(outcome, ChangesSeen):
@@ -167,12 +179,14 @@
             elif isinstance(outcome, ListingNeeded):
                 self._start_listing()
             elif isinstance(outcome, LeaseAcquired):
+                self._set_budget()
                 eliot.log_message(
                     message_type="watch:acquired",
                     lease=outcome.slot.object_name,
                     token=outcome.token,
                 )
             elif isinstance(outcome, LeaseGone):
+                self._set_budget()
                 eliot.log_message(
                     message_type="watch:gone",
                     lease=outcome.slot.object_name,
--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,10 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 40.0
 LOG_TAIL_CHARACTERS = 3000
+# Below the ephemeral ports of Linux, which start at 32768.
+PORT_RANGE = (10_000, 32_000)
+_ports = random.Random()
+_given_ports: set[int] = set()
 
 
 @dataclass(slots=True)
@@ -237,10 +242,22 @@
 
 
 def find_free_port() -> int:
-    """Return a port that is free now; the caller binds it soon after."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection will take.
+
+    Ports of the ephemeral range may be taken by a connection before a process that
+    has just been started binds them.
+    """
+    while True:
+        port = _ports.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def call_json(
