Pass the serving function to a served stream in the link scenarios

Cause: ServedStream takes a function since keyed requests; one scenario still passed an observer and failed. Change: it passes the observer's dispatch method; run_tests accepts paths. Conclusion: the check is as strict as before.

--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -223,7 +223,7 @@
 
     def on_stream_message(self, link, stream, message):
         if isinstance(message, OpenRequest):
-            ServedStream(self, link, stream, message)
+            ServedStream(self.dispatch, link, stream, message)
 
     def on_link_refused(self, peer, reason):
         self.refused.append(reason)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -42,8 +42,9 @@
 
 def main(arguments: list[str]) -> int:
     """Return 0 when every scenario passed, 1 otherwise."""
-    defaults = ["--format", "progress", "--no-skipped", str(ROOT / "features")]
-    runner = CountingRunner(Configuration(arguments or defaults))
+    formats = ["--format", "progress", "--no-skipped"]
+    paths = arguments or [str(ROOT / "features")]
+    runner = CountingRunner(Configuration(formats + paths))
     broken = runner.run()
     for name in runner.known_red:
         print(f"known red, not run here: {name}")
