Measure the capacity of a node and work out its budgets

Section 1.4 of the design sets a control budget of 3.9% of a core, 64 MB and 17 KB/s a node, and nothing measured a node with the whole state.

The benchmark fits lines to CPU and bytes by number of announcements, objects, members, links, connections, requests, keyed requests and changes, loads the full state into one node process, and works out the budgets.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,100 @@
+"""Measure slopes and full-size state, and work out the budgets at the target size."""
+
+import json
+import multiprocessing
+import os
+import sys
+import time
+from pathlib import Path
+
+from benchmarks import capacity_node, capacity_slopes
+from benchmarks.capacity_model import BUDGETS, TARGET, work_out_budgets
+from benchmarks.tables import make_route, make_service, make_workspace, parse_spec
+from flamingobank.configuration import ConfigurationLog, PackedTables, build_chunk
+from flamingobank.configuration.shards import MAX_KEY
+from flamingobank.wire import DirectorySummary
+from flamingobank_standins.local_fleet import find_free_port
+
+MEASUREMENTS = Path(__file__).parent / "measurements"
+COMMITTED = ("added_latency", "propagation")
+
+
+def add_arguments(parser) -> None:
+    """Describe the options."""
+    parser.add_argument("--output", type=Path, help="write all measurements here")
+
+
+def measure(options) -> dict[str, object]:
+    """Return each budget line at the target size and the lines over budget."""
+    started = time.monotonic()
+    figures: dict = {"command": "python -m benchmarks capacity --json"}
+    figures["load_average"] = round(os.getloadavg()[0], 1)
+    for name in COMMITTED:
+        path = MEASUREMENTS / f"{name}.json"
+        figures[name] = json.loads(path.read_text())
+    _report("measuring state")
+    slopes = capacity_slopes.measure_state()
+    _report("measuring processing")
+    slopes |= capacity_slopes.measure_processing()
+    _report("measuring a node with the full state")
+    figures["full_size"], node_slopes = _measure_full_node()
+    slopes |= node_slopes
+    _report("measuring requests")
+    slopes |= capacity_slopes.measure_requests(options.seed)
+    figures["slopes"] = slopes
+    figures["seconds"] = round(time.monotonic() - started, 1)
+    if options.output is not None:
+        text = json.dumps(figures, indent=2, sort_keys=True)
+        options.output.write_text(text + "\n", encoding="utf-8")
+    budgets = work_out_budgets(figures)
+    over = [name for name, value in budgets.items() if value > BUDGETS[name]]
+    return {**budgets, "budgets": BUDGETS, "over_budget": over}
+
+
+def _report(text: str) -> None:
+    print(f"capacity: {text}", file=sys.stderr)
+
+
+def _measure_full_node() -> tuple[dict, dict]:
+    """Start a node as a process of its own, as one that boots from a peer."""
+    context = multiprocessing.get_context("spawn")
+    pipe, other = context.Pipe()
+    ports = [find_free_port() for _ in range(4)]
+    sizes = {
+        name: int(TARGET[name])
+        for name in ("routes", "workspaces", "services", "servers", "nodes")
+    }
+    child = context.Process(target=capacity_node.run, args=(other, ports, sizes))
+    child.start()
+    other.close()
+    try:
+        _send_chunks(pipe, sizes)
+        figures = pipe.recv()
+        summary = {
+            f"node-{index:04d}": [capacity_node.make_member(index).boot_id, 1]
+            for index in range(sizes["nodes"])
+        }
+        figures["summary_wire_bytes"] = capacity_slopes.measure_frame(
+            DirectorySummary(summary, True)
+        )
+        return figures, capacity_slopes.measure_node(child.pid, ports)
+    finally:
+        child.kill()
+        child.join()
+
+
+def _send_chunks(pipe, sizes: dict[str, int]) -> None:
+    log = ConfigurationLog(PackedTables(parse_spec))
+    for maker, kind in (
+        (make_route, "routes"),
+        (make_workspace, "workspaces"),
+        (make_service, "services"),
+    ):
+        for index in range(sizes[kind]):
+            log.apply_change(maker(index), 0.0)
+    log.advance(600_000)
+    after = -1
+    while after < MAX_KEY:
+        chunk = build_chunk(log, after)
+        pipe.send(chunk)
+        after = chunk.until
--- /dev/null
+++ b/benchmarks/capacity_model.py
@@ -0,0 +1,191 @@
+"""Work out the budgets of a node and of the store from measured slopes."""
+
+import math
+from collections.abc import Mapping
+
+from flamingobank.configuration.claims import RENEW_INTERVAL_S
+from flamingobank.configuration.election import WATCH_TIMEOUT_S
+from flamingobank.node.announcements import RENEW_MS
+from flamingobank.node.directory_sync import BROADCAST_EXTRA, COMPARE_S
+from flamingobank.node.links import IDLE_TIMEOUT_S
+
+DAY_S = 86_400.0
+TARGET = {
+    "nodes": 3700.0,
+    "servers": 46_000.0,
+    "services": 2900.0,
+    "routes": 48_000.0,
+    "workspaces": 330_000.0,
+    "requests_per_s": 1_000_000.0,
+    "changes_per_day": 4100.0,
+    "restarts_per_day": 14_000.0,
+    "domains": 10.0,
+}
+BUDGETS = {
+    "control_core_percent": 3.9,
+    "control_memory_mb": 64.0,
+    "control_kb_per_s": 17.0,
+    "store_reads_per_s": 2000.0,
+    "store_writes_per_s": 300.0,
+    "in_force_s": 6.0,
+    "added_p99_ms": 4.9,
+}
+PUSHES_PER_CHANGE = 4
+WATCHERS_PER_DOMAIN = 2
+# A server leaves, drains and comes back: three updates of its home.
+UPDATES_PER_SERVER_RESTART = 3
+# Assumed: an update travels for this long, during which two directories differ.
+UPDATE_TRAVEL_S = 0.05
+# A configuration write reads the object first and leaves an audit and a history entry.
+READS_PER_CHANGE, WRITES_PER_CHANGE = 1, 3
+# Assumed share of caller-chosen keys among all requests: 0.01%.
+CHOSEN_KEY_SHARE = 1e-4
+
+
+def scale_size(factor: float) -> dict[str, float]:
+    """Return the target size with everything but the domains multiplied."""
+    return {
+        name: value if name == "domains" else value * factor
+        for name, value in TARGET.items()
+    }
+
+
+def work_out_rates(size: Mapping[str, float]) -> dict[str, float]:
+    """Return events a second, of the whole fleet or of one node."""
+    nodes, servers = size["nodes"], size["servers"]
+    per_node = servers / nodes
+    # Nodes run on a share of the instances and are restarted with them. A home's
+    # servers move to other homes when it goes, and again when it is back.
+    node_restarts = size["restarts_per_day"] * nodes / servers
+    updates = size["restarts_per_day"] * UPDATES_PER_SERVER_RESTART
+    updates += node_restarts * (2 + 2 * per_node)
+    fanout = math.ceil(math.log(nodes)) + BROADCAST_EXTRA
+    return {
+        "announcements": per_node * 1000 / RENEW_MS,
+        "directory_updates": updates / DAY_S,
+        "fanout": float(fanout),
+        "changes": size["changes_per_day"] / DAY_S,
+        "requests": size["requests_per_s"] / nodes,
+        "digests": 2 / COMPARE_S,
+    }
+
+
+def work_out_traffic(figures: dict, size: Mapping[str, float]) -> dict[str, tuple]:
+    """Return messages out a second, bytes out a second and CPU by mechanism."""
+    slopes, full = figures["slopes"], figures["full_size"]
+    rates = work_out_rates(size)
+    look_up = full["look_up_us"]
+    scale = size["nodes"] / TARGET["nodes"]
+
+    def slope(name: str) -> float:
+        return slopes[name]["slope"]
+
+    def extend(name: str, count: float) -> float:
+        return slopes[name]["intercept"] + slopes[name]["slope"] * count
+
+    pushes = rates["directory_updates"] * rates["fanout"]
+    update_bytes = extend(
+        "directory_update_wire_bytes", size["servers"] / size["nodes"]
+    )
+    differing = min(1.0, rates["directory_updates"] * UPDATE_TRAVEL_S)
+    summaries = rates["digests"] / 2 * differing
+    summary_bytes = full["summary_wire_bytes"] * scale
+    return {
+        "announcements": (
+            rates["announcements"],
+            rates["announcements"] * slope("announcement_wire_bytes"),
+            rates["announcements"] * slope("announcement_us") * _share(scale),
+        ),
+        "directory updates": (
+            pushes,
+            pushes * update_bytes,
+            rates["directory_updates"] * look_up["directory_update"]["mean"],
+        ),
+        "links for updates": (
+            pushes,
+            pushes * slope("handshake_wire_bytes"),
+            2 * pushes * slope("link_accept_us"),
+        ),
+        "directory comparison": (
+            rates["digests"] / 2 + summaries,
+            summaries * summary_bytes,
+            scale
+            * (
+                rates["digests"] * look_up["directory_digest"]["mean"]
+                + 2 * summaries * look_up["directory_summary"]["mean"]
+            ),
+        ),
+        "membership": (
+            2.0,
+            max(0.0, extend("membership_bytes_per_s", size["nodes"])),
+            max(0.0, extend("membership_cpu_us_per_s", size["nodes"])),
+        ),
+        "configuration": (
+            rates["changes"] * PUSHES_PER_CHANGE,
+            rates["changes"] * PUSHES_PER_CHANGE * slope("change_wire_bytes"),
+            rates["changes"]
+            * (
+                (1 + PUSHES_PER_CHANGE) * slope("change_us")
+                + look_up["services_update"]["mean"] * size["services"] / 2900
+            ),
+        ),
+    }
+
+
+def work_out_memory(figures: dict, size: Mapping[str, float]) -> dict[str, float]:
+    """Return the memory of a node in MB; all but links is measured at full size."""
+    full = figures["full_size"]
+    ratio = {name: size[name] / TARGET[name] for name in TARGET}
+    rates = work_out_rates(size)
+    # Each push goes to a random node, so its link is rarely used again in time.
+    pushes = rates["directory_updates"] * rates["fanout"]
+    links = 2 * min(size["nodes"], pushes * IDLE_TIMEOUT_S)
+    return {
+        "process and imports": full["empty_mb"],
+        "configuration": full["configuration_mb"] * ratio["routes"],
+        "services in use": full["services_in_use_mb"] * ratio["services"],
+        "members": full["members_mb"] * ratio["nodes"],
+        "directory": full["directory_mb"] * ratio["servers"],
+        "links for updates": links * figures["slopes"]["link_bytes"]["slope"] / 1e6,
+    }
+
+
+def work_out_store(size: Mapping[str, float]) -> dict[str, tuple[float, float]]:
+    """Return reads and writes a second of the whole fleet by mechanism."""
+    watchers = WATCHERS_PER_DOMAIN * size["domains"]
+    changes = size["changes_per_day"] / DAY_S
+    chosen = size["requests_per_s"] * CHOSEN_KEY_SHARE
+    return {
+        # A waiting watch counts as a call as long as it waits.
+        "watches": (watchers + watchers / WATCH_TIMEOUT_S, 0.0),
+        "watch leases": (0.0, watchers / RENEW_INTERVAL_S),
+        "configuration changes": (
+            changes * (READS_PER_CHANGE + watchers),
+            changes * WRITES_PER_CHANGE,
+        ),
+        "caller-chosen keys": (0.0, chosen),
+    }
+
+
+def work_out_budgets(figures: dict, factor: float = 1.0) -> dict[str, float]:
+    """Return each budget line at a multiple of the target size."""
+    size = scale_size(factor)
+    traffic = work_out_traffic(figures, size).values()
+    store = work_out_store(size).values()
+    return {
+        "control_core_percent": round(sum(row[2] for row in traffic) / 1e4, 2),
+        "control_memory_mb": round(sum(work_out_memory(figures, size).values()), 1),
+        "control_kb_per_s": round(sum(row[1] for row in traffic) / 1e3, 2),
+        "store_reads_per_s": round(sum(row[0] for row in store), 1),
+        "store_writes_per_s": round(sum(row[1] for row in store), 1),
+        "in_force_s": figures["propagation"]["p99_s"],
+        "added_p99_ms": figures["added_latency"]["added_p99_ms"],
+    }
+
+
+def _share(scale: float) -> float:
+    """Return how the cost of an announcement grows with the number of nodes.
+
+    Each one looks through all homes, so the cost is taken as proportional.
+    """
+    return max(1.0, scale)
--- /dev/null
+++ b/benchmarks/capacity_node.py
@@ -0,0 +1,170 @@
+"""Run one node with the full state of the target size, in a process of its own."""
+
+import gc
+import statistics
+import time
+from collections.abc import Callable
+
+import eliot
+
+from benchmarks.tables import make_route, read_resident_mb
+from flamingobank.configuration import SnapshotLoaded, SnapshotLoader
+from flamingobank.core import BootId, FailureDomain, NodeId
+from flamingobank.membership import Member
+from flamingobank.node import Node
+from flamingobank.settings import CallerLimits, NodeSettings
+from flamingobank.wire import DirectoryUpdate
+
+HOST = "127.0.0.1"
+SECRET = b"a secret for the benchmark only"
+OWN_NODE = "node-own"
+DOMAINS = 10
+LOOKUPS = 500
+
+
+def make_update(index: int, servers: int, nodes: int, services: int) -> DirectoryUpdate:
+    """Return a home's update; its servers are spread over the services."""
+    rows = []
+    for number in range(index, servers, nodes):
+        instance = f"instance-{number:05d}.domain-{index % DOMAINS}"
+        rows.append([f"service-{number % services:04d}", 1, 4, [instance]])
+    return DirectoryUpdate(
+        f"node-{index:04d}",
+        f"{10**15 + index:016x}-{index:08x}",
+        1,
+        f"10.0.{index // 256}.{index % 256}",
+        7000,
+        f"domain-{index % DOMAINS}",
+        f"region-{index % DOMAINS % 4}",
+        False,
+        rows,
+        f"10.0.{index // 256}.{index % 256}",
+        7001,
+    )
+
+
+def make_member(index: int) -> Member:
+    """Return a member at the address of its update."""
+    address = (f"10.0.{index // 256}.{index % 256}", 7000)
+    return Member(
+        NodeId(f"node-{index:04d}"),
+        BootId(f"{10**15 + index:016x}-{index:08x}"),
+        address,
+        (address[0], address[1]),
+        FailureDomain(f"domain-{index % DOMAINS}"),
+        f"region-{index % DOMAINS % 4}",
+    )
+
+
+def make_node(ports: list[int]) -> Node:
+    """Return a node that sends nothing, because its members do not exist."""
+    addresses = [(HOST, port) for port in ports]
+    settings = NodeSettings(
+        node_id=OWN_NODE,
+        failure_domain="domain-0",
+        region="region-0",
+        callers=addresses[0],
+        peers=addresses[1],
+        servers=addresses[2],
+        operators=addresses[3],
+        seeds=(),
+        limits=CallerLimits(max_connections=4096),
+    )
+    node = Node(settings, [SECRET], seed=1)
+    node.members.membership.tick = lambda now: []
+    node.members.pick_addresses = lambda count: []
+    return node
+
+
+def load_state(node: Node, sizes: dict[str, int], pipe) -> dict[str, float]:
+    """Load each kind of state and return the growth of resident memory in MB."""
+    growth = {}
+
+    def load(name: str, act: Callable[[], None]) -> None:
+        gc.collect()
+        before = read_resident_mb()
+        act()
+        gc.collect()
+        growth[f"{name}_mb"] = round(read_resident_mb() - before, 2)
+
+    def load_tables() -> None:
+        loader = SnapshotLoader(node.configuration.log)
+        while not isinstance(loader.load(pipe.recv(), 0.0), SnapshotLoaded):
+            continue
+
+    def load_members() -> None:
+        for index in range(sizes["nodes"]):
+            node.members.membership._records.table.put(make_member(index))
+
+    def load_directory() -> None:
+        for index in range(sizes["nodes"]):
+            update = make_update(
+                index, sizes["servers"], sizes["nodes"], sizes["services"]
+            )
+            node.directory.apply(update)
+
+    load("configuration", load_tables)
+    load("services_in_use", node.dispatcher.update_services)
+    load("members", load_members)
+    load("directory", load_directory)
+    return growth
+
+
+def time_us(act: Callable[[int], object], count: int) -> dict[str, float]:
+    """Return the median, the 99th percentile and the mean of calls, in us."""
+    times = []
+    for index in range(count):
+        started = time.perf_counter()
+        act(index)
+        times.append((time.perf_counter() - started) * 1e6)
+    times.sort()
+    return {
+        "p50": round(statistics.median(times), 1),
+        "p99": round(times[int(0.99 * count)], 1),
+        "mean": round(statistics.fmean(times), 1),
+    }
+
+
+def measure_lookups(node: Node, sizes: dict[str, int]) -> dict[str, dict[str, float]]:
+    """Return the times of what a node does with its whole state."""
+    tables, directory = node.configuration.tables, node.directory
+    routes = [make_route(i * 97 % sizes["routes"]).spec for i in range(LOOKUPS)]
+    updates = []
+    for index in range(LOOKUPS):
+        update = make_update(index, sizes["servers"], sizes["nodes"], sizes["services"])
+        update.sequence = 2
+        updates.append(update)
+
+    def find_route(index: int) -> None:
+        spec = routes[index]
+        assert tables.find_route(spec["host"], spec["path"], "GET", {}, {}) is not None
+
+    def find_workspace(index: int) -> None:
+        assert tables.find_workspace(f"ws-{index * 601:06d}") is not None
+
+    def list_homes(index: int) -> None:
+        assert directory.list_homes(f"service-{index * 5 % sizes['services']:04d}")
+
+    return {
+        "route": time_us(find_route, LOOKUPS),
+        "workspace": time_us(find_workspace, LOOKUPS),
+        "homes_of_service": time_us(list_homes, LOOKUPS),
+        "directory_update": time_us(lambda i: directory.apply(updates[i]), LOOKUPS),
+        "directory_digest": time_us(lambda i: directory.compute_digest(), 40),
+        "directory_summary": time_us(lambda i: directory.summarize(), 20),
+        "services_update": time_us(lambda i: node.dispatcher.update_services(), 3),
+    }
+
+
+def run(pipe, ports: list[int], sizes: dict[str, int]) -> None:
+    """Load the state from a pipe, send the figures back and serve until ended."""
+    eliot.add_destinations(lambda message: None)
+    node = make_node(ports)
+    figures: dict = {"empty_mb": round(read_resident_mb(), 2)}
+    figures |= load_state(node, sizes, pipe)
+    figures["total_mb"] = round(read_resident_mb(), 2)
+    figures["look_up_us"] = measure_lookups(node, sizes)
+    figures["after_look_ups_mb"] = round(read_resident_mb(), 2)
+    pipe.send(figures)
+    gc.freeze()
+    node.run()
--- /dev/null
+++ b/benchmarks/capacity_roles.py
@@ -0,0 +1,126 @@
+"""Work out what each role of a node costs, and the worst hour of the day."""
+
+from collections.abc import Mapping
+
+from benchmarks.capacity_model import (
+    TARGET,
+    work_out_memory,
+    work_out_rates,
+    work_out_store,
+    work_out_traffic,
+)
+from flamingobank.node.links import IDLE_TIMEOUT_S
+
+KEYED_SHARE = 0.01
+KEY_LIFE_S = 86_400.0
+CONNECTIONS = 330.0
+# A lost failure domain is taken to be noticed by all its peers within this time.
+LOSS_SPREAD_S = 3.0
+# Servers that lose their node announce themselves again within their expiry.
+REANNOUNCE_S = 3.0
+
+
+def work_out_roles(figures: dict, size: Mapping[str, float]) -> dict[str, dict]:
+    """Return state, messages, CPU, memory and store calls of a node in each role."""
+    rates = work_out_rates(size)
+    traffic = work_out_traffic(figures, size)
+    memory = work_out_memory(figures, size)
+    store = work_out_store(size)
+    slopes = figures["slopes"]
+    watchers = 2 * size["domains"]
+    requests = rates["requests"]
+    keys = requests * KEYED_SHARE
+    pushed = ("directory updates", "directory comparison")
+    link_count = min(size["nodes"], requests * IDLE_TIMEOUT_S)
+    request_cpu = requests * slopes["request_us"]["slope"] / 1e4
+    keyed_cpu = keys * slopes["keyed_request_us"]["slope"] / 1e4
+    key_mb = keys * KEY_LIFE_S * slopes["key_bytes"]["slope"] / 1e6
+    entry_mb = CONNECTIONS * slopes["caller_connection_bytes"]["slope"] / 1e6
+    link_mb = 2 * link_count * slopes["link_bytes"]["slope"] / 1e6
+    reads = (store["watches"][0] + store["configuration changes"][0]) / watchers
+    member_cpu = sum(row[2] for name, row in traffic.items() if name != "announcements")
+    return {
+        "entry": {
+            "state": f"{CONNECTIONS:.0f} caller connections, {link_count:,.0f} links "
+            "each way",
+            "in": requests,
+            "out": requests,
+            "cpu": request_cpu,
+            "mb": entry_mb + link_mb,
+            "store": (0.0, store["caller-chosen keys"][1] / size["nodes"]),
+            "modules": "node.entry, node.edge, node.links",
+        },
+        "home": {
+            "state": f"{size['servers'] / size['nodes']:.1f} servers",
+            "in": rates["announcements"] + requests,
+            "out": rates["announcements"] + requests,
+            "cpu": traffic["announcements"][2] / 1e4,
+            "mb": memory["services in use"],
+            "store": (0.0, 0.0),
+            "modules": "node.announcements, node.dispatcher, health, admission",
+        },
+        "keeper": {
+            "state": f"{keys * KEY_LIFE_S:,.0f} keys of a day",
+            "in": 2 * keys,
+            "out": 2 * keys,
+            "cpu": keyed_cpu,
+            "mb": key_mb,
+            "store": (0.0, 0.0),
+            "modules": "idempotency.keeper, idempotency.table",
+        },
+        "replica": {
+            "state": f"{keys * KEY_LIFE_S:,.0f} keys of a day",
+            "in": 2 * keys,
+            "out": 2 * keys,
+            "cpu": 0.0,
+            "mb": key_mb,
+            "store": (0.0, 0.0),
+            "modules": "idempotency.replica (its CPU is in the keeper's row)",
+        },
+        "watcher": {
+            "state": "1 watch lease",
+            "in": rates["changes"],
+            "out": rates["changes"] * 4,
+            "cpu": rates["changes"] * slopes["change_us"]["slope"] / 1e4,
+            "mb": 0.0,
+            "store": (reads, store["watch leases"][1] / watchers),
+            "modules": "configuration.election, configuration.claims, store",
+        },
+        "member": {
+            "state": f"{size['nodes']:,.0f} members, {size['servers']:,.0f} servers in "
+            "the directory, all objects",
+            "in": sum(traffic[name][0] for name in pushed) + 2.0,
+            "out": sum(traffic[name][0] for name in pushed) + 2.0,
+            "cpu": member_cpu / 1e4,
+            "mb": memory["configuration"] + memory["members"] + memory["directory"],
+            "store": (0.0, 0.0),
+            "modules": "membership, directory, node.directory_sync, configuration",
+        },
+    }
+
+
+def work_out_worst_hour(figures: dict) -> dict[str, float]:
+    """Return the load on a remaining node when a failure domain is lost."""
+    lost_nodes = TARGET["nodes"] / TARGET["domains"]
+    left_nodes = TARGET["nodes"] - lost_nodes
+    fanout = work_out_rates(TARGET)["fanout"]
+    slopes, look_up = figures["slopes"], figures["full_size"]["look_up_us"]
+    moved = TARGET["requests_per_s"] / TARGET["domains"] / 270.0 * CONNECTIONS
+    # When the domain comes back, each of its nodes sends its entry, and again as its
+    # servers announce themselves; updates within 50 ms travel together.
+    updates = lost_nodes * (1 + TARGET["servers"] / TARGET["nodes"])
+    update = slopes["directory_update_wire_bytes"]
+    size = update["intercept"] + update["slope"] * TARGET["servers"] / TARGET["nodes"]
+    rate = updates / (LOSS_SPREAD_S + REANNOUNCE_S)
+    receive_us = look_up["directory_update"]["mean"]
+    link_us = 2 * fanout * slopes["link_accept_us"]["slope"]
+    return {
+        "lost_nodes": lost_nodes,
+        "lost_servers": TARGET["servers"] / TARGET["domains"],
+        "reconnects_per_node": moved / left_nodes,
+        "updates": updates,
+        "updates_per_s": rate,
+        "kb_per_s": rate * fanout * size / 1e3,
+        "core_percent": rate * receive_us / 1e4,
+        "core_percent_with_links": rate * (receive_us + link_us) / 1e4,
+    }
--- /dev/null
+++ b/benchmarks/capacity_slopes.py
@@ -0,0 +1,291 @@
+"""Measure what one more of each thing costs a node, by varying one at a time."""
+
+import contextlib
+import http.client
+import json
+import os
+import socket
+import time
+import tracemalloc
+from argparse import Namespace
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+
+from benchmarks import added_latency, keyed_cost
+from benchmarks.capacity_node import HOST, SECRET, make_member, make_update
+from benchmarks.membership_model import build_fleet
+from benchmarks.tables import make_route, make_service, make_workspace, parse_spec
+from flamingobank.configuration import ConfigurationLog, Delta, PackedTables
+from flamingobank.configuration.shards import MAX_KEY
+from flamingobank.directory import DirectoryTable
+from flamingobank.membership.table import MemberTable
+from flamingobank.node.configuration_wire import pack_peer_message
+from flamingobank.wire import FrameEncoder, Handshake, Message, pack_message
+from flamingobank_standins.local_fleet import LocalFleet
+
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+OBJECT_SIZES = (1000, 2000, 4000, 8000)
+COUNT_SIZES = (200, 400, 800, 1600)
+NODE_SIZES = (50, 100, 200, 400)
+RATES = (40, 80, 160, 320)
+QUIET_S = 5.0
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> dict[str, object]:
+    """Fit a line by least squares; the residual is in the unit of the values."""
+    count = len(sizes)
+    mean_x, mean_y = sum(sizes) / count, sum(values) / count
+    spread = sum((x - mean_x) ** 2 for x in sizes)
+    pairs = list(zip(sizes, values, strict=True))
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in pairs) / spread
+    intercept = mean_y - slope * mean_x
+    return {
+        "slope": float(f"{slope:.6g}"),
+        "intercept": float(f"{intercept:.6g}"),
+        "largest_residual": float(
+            f"{max(abs(y - slope * x - intercept) for x, y in pairs):.3g}"
+        ),
+        "sizes": list(sizes),
+        "values": [float(f"{value:.6g}") for value in values],
+    }
+
+
+def measure_by_size(sizes: Sequence[int], measure: Callable) -> dict[str, object]:
+    """Return the line through one measurement a size."""
+    return fit_line(sizes, [measure(size) for size in sizes])
+
+
+def measure_state() -> dict[str, dict]:
+    """Return the bytes that each kind of state takes a piece."""
+    lines = {}
+    makers = {"route": make_route, "workspace": make_workspace, "service": make_service}
+    for name, maker in makers.items():
+        lines[f"{name}_bytes"] = measure_by_size(
+            OBJECT_SIZES, lambda size, maker=maker: _measure_objects(maker, size)
+        )
+    lines["member_bytes"] = measure_by_size(OBJECT_SIZES, _measure_members)
+    lines["directory_server_bytes"] = measure_by_size(OBJECT_SIZES, _measure_directory)
+    lines["key_bytes"] = measure_by_size(
+        OBJECT_SIZES, lambda size: keyed_cost.measure_table(size) * size
+    )
+    return lines
+
+
+def measure_processing() -> dict[str, dict]:
+    """Return CPU of keyed requests, configuration changes and membership."""
+    keyed = [keyed_cost.measure(Namespace(keys=size)) for size in OBJECT_SIZES]
+    pairs = list(zip(OBJECT_SIZES, keyed, strict=True))
+    totals = [size * (row["issue_us"] + row["run_us"]) for size, row in pairs]
+    quiet = [_measure_membership(size) for size in NODE_SIZES]
+    return {
+        "keyed_request_us": fit_line(OBJECT_SIZES, totals),
+        "change_us": measure_by_size(COUNT_SIZES, _measure_changes),
+        "change_wire_bytes": measure_by_size((1, 2, 4, 8), _measure_change_bytes),
+        "membership_cpu_us_per_s": fit_line(NODE_SIZES, [row[0] for row in quiet]),
+        "membership_bytes_per_s": fit_line(NODE_SIZES, [row[1] for row in quiet]),
+        "directory_update_wire_bytes": measure_by_size((4, 8, 16, 32), _measure_update),
+    }
+
+
+def measure_node(pid: int, ports: Sequence[int]) -> dict[str, dict]:
+    """Return what a running node with full state pays for traffic."""
+    connections = _vary_connections(pid, ports[0], COUNT_SIZES)
+    links = _vary_links(pid, ports[1], (100, 200, 400, 800))
+    announcements = [_announce(pid, ports[2], size) for size in COUNT_SIZES]
+    return {
+        "caller_connection_bytes": connections,
+        **links,
+        "announcement_us": fit_line(COUNT_SIZES, [row[0] for row in announcements]),
+        "announcement_wire_bytes": fit_line(
+            COUNT_SIZES, [row[1] for row in announcements]
+        ),
+    }
+
+
+def measure_requests(seed: int) -> dict[str, dict]:
+    """Return the CPU of all nodes by the number of requests."""
+    counts, cpu = [], []
+    with LocalFleet("bench") as fleet:
+        manifest = fleet.path / "bench.ini"
+        manifest.write_text(added_latency.MANIFEST)
+        added_latency._start(fleet, manifest, 2)
+        addresses = [node.settings.callers for node in fleet.nodes.values()]
+        for rate in RATES:
+            options = Namespace(
+                seed=seed, nodes=2, connections=40, rate=rate, seconds=4.0
+            )
+            before = added_latency._read_cpu_s(fleet)
+            latencies, _ = added_latency.run_load(addresses, options)
+            cpu.append((added_latency._read_cpu_s(fleet) - before) * 1e6)
+            counts.append(len(latencies))
+    return {"request_us": fit_line(counts, cpu)}
+
+
+def measure_frame(message: Message) -> int:
+    """Return the bytes of a message on a link."""
+    kind, fields = pack_message(message)
+    return len(FrameEncoder(b"k" * 32).encode(kind, 0, fields))
+
+
+def read_resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def read_cpu_us(pid: int) -> float:
+    """Return the CPU a process has used, in steps of a clock tick."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S * 1e6
+
+
+@contextlib.contextmanager
+def _trace() -> Iterator[Callable[[], int]]:
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def _measure_objects(maker: Callable, size: int) -> int:
+    with _trace() as read:
+        log = ConfigurationLog(PackedTables(parse_spec))
+        for index in range(size):
+            log.apply_change(maker(index), 0.0)
+        log.tables.trim(-1, MAX_KEY)
+        return read()
+
+
+def _measure_members(size: int) -> int:
+    with _trace() as read:
+        table = MemberTable()
+        for index in range(size):
+            table.put(make_member(index))
+        return read()
+
+
+def _measure_directory(size: int) -> int:
+    nodes = size * 10 // 124
+    with _trace() as read:
+        table = DirectoryTable()
+        for index in range(nodes):
+            table.apply(make_update(index, size, nodes, 2900))
+        return read()
+
+
+def _measure_membership(size: int) -> tuple[float, float]:
+    fleet = build_fleet(size, 1, 0.01)
+    fleet.run(2.0)
+    nodes = fleet.nodes.values()
+    cpu_s, sent = sum(n.cpu_s for n in nodes), sum(n.bytes for n in nodes)
+    fleet.run(QUIET_S)
+    total = size * QUIET_S
+    cpu_us = (sum(n.cpu_s for n in nodes) - cpu_s) / total * 1e6
+    return cpu_us, (sum(n.bytes for n in nodes) - sent) / total
+
+
+def _make_deltas(size: int) -> list[Delta]:
+    deltas = []
+    for index in range(size):
+        change = make_service(index)
+        revision = index + 1
+        change = type(change)(change.kind, change.name, revision, change.spec)
+        deltas.append(Delta(index, revision, (change,)))
+    return deltas
+
+
+def _measure_changes(size: int) -> float:
+    log = ConfigurationLog(PackedTables(parse_spec))
+    deltas = _make_deltas(size)
+    started = time.process_time()
+    for delta in deltas:
+        log.apply(delta, 0.0)
+        measure_frame(pack_peer_message(delta))
+    return (time.process_time() - started) * 1e6
+
+
+def _measure_change_bytes(size: int) -> int:
+    return sum(measure_frame(pack_peer_message(d)) for d in _make_deltas(size))
+
+
+def _measure_update(servers: int) -> int:
+    return measure_frame(make_update(0, servers, 1, 2900))
+
+
+def _vary_connections(pid: int, port: int, sizes: Sequence[int]) -> dict:
+    values, opened = [], []
+    for size in sizes:
+        while len(opened) < size:
+            opened.append(socket.create_connection((HOST, port)))
+        time.sleep(0.5)
+        values.append(read_resident_bytes(pid))
+    for sock in opened:
+        sock.close()
+    return fit_line(sizes, values)
+
+
+def _vary_links(pid: int, port: int, sizes: Sequence[int]) -> dict[str, dict]:
+    memory, cpu, opened = [], [], []
+    sent = 0
+    started = read_cpu_us(pid)
+    for size in sizes:
+        while len(opened) < size:
+            sock, used = _open_link(port, len(opened))
+            opened.append(sock)
+            sent += used
+        time.sleep(0.3)
+        memory.append(read_resident_bytes(pid))
+        cpu.append(read_cpu_us(pid) - started)
+    for sock in opened:
+        sock.close()
+    return {
+        "link_bytes": fit_line(sizes, memory),
+        "link_accept_us": fit_line(sizes, cpu),
+        "handshake_wire_bytes": {"slope": round(sent / len(opened), 1)},
+    }
+
+
+def _open_link(port: int, index: int) -> tuple[socket.socket, int]:
+    handshake = Handshake(f"peer-{index}", "1-a", [SECRET], initiator=True)
+    sock = socket.create_connection((HOST, port), timeout=5)
+    hello = handshake.start()
+    sock.sendall(hello)
+    used = len(hello)
+    while True:
+        data = sock.recv(4096)
+        used += len(data)
+        step = handshake.feed(data)
+        if step is None:
+            continue
+        sock.sendall(step.output)
+        return sock, used + len(step.output)
+
+
+def _announce(pid: int, port: int, count: int) -> tuple[float, float]:
+    """Renew 13 servers in turn; return the node's CPU and the bytes exchanged."""
+    used = 0
+    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    before = read_cpu_us(pid)
+    for index in range(count):
+        body = json.dumps(
+            {
+                "instance": f"renewing-{index % 13}",
+                "boot": "1-a",
+                "address": "127.0.0.1:9",
+                "labels": {"app": "a1", "version": "12"},
+                "slots": 4,
+                "failure_domain": "domain-0",
+                "in_use": 2,
+                "draining": False,
+                "warm": 1.0,
+                "final": True,
+            }
+        )
+        connection.request("POST", "/.flamingobank/announce", body)
+        answer = connection.getresponse()
+        # Start lines and headers are counted as their text.
+        used += len(body) + 110 + len(answer.read()) + len(str(answer.headers)) + 17
+    cpu = read_cpu_us(pid) - before
+    connection.close()
+    return cpu, used
