--- a/benchmarks/floor_network.py
+++ b/benchmarks/floor_network.py
@@ -47,7 +47,6 @@
         self.inbox: list[Callable[[], None]] = []
         self.epoch = 1
         self.ledger = FloorLedger(node_id, self.epoch, self.now())
-        self.summarize: Callable[[InstanceId, float], ServerSummary] | None = None
 
     def now(self) -> float:
         """Return the node's own reading."""
