--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -22,6 +22,7 @@
     Ping,
     PingRequest,
     Rejected,
+    RevisionSeen,
     State,
     StatePart,
     StateRequest,
@@ -95,6 +96,10 @@
     assert knows_others(context.fleet)
     for node in context.fleet.nodes.values():
         node.outcomes.clear()
+    context.incarnations = {
+        node.name: node.membership.own.incarnation
+        for node in context.fleet.nodes.values()
+    }
 
 
 def run_blocked(context, is_blocked, seconds):
@@ -114,6 +119,9 @@
 @when('datagrams from "{first}" to "{second}" are lost for {seconds:d} seconds')
 def step_one_way(context, first, second, seconds):
     run_blocked(context, lambda a, b: (a.name, b.name) == (first, second), seconds)
+    # Helpers reach the member, so that it is not even suspected.
+    for node in context.fleet.nodes.values():
+        assert node.membership.own.incarnation == context.incarnations[node.name]
 
 
 @when('datagrams to "{name}" are lost for {seconds:d} seconds')
@@ -146,6 +154,9 @@
 
 @when('domain "{name}" of the model fleet is cut off for {seconds:d} seconds')
 def step_cut_domain(context, name, seconds):
+    for node in context.fleet.nodes.values():
+        # Seeds would bring the parts together as well.
+        node.membership._exchange._seeds = ()
     run_blocked(context, lambda a, b: (a.domain == name) != (b.domain == name), seconds)
     assert context.gone, "nobody noticed the partition"
 
@@ -378,6 +389,45 @@
     assert 1000 < largest <= DATAGRAM_BYTES, largest
 
 
+@when('node "{name}" of the model fleet drains and then leaves')
+def step_drain(context, name):
+    fleet = context.fleet
+    node = fleet.nodes[name]
+    others = [item.membership for item in fleet.nodes.values() if item is not node]
+    fleet.send(node, node.membership.drain())
+    fleet.run(1)
+    context.leaving = [item.find(name).leaving for item in others]
+    assert knows_others(fleet), "a draining node still serves"
+    fleet.send(node, node.membership.leave())
+    fleet.run(1)
+
+
+@then('the others saw "{name}" leaving and then removed it within a second')
+def step_drained(context, name):
+    assert context.leaving == [True] * 9, context.leaving
+    gone = list_gone(context.fleet, MemberRemoved)
+    assert gone == {(other, name) for other in context.fleet.nodes if other != name}
+
+
+@when('all nodes of the model fleet but "{name}" apply revision {revision:d}')
+def step_apply(context, name, revision):
+    for node in context.fleet.nodes.values():
+        if node.name != name:
+            node.membership.set_revision(Revision(revision))
+
+
+@then('a survey by "{name}" counts {at:d} of {total:d} nodes at revision {revision:d}')
+def step_survey(context, name, at, total, revision):
+    node = context.fleet.nodes[name]
+    before = node.membership.count_at(Revision(revision))
+    context.fleet.send(node, node.membership.survey(Revision(revision)))
+    context.fleet.run(0.1)
+    after = node.membership.count_at(Revision(revision))
+    assert before < after == (at, total), (before, after)
+    behind = context.fleet.nodes["node-9"].outcomes
+    assert any(isinstance(item, RevisionSeen) for _, item in behind), behind
+
+
 FAULTS = ("kill", "restart", "pause", "block", "cut", "lossy", "calm", "drain")
 
 
--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/remote.py
@@ -1,19 +1,21 @@
 """Run requests on other nodes, and requests of other nodes here."""
 
+from collections.abc import Callable
+
 from flamingobank.core import Disposition, Reason, Refusal
-from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.exchange import (
     AnswerSink,
     AnswerStart,
     Load,
     RunningRequest,
 )
-from flamingobank.node.links import Link, StreamHandler
+from flamingobank.node.links import CONTROL_STREAM, Link, StreamHandler
 from flamingobank.wire import (
     AnswerHead,
     AnswerPart,
     AnswerState,
     Cancel,
+    CrashNotice,
     Message,
     OpenRequest,
     Refused,
@@ -23,13 +25,14 @@
 
 # Request bodies and answers travel in parts well below the frame limit.
 PART_BYTES = 131_072
+Serve = Callable[[OpenRequest, bytes, AnswerSink], RunningRequest]
 UNREACHABLE_LOAD = Load(1e6, 0)
 
 
 class RemoteRequest(StreamHandler, RunningRequest):
     """Stand at the entry node for a request that another node runs."""
 
-    __slots__ = ("_done", "_link", "_sink", "_stream")
+    __slots__ = ("_done", "_has_head", "_link", "_request_id", "_sink", "_stream")
 
     def __init__(
         self, link: Link, message: OpenRequest, body: bytes, sink: AnswerSink
@@ -37,6 +40,8 @@
         self._link = link
         self._sink = sink
         self._done = False
+        self._has_head = False
+        self._request_id = message.request_id
         self._stream = link.open_stream(self)
         message.body = body[:PART_BYTES]
         message.body_continues = len(body) > PART_BYTES
@@ -64,6 +69,8 @@
             return
         if isinstance(message, AnswerPart):
             state = AnswerState(message.state)
+            if not self._has_head:
+                raise ValueError("part of an answer without its head")
             if state is not AnswerState.MORE:
                 self._end()
             self._sink.on_part(message.data, state)
@@ -94,6 +101,10 @@
 
     def _pass_head(self, message: AnswerHead) -> None:
         state = AnswerState(message.state)
+        # A hostile peer must end its own link here, not the process by own_answer.
+        if self._has_head or message.request_id != self._request_id:
+            raise ValueError("head of an answer to no request of this stream")
+        self._has_head = True
         if state is not AnswerState.MORE:
             self._end()
         self._sink.on_start(
@@ -118,18 +129,18 @@
 
     __slots__ = (
         "_body",
-        "_dispatcher",
         "_done",
         "_link",
         "_message",
         "_running",
+        "_serve",
         "_stream",
     )
 
     def __init__(
-        self, dispatcher: Dispatcher, link: Link, stream: int, message: OpenRequest
+        self, serve: Serve, link: Link, stream: int, message: OpenRequest
     ) -> None:
-        self._dispatcher = dispatcher
+        self._serve = serve
         self._link = link
         self._stream = stream
         self._message = message
@@ -184,6 +195,9 @@
         if not self._done:
             self._send_pieces(_split(data), state)
 
+    def on_notice(self, notice: CrashNotice) -> None:
+        self._link.send(CONTROL_STREAM, notice)
+
     def on_refused(self, refusal: Refusal, load: Load) -> None:
         if self._done:
             return
@@ -203,7 +217,7 @@
     def _dispatch(self) -> None:
         body = b"".join(self._body)
         self._body.clear()
-        self._running = self._dispatcher.dispatch(self._message, body, self)
+        self._running = self._serve(self._message, body, self)
 
     def _send_pieces(self, pieces: list[bytes], state: AnswerState) -> None:
         last = len(pieces) - 1
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -21,6 +21,14 @@
     BROKEN = 2
 
 
+class KeyedMode(enum.IntEnum):
+    """Say who is asked with an OpenRequest."""
+
+    PLAIN = 0
+    KEEPER = 1
+    REPLICA = 2
+
+
 @dataclass(frozen=True, slots=True)
 class MessageError:
     """Say why a message was refused."""
@@ -49,6 +57,10 @@
     idempotent: bool
     attempt: int = 1
     key: str = ""
+    # A KeyedMode.
+    keyed: int = 0
+    # Counts the times a key was surely not run; see flamingobank.idempotency.
+    generation: int = 0
 
 
 @dataclass(slots=True)
@@ -181,6 +193,14 @@
     records: list
 
 
+@dataclass(slots=True)
+class KeyNotice:
+    """Carry a message of keepers; flamingobank.node.key_wire reads it."""
+
+    kind: int
+    fields: list
+
+
 @dataclass(slots=True)
 class DirectoryDigest:
     """Compare directories; the digest covers every home's boot and sequence."""
@@ -217,6 +237,7 @@
     15: ConfigurationChunk,
     16: DirectoryDigest,
     17: DirectorySummary,
+    18: KeyNotice,
 }
 _KINDS: dict[type, int] = {}
 _GETTERS: dict[type, Callable[[object], tuple]] = {}
@@ -270,7 +291,44 @@
                 f"{message_class.__name__} has a field of type "
                 f"{type(value).__name__}, expected {names}",
             )
-    return message_class(*fields)
+    message = message_class(*fields)
+    has_valid_entries = _ENTRY_CHECKS.get(message_class)
+    if has_valid_entries is not None and not has_valid_entries(message):
+        reason = f"{message_class.__name__} has malformed entries"
+        return MessageError(kind, reason)
+    return message
+
+
+def _are_headers(message: OpenRequest | AnswerHead) -> bool:
+    return all(_has_types(header, (bytes, bytes)) for header in message.headers)
+
+
+def _are_services(message: DirectoryUpdate) -> bool:
+    return all(
+        _has_types(service, (str, int, int, list))
+        and all(type(instance) is str for instance in service[3])
+        for service in message.services
+    )
+
+
+def _are_versions(message: DirectorySummary) -> bool:
+    return all(
+        type(home) is str and _has_types(version, (str, int))
+        for home, version in message.homes.items()
+    )
+
+
+def _has_types(values: object, expected: tuple[type, ...]) -> bool:
+    return type(values) is list and tuple(map(type, values)) == expected
+
+
+# Receivers unpack the entries of these messages without a check of their own.
+_ENTRY_CHECKS: dict[type, Callable[[Message], bool]] = {
+    OpenRequest: _are_headers,
+    AnswerHead: _are_headers,
+    DirectoryUpdate: _are_services,
+    DirectorySummary: _are_versions,
+}
 
 
 def _list_accepted_types(hint: object) -> tuple[type, ...]:
--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,10 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 40.0
 LOG_TAIL_CHARACTERS = 3000
+# Below the ephemeral ports of Linux, which start at 32768.
+PORT_RANGE = (10_000, 32_000)
+_ports = random.Random()
+_given_ports: set[int] = set()
 
 
 @dataclass(slots=True)
@@ -53,6 +58,7 @@
         self.store_address: tuple[str, int] | None = None
         self._directory = tempfile.TemporaryDirectory(prefix="flamingobank-")
         self.path = Path(self._directory.name)
+        self.run_log = self.path / "runs.log"
         self._others: list[subprocess.Popen] = []
         self._secret_file = self._write_secret("fleet.secret", os.urandom(24).hex())
         self.token_file = self._write_secret("store.token", os.urandom(16).hex())
@@ -132,6 +138,8 @@
             failure_domain,
             "--slots",
             str(slots),
+            "--run-log",
+            str(self.run_log),
         ]
         for name, value in labels.items():
             arguments += ["--label", f"{name}={value}"]
@@ -176,6 +184,25 @@
         address = self.servers[instance].address
         return call_json(address, method, "/control", fields or None)
 
+    def write_object(self, kind: str, name: str, spec: dict[str, str]) -> int:
+        """Write a new object, as an operator does, and return its revision."""
+        connection = http.client.HTTPConnection(*self.store_address, timeout=10)
+        with contextlib.closing(connection):
+            body = json.dumps({"spec": spec, "write_id": f"local-{kind}-{name}"})
+            token = self.token_file.read_text().strip()
+            headers = {"Authorization": f"Bearer {token}", "If-None-Match": "*"}
+            connection.request("PUT", f"/v1/objects/{kind}/{name}", body, headers)
+            return json.loads(connection.getresponse().read())["revision"]
+
+    def count_runs(self) -> dict[str, int]:
+        """Return how often each key ran on any server, killed ones included."""
+        runs: dict[str, int] = {}
+        if not self.run_log.exists():
+            return runs
+        for key in self.run_log.read_text().split():
+            runs[key] = runs.get(key, 0) + 1
+        return runs
+
     def stop(self) -> None:
         """End all processes that this fleet started."""
         self._report_crashes()
@@ -215,10 +242,22 @@
 
 
 def find_free_port() -> int:
-    """Return a port that is free now; the caller binds it soon after."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection will take.
+
+    Ports of the ephemeral range may be taken by a connection before a process that
+    has just been started binds them.
+    """
+    while True:
+        port = _ports.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def call_json(
