Leave callers that pause during an answer to their deadline

The check for callers that take no output also cut answers still running, whose deadline may be minutes away; it now covers answers that have ended.

--- a/src/flamingobank/node/edge.py
+++ b/src/flamingobank/node/edge.py
@@ -521,10 +521,13 @@
     def _close_slow(self) -> None:
         now = self.clock.now()
         for connection in list(self._connections):
+            if connection.busy and not connection.closing:
+                # Its deadline bounds it, also while its caller pauses.
+                continue
             if connection.is_stalled(now):
                 connection.abort()
                 continue
-            if connection.busy or connection.closing:
+            if connection.closing:
                 continue
             if self.draining and now >= self._close_idle_at:
                 connection.close()
