--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -64,6 +64,7 @@
 
 # Time beyond the deadline in which the home's own refusal may still arrive.
 DEADLINE_GRACE_S = 0.1
+MAX_DEADLINE_DIGITS = 12
 WORKSPACE_HEADER = b"flamingobank-workspace"
 DEADLINE_HEADER = b"flamingobank-deadline-ms"
 KEY_HEADER = b"idempotency-key"
@@ -185,11 +186,18 @@
     def on_part(self, data: bytes, state: AnswerState) -> None:
         if self._finished:
             return
-        if data:
+        self._passed_bytes += len(data)
+        too_long = (
+            self._expected_bytes is not None
+            and self._passed_bytes > self._expected_bytes
+        )
+        if data and not too_long:
             self._pass_part(data)
-        if state is AnswerState.MORE:
+        if state is AnswerState.MORE and not too_long:
             return
         if state is AnswerState.BROKEN or not self._is_whole():
+            if too_long and state is AnswerState.MORE:
+                self._running.cancel()
             self._finish("broken")
             self.connection.abort()
             return
@@ -316,7 +324,6 @@
         return b"".join(lines)
 
     def _pass_part(self, data: bytes) -> None:
-        self._passed_bytes += len(data)
         self._unacknowledged += len(data)
         if self._chunked:
             self.connection.write(b"%x\r\n%s\r\n" % (len(data), data))
@@ -400,6 +407,9 @@
         """Start the request, or answer that nothing matches it."""
         # The exchange writes the answer; no success event is needed.
         event.success = False
+        if request.sock.closed:
+            # The caller left before its request was looked at.
+            return True
         if request.path == KEYS_PATH:
             self._issue_keys(request)
             return True
@@ -568,7 +578,8 @@
 def read_deadline(request: EdgeRequest, route_deadline_ms: int) -> int:
     """Return the milliseconds left: the caller's own, at most the route's."""
     text = request.get_header(DEADLINE_HEADER)
-    if not text.isdigit():
+    # More digits exceed any route's deadline, and int() refuses some thousands.
+    if not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
         return route_deadline_ms
     return min(int(text), route_deadline_ms)
 
