Let operators drain servers, and split the entry module

Change: POST /drain at the home; the server keeps the state from its next announcement on, so that it survives a new home. CallerExchange and refusals have modules of their own. circuits is imported with pkg_resources hidden.

--- a/src/flamingobank/cli/__init__.py
+++ b/src/flamingobank/cli/__init__.py
@@ -1,14 +1,9 @@
 """Provide the command line."""
 
-import sys
+from flamingobank._lean_import import import_circuits
 
-# circuits imports pkg_resources when it is installed, only to declare a namespace;
-# that takes 10 MB of the 64 MB that a node may use. Without it circuits goes on.
-if "pkg_resources" not in sys.modules:
-    sys.modules["pkg_resources"] = None
-    import circuits  # noqa: F401
-
-    del sys.modules["pkg_resources"]
+# Before the first module that uses circuits.
+import_circuits()
 
 from flamingobank.cli.main import main, run  # noqa: E402
 
--- a/src/flamingobank/cli/node.py
+++ b/src/flamingobank/cli/node.py
@@ -7,7 +7,6 @@
 
 import eliot
 
-from flamingobank.node import Node
 from flamingobank.objects import AnyObject, parse_manifest
 from flamingobank.settings import load_secrets, load_settings, load_token
 
@@ -57,6 +56,9 @@
         if loaded_token.is_error():
             return _report([loaded_token.error])
         token = loaded_token.ok
+    # Other commands start in half the time without the imports of a node.
+    from flamingobank.node import Node
+
     node = Node(settings, secrets.ok, items, token)
     eliot.log_message(message_type="node:started", node=settings.node_id)
     # Start-up objects live as long as the process; scanning them in each full
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -159,6 +159,7 @@
     ) -> None:
         super().__init__(channel=self.channel)
         self.leaving = False
+        self._wanted_drains: dict[InstanceId, bool] = {}
         self.removed: list[tuple[float, str, str]] = []
         self._node_id = node_id
         self._clock = clock
@@ -186,9 +187,11 @@
                 response, 307, {"home": node, "address": f"{address[0]}:{address[1]}"}
             )
         self._apply(announcement)
-        return _answer_json(
-            response, 200, {"renew_ms": RENEW_MS, "home": self._node_id}
-        )
+        answer = {"renew_ms": RENEW_MS, "home": self._node_id}
+        wanted = self._wanted_drains.get(announcement.instance)
+        if wanted is not None:
+            answer["drain"] = wanted
+        return _answer_json(response, 200, answer)
 
     def _find_home(self, announcement: Announcement) -> tuple[NodeId, Address] | None:
         """Return the node that should be home, or None when it is this one."""
@@ -205,8 +208,38 @@
             return None
         return node, nodes[node]
 
+    def set_draining(self, instance: str, draining: bool) -> bool:
+        """Drain a server of this home or end its drain; False when it is not here.
+
+        The server hears of it with its next announcement and keeps the state from
+        then on, so that it holds when the server gets another home.
+        """
+        server = self._dispatcher.servers.get(InstanceId(instance))
+        if server is None:
+            return False
+        self._wanted_drains[server.instance] = draining
+        if draining:
+            server.slots.drain(self._clock.now())
+        else:
+            server.slots.return_to_service()
+            self._ejections.return_to_service(server)
+        self._ejections.announce(server)
+        self._dispatcher.refresh_server(server)
+        self._on_change()
+        return True
+
+    def _is_draining(self, announcement: Announcement) -> bool:
+        wanted = self._wanted_drains.get(announcement.instance)
+        if wanted is None:
+            return announcement.draining
+        if wanted == announcement.draining:
+            # The server has taken the state over; its own word counts again.
+            del self._wanted_drains[announcement.instance]
+        return wanted
+
     def _apply(self, announcement: Announcement) -> None:
         now = self._clock.now()
+        draining = self._is_draining(announcement)
         server = self._dispatcher.servers.get(announcement.instance)
         new = server is None or server.boot != announcement.boot
         if new:
@@ -224,7 +257,7 @@
             new
             or server.labels != announcement.labels
             or server.slots.limit != announcement.slots
-            or server.draining != announcement.draining
+            or server.draining != draining
         )
         server.labels = announcement.labels
         server.failure_domain = announcement.failure_domain
@@ -234,7 +267,7 @@
         )
         server.slots.warm = announcement.warm
         server.slots.set_slots(announcement.slots)
-        if announcement.draining:
+        if draining:
             server.slots.drain(now)
         elif server.draining:
             # It stays after all; floor promises may count on it again.
@@ -249,6 +282,7 @@
         if instance not in self._dispatcher.servers:
             return
         self._ejections.remove(instance)
+        self._wanted_drains.pop(instance, None)
         self._dispatcher.remove_server(instance)
         self.removed.append((self._clock.now(), instance, why))
         del self.removed[:-100]
--- /dev/null
+++ b/src/flamingobank/node/caller_exchange.py
@@ -0,0 +1,268 @@
+"""Carry one caller's request through its attempts to its one answer."""
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from flamingobank.core import (
+    Disposition,
+    Invariant,
+    NodeId,
+    Reason,
+    Refusal,
+    check_invariant,
+)
+from flamingobank.directory import HomeEntry
+from flamingobank.loop import TimerHandle
+from flamingobank.node.edge import ConnectionWatcher, EdgeConnection
+from flamingobank.node.exchange import (
+    WINDOW_BYTES,
+    AnswerSink,
+    AnswerStart,
+    Load,
+    RunningRequest,
+)
+from flamingobank.node.refusals import render_refusal
+from flamingobank.retries import RetryDecision, merge_dispositions
+from flamingobank.wire import AnswerState, OpenRequest
+
+if TYPE_CHECKING:
+    from flamingobank.node.entry import Entry
+
+# Time beyond the deadline in which the home's own refusal may still arrive.
+DEADLINE_GRACE_S = 0.1
+REASON_PHRASES = {200: b"OK", 206: b"Partial Content", 404: b"Not Found"}
+NO_BODY_STATUSES = (204, 304)
+
+
+class CallerExchange(AnswerSink, ConnectionWatcher):
+    """Carry one caller's request through its attempts to its one answer."""
+
+    def __init__(
+        self,
+        entry: "Entry",
+        connection: EdgeConnection,
+        message: OpenRequest,
+        body: bytes,
+        deadline: float,
+        http_1_0: bool,
+    ) -> None:
+        self.entry = entry
+        self.connection = connection
+        self.message = message
+        self.body = body
+        self.deadline = deadline
+        self.accepted_at = entry.clock.now()
+        self.attempts = 0
+        self._http_1_0 = http_1_0
+        self._tried: set[NodeId] = set()
+        self._home: HomeEntry | None = None
+        self._running: RunningRequest | None = None
+        self._finished = False
+        self._head_written = False
+        self._chunked = False
+        self._headless = message.method == "HEAD"
+        self._expected_bytes: int | None = None
+        self._passed_bytes = 0
+        self._unacknowledged = 0
+        self._known = Disposition.NOT_RUN
+        self._timer: TimerHandle | None = None
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        self.connection.watcher = self
+        self._timer = self.entry.timers.call_at(
+            self.deadline + DEADLINE_GRACE_S, self._expire
+        )
+        self._attempt(None)
+
+    def on_start(self, start: AnswerStart) -> None:
+        if self._finished:
+            return
+        check_invariant(
+            Invariant.OWN_ANSWER,
+            start.request_id == self.message.request_id and not self._head_written,
+            expected=self.message.request_id,
+            received=start.request_id,
+        )
+        self._record_load(start.load)
+        self._head_written = True
+        self.connection.write(self._render_head(start))
+        self.on_part(start.data, start.state)
+
+    def on_part(self, data: bytes, state: AnswerState) -> None:
+        if self._finished:
+            return
+        self._passed_bytes += len(data)
+        too_long = (
+            self._expected_bytes is not None
+            and self._passed_bytes > self._expected_bytes
+        )
+        if data and not too_long:
+            self._pass_part(data)
+        if state is AnswerState.MORE and not too_long:
+            return
+        if state is AnswerState.BROKEN or not self._is_whole():
+            if too_long and state is AnswerState.MORE:
+                self._running.cancel()
+            self._finish("broken")
+            self.connection.abort()
+            return
+        if self._chunked:
+            self.connection.write(b"0\r\n\r\n")
+        self._finish("complete")
+        self.connection.finish_answer(keep=not self._http_1_0)
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if self._finished:
+            return
+        self._record_load(load)
+        self._running = None
+        if self._head_written:
+            self._finish("broken")
+            self.connection.abort()
+            return
+        # An earlier attempt with an unknown outcome may have run, whatever this one
+        # says.
+        self._known = merge_dispositions(self._known, refusal.disposition)
+        merged = replace(refusal, disposition=self._known)
+        decision = RetryDecision.NO_BUDGET
+        if not self.message.idempotent:
+            # Without a key, work that must not repeat is sent once.
+            self._refuse(merged)
+            return
+        if refusal.reason is not Reason.QUARANTINED:
+            decision = self.entry.decide_retry(self, self._known)
+        if decision is not RetryDecision.RETRY:
+            self._refuse(merged)
+            return
+        self.entry.count("retries")
+        # Deferred, so that a chain of refusals does not nest calls.
+        self.entry.timers.call_soon(lambda: self._attempt(merged))
+
+    def on_caller_left(self) -> None:
+        if self._finished:
+            return
+        self._finish("caller-left")
+        if self._running is not None:
+            self._running.cancel()
+
+    def on_output_drained(self) -> None:
+        self._acknowledge()
+
+    def _attempt(self, refusal: Refusal | None) -> None:
+        if self._finished:
+            return
+        if self.entry.is_quarantined(self.message, self.body):
+            detail = "this request crashed servers and is not run for now"
+            self._refuse(Refusal(self._known, Reason.QUARANTINED, 600.0, detail))
+            return
+        now = self.entry.clock.now()
+        home = self.entry.choose_home(self.message.service, self._tried)
+        if home is None or now >= self.deadline:
+            self._refuse(
+                refusal
+                or Refusal(
+                    Disposition.NOT_RUN,
+                    Reason.NO_CAPACITY,
+                    detail=f"no home serves {self.message.service!r}",
+                )
+            )
+            return
+        self.attempts += 1
+        self._tried.add(home.node)
+        self._home = home
+        self.message.attempt = self.attempts
+        self.message.remaining_ms = max(1, int((self.deadline - now) * 1000))
+        self._running = self.entry.send(home, self.message, self.body, self)
+
+    def _expire(self) -> None:
+        if self._finished:
+            return
+        running = self._running
+        if running is not None:
+            running.cancel()
+        if self._head_written:
+            self._finish("deadline")
+            self.connection.abort()
+            return
+        disposition = self._known if running is None else Disposition.UNKNOWN
+        self._refuse(
+            Refusal(disposition, Reason.DEADLINE, detail="its deadline has passed")
+        )
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._finish(refusal.disposition.value)
+        response = render_refusal(refusal, self.message.request_id)
+        self.connection.write(response)
+        self.connection.finish_answer(keep=not self._http_1_0)
+
+    def _finish(self, result: str) -> None:
+        self._finished = True
+        self._timer.cancel()
+        self.entry.on_finished(self, result)
+
+    def _record_load(self, load: Load) -> None:
+        if self._home is not None:
+            self.entry.loads.record(self.message.service, self._home.node, load)
+
+    def _render_head(self, start: AnswerStart) -> bytes:
+        phrase = REASON_PHRASES.get(start.status, b"-")
+        lines = [b"HTTP/1.1 %d %s\r\n" % (start.status, phrase)]
+        for name, value in start.headers:
+            if name == b"content-length":
+                self._expected_bytes = int(value)
+            lines.append(b"%s: %s\r\n" % (name, value))
+        lines.append(
+            b"flamingobank-request-id: %s\r\n" % self.message.request_id.encode()
+        )
+        if self.connection.server.draining:
+            lines.append(b"connection: close\r\n")
+        bodiless = self._headless or start.status in NO_BODY_STATUSES
+        if bodiless:
+            self._expected_bytes = 0
+        elif self._expected_bytes is None and start.state is AnswerState.COMPLETE:
+            self._expected_bytes = len(start.data)
+            lines.append(b"content-length: %d\r\n" % len(start.data))
+        elif self._expected_bytes is None and not self._http_1_0:
+            self._chunked = True
+            lines.append(b"transfer-encoding: chunked\r\n")
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    def _pass_part(self, data: bytes) -> None:
+        self._unacknowledged += len(data)
+        if self._chunked:
+            self.connection.write(b"%x\r\n%s\r\n" % (len(data), data))
+        else:
+            self.connection.write(data)
+        if self.connection.output_bytes < WINDOW_BYTES // 2:
+            self._acknowledge()
+
+    def _is_whole(self) -> bool:
+        return (
+            self._expected_bytes is None or self._expected_bytes == self._passed_bytes
+        )
+
+    def _acknowledge(self) -> None:
+        if self._running is None or not self._unacknowledged:
+            return
+        # Small answers end before the window matters; a message for each part of
+        # them would cost more than it saves.
+        if self._unacknowledged < WINDOW_BYTES // 4:
+            return
+        consumed = self._unacknowledged
+        self._unacknowledged = 0
+        self._running.acknowledge(consumed)
+
+
+class ChosenCallerExchange(CallerExchange):
+    """Bring a request with a caller-chosen key to the store's record of it."""
+
+    def on_refused(self, refusal: Refusal, load: Load) -> None:
+        if not self._finished:
+            self._running = None
+            self._refuse(refusal)
+
+    def _attempt(self, refusal: Refusal | None) -> None:
+        self.attempts += 1
+        self._running = self.entry.chosen.serve(self.message, self.body, self)
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -256,7 +256,12 @@
         self.entry.make_keyed_exchange = partial(KeyedCallerExchange, keyed=self.keyed)
         self.entry.find_address = self.members.find_address
         self.metrics = NodeMetrics(settings.node_id)
-        StatusPages(self.read_status, self.metrics).register(self)
+        StatusPages(
+            self.read_status,
+            self.metrics,
+            settings.node_id,
+            self.announcements.set_draining,
+        ).register(self)
         self.callers = self._serve(settings.callers, settings.limits, "callers")
         self.servers = self._serve(settings.servers, INNER_LIMITS, "servers")
         self.operators = self._serve(settings.operators, INNER_LIMITS, "operators")
--- a/src/flamingobank/node/keyed_entry.py
+++ b/src/flamingobank/node/keyed_entry.py
@@ -2,7 +2,7 @@
 
 from flamingobank.core import Disposition, NodeId, Reason, Refusal
 from flamingobank.idempotency import IssuedKey
-from flamingobank.node.entry import CallerExchange
+from flamingobank.node.caller_exchange import CallerExchange
 from flamingobank.node.exchange import Load
 from flamingobank.node.keyed_requests import KeyedRequests
 from flamingobank.node.remote import RemoteRequest
--- /dev/null
+++ b/src/flamingobank/node/refusals.py
@@ -0,0 +1,40 @@
+"""Render the answers that report a refusal."""
+
+from flamingobank.core import Disposition, Reason, Refusal
+
+STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.NO_ROUTE: 404,
+    Reason.KEY_INVALID: 400,
+    Reason.KEY_REQUIRED: 400,
+    Reason.LIMIT: 429,
+}
+
+
+def render_refusal(refusal: Refusal, request_id: str) -> bytes:
+    """Return the answer that reports a refusal."""
+    status = STATUS_BY_REASON.get(refusal.reason)
+    if status is None:
+        status = _choose_status(refusal)
+    body = f"{refusal.reason.value}: {refusal.detail}\n".encode()
+    lines = [
+        f"HTTP/1.1 {status} -",
+        "content-type: text/plain; charset=utf-8",
+        f"content-length: {len(body)}",
+        f"flamingobank-request-id: {request_id}",
+        f"flamingobank-outcome: {refusal.disposition.value}",
+        f"flamingobank-reason: {refusal.reason.value}",
+    ]
+    if status == 503:
+        lines.append(f"retry-after: {max(1, round(refusal.retry_after_s))}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def _choose_status(refusal: Refusal) -> int:
+    if refusal.disposition is Disposition.STILL_RUNNING:
+        return 409
+    if refusal.disposition is Disposition.NOT_RUN:
+        return 503
+    if refusal.reason is Reason.DEADLINE:
+        return 504
+    return 502
--- a/src/flamingobank/node/status.py
+++ b/src/flamingobank/node/status.py
@@ -7,6 +7,7 @@
 
 from circuits import BaseComponent, handler
 
+from flamingobank.core import NodeId
 from flamingobank.health import Stage
 from flamingobank.node.edge import EdgeRequest, EdgeResponse
 from flamingobank.node.metrics import NodeMetrics
@@ -28,8 +29,16 @@
 
     channel = "operators"
 
-    def __init__(self, read_status: Callable[[], dict], metrics: NodeMetrics) -> None:
+    def __init__(
+        self,
+        read_status: Callable[[], dict],
+        metrics: NodeMetrics,
+        node: NodeId,
+        set_draining: Callable[[str, bool], bool],
+    ) -> None:
         super().__init__(channel=self.channel)
+        self._node = node
+        self._set_draining = set_draining
         self._read_status = read_status
         self._metrics = metrics
 
@@ -39,6 +48,11 @@
             response.headers["Content-Type"] = "application/json"
             response.body = json.dumps(self._read_status())
             return response
+        if request.path == "/drain" and request.method == "POST":
+            response.headers["Content-Type"] = "application/json"
+            response.status, fields = self._drain(request.content)
+            response.body = json.dumps(fields)
+            return response
         if request.path == "/metrics":
             body, headers = self._metrics.render()
             response.headers["Content-Type"] = headers["Content-Type"]
@@ -50,6 +64,18 @@
             return response
         return None
 
+    def _drain(self, body: bytes) -> tuple[int, dict]:
+        try:
+            fields = json.loads(body)
+            instance, draining = fields["instance"], fields["draining"]
+        except (ValueError, KeyError, TypeError):
+            return 400, {"error": 'expected {"instance": NAME, "draining": BOOLEAN}'}
+        if not isinstance(instance, str) or not isinstance(draining, bool):
+            return 400, {"error": 'expected {"instance": NAME, "draining": BOOLEAN}'}
+        if not self._set_draining(instance, draining):
+            return 404, {"error": f"{instance} has no home at {self._node}"}
+        return 200, {"home": self._node}
+
 
 def describe_node(node: "Node") -> dict:
     """Return what operators see of a node."""
--- a/src/flamingobank_standins/upstream/announcer.py
+++ b/src/flamingobank_standins/upstream/announcer.py
@@ -29,6 +29,7 @@
         clock: Clock,
         nodes: list[Address],
         describe: Callable[[], dict],
+        on_drain: Callable[[bool], None],
     ) -> None:
         self.home: str | None = None
         self._poller = poller
@@ -36,6 +37,7 @@
         self._clock = clock
         self._nodes = nodes
         self._describe = describe
+        self._on_drain = on_drain
         self._turn = 0
         self._address: Address | None = None
         self._connection: HttpClientConnection | None = None
@@ -89,6 +91,8 @@
             self._try_another()
             return
         self.home = fields.get("home")
+        if isinstance(fields.get("drain"), bool):
+            self._on_drain(fields["drain"])
         self._schedule(RENEW_S)
 
     def on_answer_failed(self, reason: str, sent: bool) -> None:
--- a/src/flamingobank_standins/upstream/server.py
+++ b/src/flamingobank_standins/upstream/server.py
@@ -129,7 +129,7 @@
             self.poller, self.timers, clock, address, LIMITS, self.channel
         ).register(self)
         self._announcer = Announcer(
-            self.poller, self.timers, clock, nodes, self.describe
+            self.poller, self.timers, clock, nodes, self.describe, self._obey_drain
         )
         if nodes:
             self.timers.call_soon(self._announcer.announce)
@@ -227,6 +227,11 @@
             "home": self._announcer.home,
         }
 
+    def _obey_drain(self, draining: bool) -> None:
+        """Keep the drain that an operator asked for; the process goes on."""
+        self.draining = draining
+        self._drain_at = self.clock.now() if draining else float("inf")
+
     def _drain(self) -> None:
         if self.draining:
             return
