Write the fleet's decisions to the audit trail and split the daemon

Change: decisions are written in batches to the store; observers and the parts that use the store have modules of their own; an entry counts what it sent since a home's last load report.

--- a/src/flamingobank/node/crashes.py
+++ b/src/flamingobank/node/crashes.py
@@ -17,6 +17,7 @@
     def __init__(self, clock: Clock, broadcast: Callable[[Message], None]) -> None:
         self.ledger = CrashLedger()
         self.reported = 0
+        self.on_crash: Callable[[CrashNotice, str], None] = lambda notice, why: None
         self._clock = clock
         self._broadcast = broadcast
 
@@ -38,6 +39,7 @@
             route=request.message.route,
             why=detail,
         )
+        self.on_crash(notice, detail)
         self._broadcast(notice)
 
     def report_completion(self, request: HomeRequest) -> None:
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -10,18 +10,17 @@
 import eliot
 from circuits import Component, handler
 
-from flamingobank.core import InvariantError, MonotonicClock, NodeId, Revision
+from flamingobank.core import InvariantError, MonotonicClock, NodeId
 from flamingobank.directory import DirectoryTable
-from flamingobank.health import FloorMessage, Outcome
+from flamingobank.health import FloorMessage
 from flamingobank.loop import Poller, Timers
-from flamingobank.membership import Member
 from flamingobank.node.announcements import Announcements
 from flamingobank.node.chosen_requests import ChosenRequests
 from flamingobank.node.configuration_sync import ConfigurationSync
 from flamingobank.node.configuration_wire import unpack_peer_message
 from flamingobank.node.crashes import Crashes
 from flamingobank.node.directory_sync import DirectorySync
-from flamingobank.node.dispatcher import Dispatcher, DispatchObserver
+from flamingobank.node.dispatcher import Dispatcher
 from flamingobank.node.edge import EdgeServer
 from flamingobank.node.ejections import Ejections
 from flamingobank.node.entry import Entry
@@ -30,18 +29,23 @@
 from flamingobank.node.key_wire import unpack_key_message
 from flamingobank.node.keyed_entry import KeyedCallerExchange
 from flamingobank.node.keyed_requests import KeyedRequests
-from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
-from flamingobank.node.members import MemberObserver, Members
+from flamingobank.node.links import CONTROL_STREAM, Link, Links
+from flamingobank.node.members import Members
 from flamingobank.node.metrics import NodeMetrics
-from flamingobank.node.remote import ServedStream
-from flamingobank.node.requests import HomeRequest
-from flamingobank.node.servers import Server
+from flamingobank.node.observers import (
+    NodeDispatchObserver,
+    NodeLinkObserver,
+    NodeMemberObserver,
+)
 from flamingobank.node.status import StatusPages, describe_node
+from flamingobank.node.store_parts import (
+    audit_decisions,
+    connect_store,
+    watch_store,
+)
 from flamingobank.node.store_watch import StoreWatch
 from flamingobank.objects import AnyObject
 from flamingobank.settings import CallerLimits, NodeSettings
-from flamingobank.store import StoreClient
-from flamingobank.store.transport import LoopTransport
 from flamingobank.wire import (
     CrashClearance,
     CrashNotice,
@@ -67,79 +71,6 @@
     return f"{time.time_ns():016x}-{os.urandom(4).hex()}"
 
 
-class NodeLinkObserver(LinkObserver):
-    """Pass what happens on links to the parts of a node.
-
-    A circuits component cannot derive from an abstract base class itself, as the
-    two have different metaclasses.
-    """
-
-    def __init__(self, node: "Node") -> None:
-        self._node = node
-
-    def on_control_message(self, link: Link, message: Message) -> None:
-        self._node.receive(link, message)
-
-    def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
-        # Messages of streams that have ended here are discarded.
-        if isinstance(message, OpenRequest):
-            ServedStream(self._node.serve, link, stream, message)
-
-    def on_link_refused(self, peer: str, reason: str) -> None:
-        refused = self._node.refused_links
-        refused[reason] = refused.get(reason, 0) + 1
-        eliot.log_message(message_type="links:refused", peer=peer, why=reason)
-
-
-class NodeMemberObserver(MemberObserver):
-    """Pass changes in the fleet to the parts of a node."""
-
-    def __init__(self, node: "Node") -> None:
-        self._node = node
-
-    def on_joined(self) -> None:
-        self._node.sync.compare_now()
-        self._node.sync.announce_change()
-
-    def on_member_joined(self, member: Member) -> None:
-        self._node.sync.restore(member.node_id)
-
-    def on_member_gone(self, member: Member) -> None:
-        self._node.directory.remove(member.node_id)
-        self._node.keyed.on_member_gone(member)
-
-    def on_revision_seen(self, node: NodeId, revision: Revision) -> None:
-        self._node.configuration.observe_revision(node, revision)
-
-    def on_paused(self, gap_s: float) -> None:
-        # Floor leases notice the pause themselves; the directory may be old.
-        self._node.sync.compare_now()
-        self._node.sync.announce_change()
-
-
-class NodeDispatchObserver(DispatchObserver):
-    """Pass what happens to work on servers to the judges of a node."""
-
-    def __init__(self, ejections: Ejections, crashes: Crashes) -> None:
-        self._ejections = ejections
-        self._crashes = crashes
-
-    def on_outcome(self, server: Server, outcome: Outcome) -> None:
-        self._ejections.on_outcome(server, outcome)
-
-    def on_crash(self, request: HomeRequest, server: Server, detail: str) -> None:
-        self._crashes.report(request, server, detail)
-
-    def on_completed(self, request: HomeRequest) -> None:
-        self._crashes.report_completion(request)
-
-    def is_quarantined(self, request: HomeRequest) -> bool:
-        return self._crashes.is_quarantined(request)
-
-    def is_suspect(self, request: HomeRequest) -> bool:
-        return self._crashes.is_suspect(request)
-
-
 class Node(Component):
     """Run one node of the fleet."""
 
@@ -358,13 +289,10 @@
         self.sync.announce_change()
 
     def _watch_store(self, token: str, rng: random.Random) -> StoreWatch | None:
-        settings = self.settings
-        if settings.store is None:
+        if self.settings.store is None:
             return None
-        transport = LoopTransport(
-            self.poller, self.timers, self.clock, settings.store, token
-        )
-        client = StoreClient(transport, self.timers, self.clock, rng, self.boot)
+        client = connect_store(self, token, rng)
+        audit_decisions(self, client, rng)
         self.entry.chosen = ChosenRequests(
             self.keyed.name,
             self.clock,
@@ -374,18 +302,7 @@
             self.entry.choose_home,
             self.entry.send,
         )
-        return StoreWatch(
-            settings.node_id,
-            self.boot,
-            settings.failure_domain,
-            f"{settings.peers[0]}:{settings.peers[1]}",
-            self.clock,
-            self.timers,
-            rng,
-            client,
-            self.configuration,
-            self.members.list_domain,
-        )
+        return watch_store(self, client, rng)
 
     def _send_to_node(self, node: NodeId, message: Message) -> None:
         address = self.members.find_address(node)
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -3,6 +3,7 @@
 import json
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 from urllib.parse import parse_qsl
 
@@ -105,6 +106,15 @@
         if isinstance(found, HomeLoad):
             self._loads[service, node] = found
 
+    def note_sent(self, service: str, node: NodeId) -> None:
+        """Count a request as a slot in use until the home's next report.
+
+        Without it, all requests between two reports go to the same home.
+        """
+        load = self._loads.get((service, node))
+        if load is not None and load.free_slots:
+            self._loads[service, node] = replace(load, free_slots=load.free_slots - 1)
+
     def get(self, service: str, node: NodeId) -> HomeLoad | None:
         """Return the newest load; whoever uses it checks its age."""
         return self._loads.get((service, node))
@@ -272,6 +282,7 @@
         self, home: HomeEntry, message: OpenRequest, body: bytes, sink: AnswerSink
     ) -> RunningRequest:
         """Run a request at a home node, which may be this one."""
+        self.loads.note_sent(message.service, home.node)
         if home.node == self._node_id:
             return self._dispatcher.dispatch(message, body, sink)
         return RemoteRequest(self.links.get(home.address), message, body, sink)
