--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -3,13 +3,15 @@
   is true, however its servers behave.
 
   Scenario Outline: Random mixes of endings give each caller exactly its own answer
-    Then 60 random mixes of requests at a home <where> end in one answer each
+    Then 60 random mixes of <work> work at a home <where> end in one answer each
     And the mixes held every kind of ending
 
     Examples:
-      | where         |
-      | in place      |
-      | behind a link |
+      | work       | where         |
+      | idempotent | in place      |
+      | idempotent | behind a link |
+      | unkeyed    | in place      |
+      | unkeyed    | behind a link |
 
   Scenario: A draining server gets nothing new
     Given an edge with 2 servers that answer
@@ -17,10 +19,15 @@
     Then all 20 are answered by the second server
 
   Scenario: A server that takes no connection is passed over
-    Given an edge with a server that takes no connection and one that answers
+    Given an edge for idempotent work, a server without connections and a good one
     When 5 requests are sent to the edge one after another
     Then all 5 are answered and none was cut or said to have run
 
+  Scenario: Work that must not repeat and has no key gets one attempt
+    Given an edge for unkeyed work, a server without connections and a good one
+    When 5 requests are sent to the edge one after another
+    Then some are answered, and the others did not run and are refused as not run
+
   Scenario: An address that cannot be connected to counts as not run
     Given an edge with only a server at an address that cannot be reached
     When 1 requests are sent to the edge one after another
--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -89,7 +89,7 @@
 
     def on_stream_message(self, link, stream, message):
         if isinstance(message, OpenRequest):
-            ServedStream(self.dispatcher, link, stream, message)
+            ServedStream(self.dispatcher.dispatch, link, stream, message)
 
     def on_link_refused(self, peer, reason):
         raise AssertionError(f"link of {peer} refused: {reason}")
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -347,6 +347,9 @@
     def _update_metrics(self) -> None:
         for name, count in self.entry.counters.items():
             self.metrics.set_event_count(name, count)
+        for status, count in self.callers.refusals.items():
+            self.metrics.set_event_count(f"edge_refused_{status}", count)
+        self.metrics.set_event_count("links_refused", sum(self.refused_links.values()))
         self.metrics.set_value("caller_connections", self.callers.connection_count)
         self.metrics.set_value("links", self.links.count)
         self.metrics.set_value("servers", len(self.dispatcher.servers))
