--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -246,16 +246,24 @@
         return self._sock.getsockname()
 
     def close(self) -> None:
-        """Take no more connections."""
+        """Take no more connections than those that wait to be accepted."""
+        # The kernel resets waiting connections when the socket closes, and with
+        # them requests that have been sent.
+        while self._accept():
+            continue
         self._poller.unregister_direct(self._sock.fileno())
         self._sock.close()
 
     def _on_ready(self, events: int) -> None:
+        self._accept()
+
+    def _accept(self) -> bool:
         try:
             sock, _ = self._sock.accept()
         except OSError:
             # The peer left, or descriptors ran out; the next readiness retries.
-            return
+            return False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._on_accept(sock)
+        return True
