Measure the added latency over both hops

Cause: entries preferred homes of their own domain, which in the benchmark were themselves, so most requests took one hop; at the design scale nearly all take two.

--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -1,7 +1,9 @@
 """Measure the latency and CPU that the fleet adds to a request.
 
 The same callers, servers and work are used twice in one run: directly, and
-through the fleet. Work takes 5 ms on the server.
+through the fleet. Work takes 5 ms on the server. Callers reach nodes that are home of
+no server, so that each request takes both hops; --local measures the opposite case,
+where the entry is the home.
 """
 
 import multiprocessing
@@ -28,7 +30,8 @@
 expected_ms = 5
 deadline_ms = 5000
 """
-DOMAINS = ("domain-a", "domain-b")
+ENTRY_DOMAINS = ("domain-a", "domain-b")
+HOME_DOMAINS = ("domain-c", "domain-d")
 WORK_MS = 5
 # More than the 4 of the deployments: direct callers know no free server, and
 # refusals for full slots would end their calls early.
@@ -54,6 +57,7 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--nodes", type=int, default=2)
     parser.add_argument("--rate", type=float, default=270.0, help="requests/s a node")
+    parser.add_argument("--local", action="store_true", help="entries are homes")
     parser.add_argument("--connections", type=int, default=330, help="for each node")
 
 
@@ -62,9 +66,9 @@
     with LocalFleet("bench") as fleet:
         manifest = fleet.path / "bench.ini"
         manifest.write_text(MANIFEST)
-        _start(fleet, manifest, options.nodes)
+        entries = _start(fleet, manifest, options.nodes, options.local)
         server_addresses = [server.address for server in fleet.servers.values()]
-        node_addresses = [node.settings.callers for node in fleet.nodes.values()]
+        node_addresses = [fleet.nodes[name].settings.callers for name in entries]
         print("measuring direct calls", file=sys.stderr)
         direct, direct_wrong = run_load(server_addresses, options)
         print("measuring calls through the fleet", file=sys.stderr)
@@ -107,22 +111,29 @@
     return latencies, wrong
 
 
-def _start(fleet: LocalFleet, manifest: Path, node_count: int) -> None:
+def _start(
+    fleet: LocalFleet, manifest: Path, node_count: int, local: bool
+) -> list[str]:
+    """Start nodes and servers; return the nodes that callers use."""
+    entries = []
     for index in range(node_count):
-        fleet.start_node(
-            f"node-{index}", DOMAINS[index % len(DOMAINS)], manifests=[manifest]
-        )
+        name = f"entry-{index}"
+        fleet.start_node(name, ENTRY_DOMAINS[index % 2], manifests=[manifest])
+        entries.append(name)
+    if not local:
+        for index in range(node_count):
+            domain = HOME_DOMAINS[index % 2]
+            fleet.start_node(f"home-{index}", domain, manifests=[manifest])
     fleet.wait_for_nodes()
     # Enough slots that queueing in the fleet is not what is measured.
+    domains = ENTRY_DOMAINS if local else HOME_DOMAINS
     for index in range(4 * node_count):
         fleet.start_server(
-            f"server-{index}",
-            DOMAINS[index % len(DOMAINS)],
-            {"app": "bench"},
-            SERVER_SLOTS,
+            f"server-{index}", domains[index % 2], {"app": "bench"}, SERVER_SLOTS
         )
     fleet.wait_for_servers({"bench": 4 * node_count})
     time.sleep(2.0)
+    return entries
 
 
 def _send_requests(sender, addresses: list, options, seed: int) -> None:
--- a/benchmarks/capacity_node.py
+++ b/benchmarks/capacity_node.py
@@ -7,6 +7,7 @@
 
 import eliot
 
+import flamingobank.cli  # noqa: F401  The node command imports it first.
 from benchmarks.tables import make_route, read_resident_mb
 from flamingobank.configuration import SnapshotLoaded, SnapshotLoader
 from flamingobank.core import BootId, FailureDomain, NodeId
