Run loop turns without an event when nothing is queued

Cause: each turn of the circuits loop fires and dispatches an event to find out what is ready, 18 us; over two hops a request takes at least four turns, and timers cause more. Change: the node's root component runs timers and the poller directly and leaves turns with queued events or tasks to circuits.

--- a/src/flamingobank/loop/__init__.py
+++ b/src/flamingobank/loop/__init__.py
@@ -11,6 +11,7 @@
 from flamingobank.loop.http_client import AnswerHandler, HttpClientConnection
 from flamingobank.loop.poller import Poller
 from flamingobank.loop.timers import TimerHandle, Timers
+from flamingobank.loop.turns import LoopComponent
 
 __all__ = [
     "Address",
@@ -20,6 +21,7 @@
     "DatagramEndpoint",
     "HttpClientConnection",
     "Listener",
+    "LoopComponent",
     "Poller",
     "TimerHandle",
     "Timers",
--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -123,8 +123,12 @@
         self._sources[fileno] = fd
 
     def _generate_events(self, event: generate_events) -> None:
+        self.wait(event.time_left if event.time_left >= 0 else None)
+
+    def wait(self, timeout_s: float | None) -> None:
+        """Wait for readiness and handle it; None waits without a limit."""
         self._flush_output()
-        found = self._epoll.poll(event.time_left if event.time_left >= 0 else None)
+        found = self._epoll.poll(timeout_s)
         handlers = self._ready_handlers
         ready = [(fileno, events, handlers.get(fileno)) for fileno, events in found]
         for fileno, events, on_ready in ready:
--- a/src/flamingobank/loop/timers.py
+++ b/src/flamingobank/loop/timers.py
@@ -59,6 +59,12 @@
 
     @handler("generate_events", priority=1)
     def _on_generate_events(self, event) -> None:
+        left_s = self.run_due()
+        if left_s is not None:
+            event.reduce_time_left(left_s)
+
+    def run_due(self) -> float | None:
+        """Run what is due; return the seconds to the next deadline, if there is one."""
         now = self._clock.now()
         while self._heap:
             deadline, _, handle = self._heap[0]
@@ -66,9 +72,9 @@
                 heapq.heappop(self._heap)
                 continue
             if deadline > now:
-                event.reduce_time_left(deadline - now)
-                return
+                return deadline - now
             heapq.heappop(self._heap)
             callback = handle.callback
             handle.callback = None
             callback()
+        return None
--- /dev/null
+++ b/src/flamingobank/loop/turns.py
@@ -0,0 +1,38 @@
+"""Run turns of the circuits loop without an event for each of them."""
+
+import sys
+import traceback
+
+from circuits import Component
+from circuits.core.events import exception
+
+from flamingobank.loop.poller import Poller
+from flamingobank.loop.timers import Timers
+
+
+class LoopComponent(Component):
+    """Be the root of a loop whose sources are one poller and one set of timers.
+
+    A turn of circuits fires and dispatches an event to find out what is ready, which
+    takes 18 us; a node at 270 requests/s makes several hundred turns a second. Events
+    that are queued still go through circuits.
+    """
+
+    poller: Poller
+    timers: Timers
+
+    def tick(self, timeout: float = -1) -> None:
+        """Run one turn of the loop."""
+        if len(self) or self._tasks or not self.running:
+            super().tick(timeout)
+            return
+        try:
+            left_s = self.timers.run_due()
+            if len(self):
+                left_s = 0.0
+            elif timeout >= 0 and (left_s is None or timeout < left_s):
+                left_s = timeout
+            self.poller.wait(left_s)
+        except Exception:
+            kind, error, trace = sys.exc_info()
+            self.fire(exception(kind, error, traceback.format_tb(trace)))
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -8,12 +8,12 @@
 from functools import partial
 
 import eliot
-from circuits import Component, handler
+from circuits import handler
 
 from flamingobank.core import InvariantError, MonotonicClock, NodeId
 from flamingobank.directory import DirectoryTable
 from flamingobank.health import FloorMessage
-from flamingobank.loop import Poller, Timers
+from flamingobank.loop import LoopComponent, Poller, Timers
 from flamingobank.node.announcements import Announcements
 from flamingobank.node.chosen_requests import ChosenRequests
 from flamingobank.node.configuration_sync import ConfigurationSync
@@ -71,7 +71,7 @@
     return f"{time.time_ns():016x}-{os.urandom(4).hex()}"
 
 
-class Node(Component):
+class Node(LoopComponent):
     """Run one node of the fleet."""
 
     channel = "node"
