Split the edge, and bring status and caller pages up to date

Cause: node/edge.py had 548 lines in three jobs; the pages described keys, limits and drains as of an earlier state. Change: requests, connections and the server have modules of their own; the pages say what runs, what is missed and what is not built. Conclusion: no behaviour changed.

--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -19,7 +19,7 @@
 )
 from flamingobank.loop import Address, Timers
 from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge import EdgeRequest, EdgeResponse
+from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.node.ejections import Ejections
 from flamingobank.node.servers import CONNECT_BACKOFF_S, Server
 
--- a/src/flamingobank/node/caller_exchange.py
+++ b/src/flamingobank/node/caller_exchange.py
@@ -13,7 +13,7 @@
 )
 from flamingobank.directory import HomeEntry
 from flamingobank.loop import TimerHandle
-from flamingobank.node.edge import ConnectionWatcher, EdgeConnection
+from flamingobank.node.edge_connection import ConnectionWatcher, EdgeConnection
 from flamingobank.node.exchange import (
     WINDOW_BYTES,
     AnswerSink,
--- /dev/null
+++ b/src/flamingobank/node/edge_connection.py
@@ -0,0 +1,319 @@
+"""Read requests from callers' connections, one at a time."""
+
+import abc
+import socket
+from typing import TYPE_CHECKING
+
+import eliot
+import httptools
+
+from flamingobank.loop import (
+    Connection,
+    ConnectionHandler,
+)
+
+if TYPE_CHECKING:
+    from flamingobank.node.edge import EdgeServer
+
+# The next request waits while more of the earlier answers is unread; a caller that
+# only sends would otherwise fill the memory.
+MAX_UNREAD_BYTES = 262_144
+LIMIT_STATUSES = (413, 429, 431, 503)
+HTTP_1_1 = (1, 1)
+
+STATUS_LINES = {
+    400: b"400 Bad Request",
+    408: b"408 Request Timeout",
+    413: b"413 Content Too Large",
+    429: b"429 Too Many Requests",
+    431: b"431 Request Header Fields Too Large",
+    501: b"501 Not Implemented",
+    503: b"503 Service Unavailable",
+    505: b"505 HTTP Version Not Supported",
+}
+
+
+class ConnectionWatcher(abc.ABC):
+    """Hear of a caller that leaves or takes output while its answer runs."""
+
+    @abc.abstractmethod
+    def on_caller_left(self) -> None:
+        """React to the end of the connection."""
+
+    @abc.abstractmethod
+    def on_output_drained(self) -> None:
+        """React to all queued output having been sent."""
+
+
+class EdgeConnection(ConnectionHandler):
+    """Read requests from one connection, one at a time."""
+
+    def __init__(self, server: "EdgeServer", sock: socket.socket) -> None:
+        self.server = server
+        self.method = ""
+        self.target = b""
+        self.protocol = HTTP_1_1
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.keep_alive = True
+        self.busy = False
+        self._holds_stream = False
+        self._awaits_reader = False
+        self.closed = False
+        self.watcher: ConnectionWatcher | None = None
+        self.started_at = server.clock.now()
+        self.reading_request = False
+        self._seen_output_bytes = 0
+        self._progress_at = self.started_at
+        self._peername = sock.getpeername()
+        # One buffer: a list of tiny chunks would take many times their size.
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._unread_head_bytes = 0
+        self._refused: int | None = None
+        self._early: list[bytes] = []
+        self._early_bytes = 0
+        self._message_ended = False
+        self._parser = httptools.HttpRequestParser(self)
+        self.connection = Connection(server.poller, sock, self, connecting=False)
+
+    def getpeername(self):
+        """Return the caller's address; circuits.web asks for it."""
+        return self._peername
+
+    @property
+    def output_bytes(self) -> int:
+        """Return the number of bytes that wait to be sent."""
+        return self.connection.output_bytes
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether the connection ends once its output has been sent."""
+        return self.connection.close_when_drained
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether the caller has taken no output for the request timeout."""
+        waiting = self.output_bytes
+        if not waiting or waiting != self._seen_output_bytes:
+            self._seen_output_bytes = waiting
+            self._progress_at = now
+        limit_s = self.server.limits.request_timeout_ms / 1000
+        return now > self._progress_at + limit_s
+
+    def take_body(self) -> bytes:
+        """Return the body of the request that has been read."""
+        body = bytes(self._body)
+        self._body = bytearray()
+        return body
+
+    def write(self, data: bytes) -> None:
+        """Queue output."""
+        self.connection.write(data)
+
+    def close(self) -> None:
+        """Close once the output has been sent."""
+        self.connection.close_after_output()
+
+    def abort(self) -> None:
+        """Close at once, so that the caller sees an incomplete answer."""
+        # A regular end would look complete where the close frames the answer.
+        self.connection.reset("aborted")
+
+    def finish_answer(self, keep: bool) -> None:
+        """Go on to the next request, or close."""
+        self.watcher = None
+        self._free()
+        self.started_at = self.server.clock.now()
+        if not keep or not self.keep_alive or self.server.draining:
+            self.close()
+            return
+        self._parser = httptools.HttpRequestParser(self)
+        self._message_ended = False
+        if self.output_bytes > MAX_UNREAD_BYTES:
+            self._awaits_reader = True
+            self.connection.pause_reading()
+            return
+        self._read_early()
+
+    def on_connected(self) -> None:
+        """React to a connection that can carry data; accepted ones always can."""
+
+    def on_data(self, data: bytes) -> None:
+        if self.busy:
+            self._keep_early(data)
+            return
+        if self.closing:
+            # The answer under way is the last one; nothing more may run.
+            return
+        if not self.reading_request:
+            self.reading_request = True
+            self.started_at = self.server.clock.now()
+        if not self._message_ended and not self._feed(data):
+            return
+        if self._refused is not None:
+            self.refuse(self._refused)
+            return
+        if self._message_ended:
+            self._hand_over()
+            return
+        if not self.headers_done:
+            self._unread_head_bytes += len(data)
+            if self._unread_head_bytes > self.server.limits.max_head_bytes:
+                self.refuse(431)
+
+    def on_closed(self, reason: str) -> None:
+        self.closed = True
+        self._free()
+        self.server.forget(self)
+        if self.watcher is not None:
+            watcher = self.watcher
+            self.watcher = None
+            watcher.on_caller_left()
+
+    def on_drained(self) -> None:
+        if self._awaits_reader:
+            self._awaits_reader = False
+            self.connection.resume_reading()
+            self._read_early()
+        if self.watcher is not None:
+            self.watcher.on_output_drained()
+
+    def refuse(self, status: int) -> None:
+        """Answer a request that cannot be handed on, and close."""
+        self.busy = True
+        self.server.count_refusal(status)
+        self.write(
+            b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n"
+            b"Flamingobank-Outcome: not-run\r\nFlamingobank-Reason: %s\r\n\r\n"
+            % (
+                STATUS_LINES[status],
+                b"limit" if status in LIMIT_STATUSES else b"bad-request",
+            )
+        )
+        self.close()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        if self._message_ended:
+            # The parser cannot give back the bytes of a request behind this one;
+            # dropping its first part would make its rest look like a request.
+            self._refused = 400
+            return
+        self.headers = []
+        self.headers_done = False
+        self.target = b""
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._unread_head_bytes = 0
+
+    headers_done = False
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may come in pieces."""
+        if not self._message_ended:
+            self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if self._message_ended:
+            return
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > self.server.limits.max_head_bytes:
+            self._refused = 431
+            return
+        if self.headers_done:
+            # Trailers come after the checks of the head.
+            return
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the framing of the body."""
+        if self._message_ended:
+            return
+        self.headers_done = True
+        # The parser forgets the header at the end of the message.
+        self.keep_alive = self._parser.should_keep_alive()
+        version = self._parser.get_http_version()
+        if version not in ("1.0", "1.1"):
+            self._refused = 505
+            return
+        names = [name for name, _ in self.headers]
+        if names.count(b"host") != 1 and version == "1.1":
+            self._refused = 400
+        lengths = names.count(b"content-length")
+        encodings = names.count(b"transfer-encoding")
+        if lengths + encodings > 1:
+            self._refused = 400
+        limit = self.server.limits.max_body_bytes
+        for name, value in self.headers:
+            if name == b"content-length" and int(value) > limit:
+                self._refused = 413
+            if name == b"transfer-encoding" and value.lower() != b"chunked":
+                self._refused = 501
+        if self._parser.should_upgrade():
+            self._refused = 501
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        if self._message_ended:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > self.server.limits.max_body_bytes:
+            self._refused = 413
+            return
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        """End the request."""
+        self._message_ended = True
+
+    def _feed(self, data: bytes) -> bool:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse(501)
+            return False
+        except (httptools.HttpParserError, ValueError) as error:
+            eliot.log_message(
+                message_type="edge:malformed",
+                caller=self._peername[0],
+                error=str(error),
+            )
+            self.refuse(self._refused or 400)
+            return False
+        return True
+
+    def _hand_over(self) -> None:
+        if not self.server.take_stream(self.getpeername()[0]):
+            self.refuse(429)
+            return
+        self.busy = True
+        self._holds_stream = True
+        self.reading_request = False
+        self.method = self._parser.get_method().decode("latin-1")
+        version = self._parser.get_http_version()
+        self.protocol = (1, 0) if version == "1.0" else HTTP_1_1
+        self.server.hand_over(self)
+
+    def _read_early(self) -> None:
+        early = b"".join(self._early)
+        self._early.clear()
+        self._early_bytes = 0
+        if early:
+            self.on_data(early)
+
+    def _free(self) -> None:
+        self.busy = False
+        if self._holds_stream:
+            self._holds_stream = False
+            self.server.give_stream(self.getpeername()[0])
+
+    def _keep_early(self, data: bytes) -> None:
+        """Hold bytes that came before the answer was complete."""
+        self._early_bytes += len(data)
+        if self._early_bytes > self.server.limits.max_head_bytes:
+            self.abort()
+            return
+        self._early.append(data)
--- /dev/null
+++ b/src/flamingobank/node/edge_messages.py
@@ -0,0 +1,63 @@
+"""Hold requests and the fleet's own answers as circuits.web has them."""
+
+from typing import TYPE_CHECKING
+
+from circuits.web.headers import Headers
+from circuits.web.wrappers import Request, Response
+
+if TYPE_CHECKING:
+    from flamingobank.node.edge import EdgeServer
+    from flamingobank.node.edge_connection import EdgeConnection
+
+
+class EdgeRequest(Request):
+    """Hold a request that has been read whole and checked."""
+
+    def __init__(self, connection: "EdgeConnection", server: "EdgeServer") -> None:
+        # The constructor of the base class parses URLs and cookies that no
+        # handler here uses; it would double the cost of a request.
+        self.sock = connection
+        self.server = server
+        self.method = connection.method
+        self.target = connection.target
+        path, _, query = connection.target.partition(b"?")
+        self.path = path.decode("latin-1")
+        self.qs = query.decode("latin-1")
+        self.protocol = connection.protocol
+        self.raw_headers = connection.headers
+        self.content = connection.take_body()
+        self.print_debug = False
+        self.cookie = {}
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers as circuits.web has them."""
+        pairs = self.raw_headers
+        return Headers([(_decode(name), _decode(value)) for name, value in pairs])
+
+    def get_header(self, name: bytes, default: bytes = b"") -> bytes:
+        """Return the first value of a header by its lower-case name."""
+        for known, value in self.raw_headers:
+            if known == name:
+                return value
+        return default
+
+
+class EdgeResponse(Response):
+    """Render one of the fleet's own answers."""
+
+    def __init__(self, request: EdgeRequest) -> None:
+        self.request = request
+        self.encoding = "utf-8"
+        self._body = []
+        self._status = None
+        self.status = 200
+        self.headers = Headers([])
+        self.cookie = {}
+        major, minor = request.protocol
+        self.protocol = f"HTTP/{major}.{minor}"
+        self.close = not request.sock.keep_alive
+
+
+def _decode(data: bytes) -> str:
+    return data.decode("latin-1")
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/entry.py
@@ -32,10 +32,7 @@
 from flamingobank.loop import Address, Timers
 from flamingobank.node.caller_exchange import CallerExchange, ChosenCallerExchange
 from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge import (
-    EdgeRequest,
-    EdgeResponse,
-)
+from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.node.exchange import (
     AnswerSink,
     Load,
--- a/src/flamingobank/node/status.py
+++ b/src/flamingobank/node/status.py
@@ -9,7 +9,7 @@
 
 from flamingobank.core import NodeId
 from flamingobank.health import Stage
-from flamingobank.node.edge import EdgeRequest, EdgeResponse
+from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.node.metrics import NodeMetrics
 from flamingobank.node.servers import Server
 from flamingobank.objects import Service
--- a/src/flamingobank/settings/schema.py
+++ b/src/flamingobank/settings/schema.py
@@ -163,7 +163,7 @@
             "max_streams_per_caller",
             "max_streams_per_caller",
             Integer(1, MAX_COUNT),
-            "Requests of one workspace that are in flight at once.",
+            "Requests of one caller address that are in flight at once.",
             "max_streams_per_caller = 256",
             default="256",
         ),
