Keep invalid manifests with the tests, and share the start of benchmark fleets

Cause: flamingobank check examples/ failed on the bad examples below it; two benchmarks started the same fleet in the same lines. Change: bad examples live in features/bad_examples; LocalFleet.start_all starts a store, nodes, servers and objects.

--- a/benchmarks/invariants.py
+++ b/benchmarks/invariants.py
@@ -88,14 +88,7 @@
     def start(self) -> None:
         """Start the processes and the load."""
         fleet = self.fleet
-        fleet.start_store()
-        for index in range(NODES):
-            fleet.start_node(f"node-{index}", DOMAINS[index % 3])
-        fleet.wait_for_nodes()
-        for index in range(SERVERS):
-            fleet.start_server(f"server-{index}", DOMAINS[index % 3], {"app": "bench"})
-        for (kind, name), spec in SPECS.items():
-            fleet.write_object(kind, name, spec)
+        fleet.start_all(DOMAINS, NODES, SERVERS, {"app": "bench"}, SPECS)
         fleet.wait_for_servers({"bench": SERVERS})
         loops: list[Callable[[random.Random], None]] = [self._read] * READERS
         loops += [self._book] * BOOKERS
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -55,14 +55,7 @@
     """Return the figures of one run."""
     calls = Calls()
     with LocalFleet("bench") as fleet:
-        fleet.start_store()
-        for index in range(NODES):
-            fleet.start_node(f"node-{index}", DOMAINS[index % 3])
-        fleet.wait_for_nodes()
-        for index in range(SERVERS):
-            fleet.start_server(f"server-{index}", DOMAINS[index % 3], {"app": "bench"})
-        for (kind, name), spec in SPECS.items():
-            fleet.write_object(kind, name, spec)
+        fleet.start_all(DOMAINS, NODES, SERVERS, {"app": "bench"}, SPECS)
         fleet.wait_for_servers({"bench": SERVERS})
         call_json(fleet.store_address, "POST", "/control", {"outage": "hang"})
         print("the store is away", file=sys.stderr)
--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -4,7 +4,7 @@
 
   Scenario: The examples are valid and each bad example has one error
     Then checking "examples/faltwerk" and "examples/raksa" exits with 0
-    And each file in "examples/bad" gives one error line and exit code 2
+    And each file in "features/bad_examples" gives one error line and exit code 2
 
   Scenario: Applying manifests twice changes nothing the second time
     Given an empty store and the operators "anna" and "farid"
--- a/src/flamingobank_standins/local_fleet.py
+++ b/src/flamingobank_standins/local_fleet.py
@@ -184,6 +184,25 @@
         address = self.servers[instance].address
         return call_json(address, method, "/control", fields or None)
 
+    def start_all(
+        self,
+        domains: tuple[str, ...],
+        nodes: int,
+        servers: int,
+        labels: dict[str, str],
+        specs: dict[tuple[str, str], dict[str, str]],
+    ) -> None:
+        """Start a store, nodes and servers, and write objects to the store."""
+        self.start_store()
+        for index in range(nodes):
+            self.start_node(f"node-{index}", domains[index % len(domains)])
+        self.wait_for_nodes()
+        for index in range(servers):
+            domain = domains[index % len(domains)]
+            self.start_server(f"server-{index}", domain, labels)
+        for (kind, name), spec in specs.items():
+            self.write_object(kind, name, spec)
+
     def write_object(self, kind: str, name: str, spec: dict[str, str]) -> int:
         """Write a new object, as an operator does, and return its revision."""
         connection = http.client.HTTPConnection(*self.store_address, timeout=10)
