Hold stop signals until the loop runs

Change: SIGTERM and SIGINT are blocked from before the construction until the loop has started; the benchmark allows the default end only for a process that did not listen yet, which has no request in flight.

--- a/benchmarks/invariants.py
+++ b/benchmarks/invariants.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from flamingobank_standins.local_fleet import LocalFleet, call_json
+from flamingobank_standins.local_fleet import LocalFleet, accepts, call_json
 
 DOMAINS = ("domain-a", "domain-b", "domain-c")
 NODES = 6
@@ -238,12 +238,17 @@
 
     def _leave_node(self) -> Callable[[], None]:
         name = self._rng.choice(list(self.fleet.nodes))
-        process = self.fleet.nodes[name].process
+        node = self.fleet.nodes[name]
+        process = node.process
+        # Before a node listens it has no request in flight, and a signal ends it.
+        listened = accepts(node.settings.operators)
         process.terminate()
 
         def replace() -> None:
             code = process.wait(40.0)
-            if code not in (0, -signal.SIGKILL):
+            if code == -signal.SIGTERM and not listened:
+                self.faults["left_before_it_listened"] += 1
+            elif code not in (0, -signal.SIGKILL):
                 self._violate("graceful", f"{name} left with exit code {code}")
             self._start_node(name)
 
--- a/src/flamingobank/cli/node.py
+++ b/src/flamingobank/cli/node.py
@@ -57,8 +57,9 @@
             return _report([loaded_token.error])
         token = loaded_token.ok
     # Other commands start in half the time without the imports of a node.
-    from flamingobank.node import Node
+    from flamingobank.node import Node, hold_stop_signals
 
+    hold_stop_signals()
     node = Node(settings, secrets.ok, items, token)
     eliot.log_message(message_type="node:started", node=settings.node_id)
     # Start-up objects live as long as the process; scanning them in each full
--- a/src/flamingobank/directory/table.py
+++ b/src/flamingobank/directory/table.py
@@ -158,11 +158,6 @@
             for instance in home.instances
         }
 
-    def get_update(self, home: str) -> DirectoryUpdate | None:
-        """Return the newest update of a home."""
-        known = self._known.get(home)
-        return None if known is None else _unpack_update(known)
-
     def list_headers(self, domain: str = "") -> list[DirectoryUpdate]:
         """Return the newest updates of a domain, or of all, without services."""
         homes = self._domains.get(domain, {}) if domain else self._known
--- a/src/flamingobank/node/__init__.py
+++ b/src/flamingobank/node/__init__.py
@@ -1,5 +1,5 @@
 """Run a node of the fleet."""
 
-from flamingobank.node.daemon import Node, make_boot_id
+from flamingobank.node.daemon import Node, hold_stop_signals, make_boot_id
 
-__all__ = ["Node", "make_boot_id"]
+__all__ = ["Node", "hold_stop_signals", "make_boot_id"]
--- a/src/flamingobank/node/configuration_sync.py
+++ b/src/flamingobank/node/configuration_sync.py
@@ -98,10 +98,6 @@
         """Note the revision that a peer reported."""
         self.gossip.observe_revision(node, revision, self._clock.now())
 
-    def boot_from(self, node: NodeId) -> None:
-        """Pull the configuration from a peer."""
-        self._send_all(self.gossip.start_boot(node, self._clock.now()))
-
     def list_services(self) -> Iterable[Service]:
         """Return all services; they are kept parsed.
 
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -62,10 +62,20 @@
 SHUTDOWN_CHECK_S = 0.05
 # Peers need this long to hear that a node leaves before it stops listening.
 LEAVE_NOTICE_S = 0.3
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Announcements of servers and calls of operators are small and few.
 INNER_LIMITS = CallerLimits(max_connections=4096, max_body_bytes=65_536)
 
 
+def hold_stop_signals() -> None:
+    """Keep signals to stop until the loop runs.
+
+    A node listens from its construction on; a signal between that and the start of
+    the loop would end the process without answering callers that have connected.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+
+
 def make_boot_id() -> str:
     """Return an id that sorts after those of earlier processes of this node."""
     return f"{time.time_ns():016x}-{os.urandom(4).hex()}"
@@ -260,10 +270,15 @@
         self.sync.send_leaving()
         self.timers.call_at(now + LEAVE_NOTICE_S, self._drain_callers)
 
+    @handler("started", channel="*")
+    def _on_started(self, *args) -> None:
+        # The handlers of circuits are in place; see hold_stop_signals.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
+
     @handler("signal", channel="*")
     def _on_signal(self, event, signo: int, stack) -> None:
         event.stop()
-        if signo in (signal.SIGTERM, signal.SIGINT):
+        if signo in STOP_SIGNALS:
             self.begin_shutdown()
 
     @handler("exception", channel="*")
--- a/src/flamingobank/node/links.py
+++ b/src/flamingobank/node/links.py
@@ -96,11 +96,6 @@
         """Use a connection that has been accepted or started."""
         self._connection = connection
 
-    @property
-    def stream_count(self) -> int:
-        """Return the number of open streams."""
-        return len(self._streams)
-
     @property
     def output_bytes(self) -> int:
         """Return the number of bytes that wait to be sent."""
@@ -257,12 +252,6 @@
         """Accept links from peers."""
         self._listener = Listener(self._poller, address, self._accept)
 
-    def stop_listening(self) -> None:
-        """Accept no more links."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-
     def get(self, address: Address) -> Link:
         """Return the outgoing link to a peer, started when there is none."""
         link = self._outgoing.get(address)
--- a/src/flamingobank/node/pool.py
+++ b/src/flamingobank/node/pool.py
@@ -100,22 +100,8 @@
     def start_waiting(self) -> None:
         """Start queued requests as far as servers have free slots."""
         now = self._dispatcher.clock.now()
-        taken = self._queue.take(now)
-        while taken is not None:
-            request = self._requests[taken.work.request_id]
-            if self._dispatcher.is_quarantined(request):
-                self._queue.cancel(taken.work.request_id, now)
-                self._refuse(request, self._make_quarantine_refusal())
-            else:
-                server = self._choose_server(request, taken.servers)
-                if server is None:
-                    self._queue.put_back(taken.work, now)
-                    break
-                outcome = self._queue.start(taken.work, server.instance, now)
-                if outcome is not StartOutcome.STARTED:
-                    break
-                self._start(request, server, now)
-            taken = self._queue.take(now)
+        while self._start_next(now):
+            continue
         for refused in self._queue.expire(now):
             self._refuse(self._requests[refused.work.request_id], refused.refusal)
         self._arm_wakeup()
@@ -142,6 +128,26 @@
                 self._queue.cancel(request.work.request_id, now)
                 self._refuse(request, Refusal(Disposition.NOT_RUN, reason, 1.0, detail))
 
+    def _start_next(self, now: float) -> bool:
+        """Start or refuse one queued request; False when none may start now."""
+        taken = self._queue.take(now)
+        if taken is None:
+            return False
+        request = self._requests[taken.work.request_id]
+        if self._dispatcher.is_quarantined(request):
+            self._queue.cancel(taken.work.request_id, now)
+            self._refuse(request, self._make_quarantine_refusal())
+            return True
+        server = self._choose_server(request, taken.servers)
+        if server is None:
+            self._queue.put_back(taken.work, now)
+            return False
+        outcome = self._queue.start(taken.work, server.instance, now)
+        if outcome is not StartOutcome.STARTED:
+            return False
+        self._start(request, server, now)
+        return True
+
     def _admit(self, request: HomeRequest) -> None:
         now = self._dispatcher.clock.now()
         admitted = self._queue.offer(request.work, now)
