--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -211,7 +211,7 @@
 
 
 def connect(poller: Poller, address: Address, handler: ConnectionHandler) -> Connection:
-    """Start connecting; the handler hears of success or of the failure."""
+    """Start connecting; the handler is told of success or failure."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/announcements.py
@@ -202,7 +202,7 @@
         """Return the node that should be home, or None when it is this one."""
         nodes = self._list_domain_nodes(announcement.failure_domain)
         if not nodes:
-            # No node lives in its failure domain, so any node serves.
+            # Its failure domain has no live node, so any node serves.
             nodes = self._list_domain_nodes(FailureDomain(""))
         if self.leaving:
             nodes = {node: nodes[node] for node in nodes if node != self._node_id}
@@ -238,7 +238,7 @@
         if wanted is None:
             return announcement.draining
         if wanted == announcement.draining:
-            # The server has taken the state over; its own word counts again.
+            # The server now announces the state itself.
             del self._wanted_drains[announcement.instance]
         return wanted
 
--- a/src/flamingobank/node/dispatcher.py
+++ b/src/flamingobank/node/dispatcher.py
@@ -40,7 +40,7 @@
 
 
 class DispatchObserver:
-    """Hear how work ends on servers; the default hears nothing."""
+    """Observe how work ends on servers; the default does nothing."""
 
     def on_outcome(self, server: Server, outcome: Outcome) -> None:
         """React to the end of work."""
--- a/src/flamingobank/node/edge.py
+++ b/src/flamingobank/node/edge.py
@@ -93,7 +93,7 @@
         """Fire the request event for a request that has been read."""
         request = EdgeRequest(connection, self)
         event = request_event(request, EdgeResponse(request))
-        # Nobody hears of the completion; circuits would build an event class for it.
+        # No handler uses the completion event; circuits would build a class for each.
         event.complete = False
         self.fire(event, self.channel)
 
--- a/src/flamingobank/node/edge_connection.py
+++ b/src/flamingobank/node/edge_connection.py
@@ -34,7 +34,7 @@
 
 
 class ConnectionWatcher(abc.ABC):
-    """Hear of a caller that leaves or takes output while its answer runs."""
+    """Observe a caller that leaves or takes output while its answer runs."""
 
     @abc.abstractmethod
     def on_caller_left(self) -> None:
--- a/src/flamingobank/node/ejections.py
+++ b/src/flamingobank/node/ejections.py
@@ -78,7 +78,7 @@
     def remove(self, instance: InstanceId) -> None:
         """Forget a server that is gone or has another home."""
         now = self._clock.now()
-        # Holders of promises hear at once that the server is not in service.
+        # Holders of promises are told at once that the server is not in service.
         self._send_all(self.ledger.set_in_service(instance, False, now))
         self._send_all(self.ledger.remove(instance, now))
 
--- a/src/flamingobank/node/keeper_requests.py
+++ b/src/flamingobank/node/keeper_requests.py
@@ -110,7 +110,7 @@
         self._record(data)
         if state is AnswerState.COMPLETE:
             # Recorded before it is passed on: a caller that has seen the answer
-            # must never hear "unknown" for the same key.
+            # must never get "unknown" for the same key.
             answer = msgpack.packb([self._headers, b"".join(self._recorded)])
             if self._recorded_bytes > RECORDED_BYTES:
                 answer = b""
--- a/src/flamingobank/node/members.py
+++ b/src/flamingobank/node/members.py
@@ -32,7 +32,7 @@
 
 
 class MemberObserver:
-    """Hear of changes in the fleet; the default hears nothing."""
+    """Observe changes in the fleet; the default does nothing."""
 
     def on_joined(self) -> None:
         """React to the first complete exchange with the fleet."""
