--- a/src/flamingobank/loop/__init__.py
+++ b/src/flamingobank/loop/__init__.py
@@ -8,17 +8,24 @@
     connect,
 )
 from flamingobank.loop.datagrams import DatagramEndpoint
-from flamingobank.loop.http_client import AnswerHandler, HttpClientConnection
+from flamingobank.loop.http_client import (
+    AnswerFilter,
+    AnswerHandler,
+    Headers,
+    HttpClientConnection,
+)
 from flamingobank.loop.poller import Poller
 from flamingobank.loop.timers import TimerHandle, Timers
 from flamingobank.loop.turns import LoopComponent
 
 __all__ = [
     "Address",
+    "AnswerFilter",
     "AnswerHandler",
     "Connection",
     "ConnectionHandler",
     "DatagramEndpoint",
+    "Headers",
     "HttpClientConnection",
     "Listener",
     "LoopComponent",
--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -45,6 +45,7 @@
         "_connect_error",
         "_connecting",
         "_fd",
+        "_finish_queued",
         "_flush_queued",
         "_mask",
         "_output",
@@ -74,6 +75,7 @@
         self._output: list[bytes] = []
         self._output_bytes = 0
         self._flush_queued = False
+        self._finish_queued = False
         self._mask = WRITABLE if connecting else READABLE
         self.handler = handler
         self.closed = False
@@ -113,12 +115,27 @@
         self._reading = True
         self._update_mask()
 
+    def finish_output(self) -> None:
+        """Send a regular end after all queued output; input is still read."""
+        if self.closed:
+            return
+        self._finish_queued = True
+        if not self._output_bytes:
+            self._shut_down_output()
+
     def close_after_output(self) -> None:
         """Close once all queued output has been sent."""
         self.close_when_drained = True
         if not self._output_bytes:
             self.close("closed here")
 
+    @property
+    def peer_host(self) -> str:
+        """Return the peer's IP number, an empty text when it is gone."""
+        with contextlib.suppress(OSError):
+            return self._sock.getpeername()[0]
+        return ""
+
     def close(self, reason: str) -> None:
         """Close at once and tell the handler."""
         if self.closed:
@@ -158,9 +175,20 @@
         if self.close_when_drained:
             self.close("closed here")
             return
+        if self._finish_queued:
+            self._shut_down_output()
+            return
         self._update_mask()
         self.handler.on_drained()
 
+    def _shut_down_output(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            self.close(f"shutdown failed: {error}")
+            return
+        self._update_mask()
+
     def _update_mask(self) -> None:
         if self.closed or self._connecting:
             return
--- a/src/flamingobank/loop/http_client.py
+++ b/src/flamingobank/loop/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+from collections.abc import Callable
 
 import httptools
 
@@ -18,6 +19,8 @@
 from flamingobank.loop.poller import Poller
 
 Headers = list[tuple[bytes, bytes]]
+# Tells whether a status and headers belong to the answer that is waited for.
+AnswerFilter = Callable[[int, Headers], bool]
 
 MAX_ANSWER_HEAD_BYTES = 65536
 
@@ -47,6 +50,9 @@
 
     def __init__(self, poller: Poller, address: Address) -> None:
         self.address = address
+        # Tells the answer to this exchange from late ones to earlier exchanges.
+        self.identify: AnswerFilter | None = None
+        self._skipping = False
         self.connected = False
         self.closed = False
         self.reusable = True
@@ -65,6 +71,11 @@
         """Tell whether another request may be sent."""
         return self._exchange is None and not self.closed and self.reusable
 
+    @property
+    def output_bytes(self) -> int:
+        """Return the number of bytes that wait to be sent."""
+        return self._connection.output_bytes
+
     def send(self, request: bytes, handler: AnswerHandler) -> None:
         """Send one request; the handler gets its answer."""
         self._exchange = handler
@@ -72,6 +83,7 @@
         self._head_bytes = 0
         self._status_seen = False
         self._complete = False
+        self._skipping = False
         # The parser does not know that an answer to HEAD has no body.
         self._headless = request.startswith(b"HEAD ")
         self._parser = httptools.HttpResponseParser(self)
@@ -114,6 +126,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
+            if self._complete:
+                # Bytes behind a complete answer spoil only the connection.
+                self._finish()
+                return
             self.close(f"malformed answer: {error}")
             return
         if self._complete:
@@ -133,6 +149,7 @@
     def on_message_begin(self) -> None:
         """Refuse bytes beyond an answer; called by the parser."""
         self._check_incomplete()
+        self._skipping = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; called by the parser."""
@@ -150,6 +167,11 @@
         if status < 200:
             self._headers = []
             return
+        if self.identify is not None and not self.identify(status, self._headers):
+            self._skipping = True
+            self._headers = []
+            self._head_bytes = 0
+            return
         self._status_seen = True
         # The parser forgets the header at the end of the message.
         self.reusable = self._parser.should_keep_alive()
@@ -160,12 +182,12 @@
     def on_body(self, data: bytes) -> None:
         """Pass a part on; called by the parser."""
         self._check_incomplete()
-        if self._exchange is not None:
+        if self._exchange is not None and not self._skipping:
             self._exchange.on_answer_part(data)
 
     def on_message_complete(self) -> None:
         """Note the end; called by the parser."""
-        if self._status_seen:
+        if self._status_seen and not self._skipping:
             self._complete = True
 
     def _check_incomplete(self) -> None:
@@ -184,11 +206,12 @@
         """Tell whether the close is the answer's framing.
 
         Without a length header a close cannot be told from a crash, so such an
-        answer counts as complete only when the server announced the close.
+        answer counts as complete only when the server announced the close, or when
+        the caller of this client identifies its answers and judges them itself.
         """
         if not self._status_seen or self._complete:
             return False
         names = {name.lower(): value.lower() for name, value in self._headers}
         if b"content-length" in names or b"transfer-encoding" in names:
             return False
-        return names.get(b"connection") == b"close"
+        return self.identify is not None or names.get(b"connection") == b"close"
--- a/src/flamingobank/loop/turns.py
+++ b/src/flamingobank/loop/turns.py
@@ -1,7 +1,6 @@
 """Run turns of the circuits loop without an event for each of them."""
 
 import sys
-import traceback
 
 from circuits import Component
 from circuits.core.events import exception
@@ -35,4 +34,4 @@
             self.poller.wait(left_s)
         except Exception:
             kind, error, trace = sys.exc_info()
-            self.fire(exception(kind, error, traceback.format_tb(trace)))
+            self.fire(exception(kind, error, trace))
--- /dev/null
+++ b/src/flamingobank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between flamingobank and the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/flamingobank/platform/__main__.py
@@ -0,0 +1,65 @@
+"""Run a sidecar on the platform."""
+
+import gc
+import os
+import sys
+from pathlib import Path
+
+from flamingobank._lean_import import import_circuits
+
+import_circuits()
+
+from flamingobank.loop import Poller  # noqa: E402
+from flamingobank.platform.announcements import decode_call  # noqa: E402
+from flamingobank.platform.headers import PlatformDialect  # noqa: E402
+from flamingobank.platform.settings import (  # noqa: E402
+    SETTINGS_VARIABLE,
+    load_platform_settings,
+)
+from flamingobank.platform.store import ObjectStore  # noqa: E402
+from flamingobank.sidecar.daemon import Sidecar, handle_hangup  # noqa: E402
+from flamingobank.sidecar.fleet_store import FleetStore  # noqa: E402
+from flamingobank.sidecar.journal import Journal, start_logging  # noqa: E402
+from flamingobank.store import LoopTransport  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run until told to stop; return the exit code."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    loaded = load_platform_settings(path)
+    if loaded.is_error():
+        print(f"flamingobank: {loaded.error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    poller = Poller()
+    start_logging(poller)
+    journal = Journal(loaded.ok.node_id)
+    sidecar = Sidecar(
+        loaded.ok,
+        journal,
+        poller,
+        PlatformDialect(),
+        decode_call,
+        lambda sidecar: make_store(sidecar, journal),
+        lambda: load_platform_settings(path),
+    )
+    handle_hangup(sidecar)
+    journal.event("sidecar:started", boot=sidecar.boot, settings=str(path))
+    # Start-up objects live as long as the process and need no further collection.
+    gc.collect()
+    gc.freeze()
+    sidecar.run()
+    return 0
+
+
+def make_store(sidecar: Sidecar, journal: Journal) -> FleetStore:
+    """Connect the platform's store."""
+    transport = LoopTransport(
+        sidecar.poller, sidecar.timers, sidecar.clock, sidecar.settings.store, token=""
+    )
+    return ObjectStore(transport, journal)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/flamingobank/platform/announcements.py
@@ -0,0 +1,82 @@
+"""Decode what servers say of themselves on the control address."""
+
+import json
+import re
+
+from expression import Error, Ok, Result
+
+from flamingobank.core import InstanceId, ServiceName
+from flamingobank.platform.settings import parse_address
+from flamingobank.sidecar.server_state import Announcement, Departure, Lifecycle
+
+_PATH = re.compile(r"^/flamingobank/instances/([^/]{1,200})/(heartbeat|deregister)$")
+MAX_SLOTS = 10_000
+
+
+def decode_call(
+    method: str, path: str, body: bytes
+) -> Result[Announcement | Departure, str]:
+    """Return what a call of a server says, or what is wrong with it."""
+    match = _PATH.match(path)
+    if match is None or method != "POST":
+        return Error(f"no such call: {method} {path[:80]}")
+    instance = InstanceId(match[1])
+    try:
+        document = json.loads(body) if body else {}
+        if not isinstance(document, dict):
+            raise ValueError(f"body is {type(document).__name__}, expected object")
+        if match[2] == "deregister":
+            return Ok(Departure(instance, _read_started(document)))
+        return Ok(_decode_announcement(instance, document))
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        return Error(f"instance {instance[:40]}: {error!r}")
+
+
+def _decode_announcement(instance: InstanceId, document: dict) -> Announcement:
+    info, status = document["info"], document["status"]
+    slots = _read_whole(info, "slots", 1, MAX_SLOTS)
+    # How much longer the server stays slow; a duration.
+    warmup = status.get("warmup-remaining-s", 0)
+    if isinstance(warmup, bool) or not isinstance(warmup, int | float):
+        raise ValueError(f"warmup-remaining-s is {warmup!r}, expected a number")
+    # "ready" says that the server wants work, not that it is healthy.
+    lifecycle = {"ready": Lifecycle.READY, "draining": Lifecycle.DRAINING}.get(
+        status["state"]
+    )
+    if lifecycle is None:
+        raise ValueError(f"state is {status['state']!r}, expected ready or draining")
+    return Announcement(
+        instance=instance,
+        started_ms=_read_started(document) or 0,
+        sequence=_read_whole(status, "sequence", 0, 2**63),
+        service=ServiceName(_read_text(info, "service")),
+        address=parse_address(_read_text(document, "address")),
+        # The version of the server's software.
+        version=_read_text(info, "version"),
+        slots=slots,
+        lifecycle=lifecycle,
+        warmup_left_s=max(0.0, float(warmup)),
+    )
+
+
+def _read_started(document: dict) -> int | None:
+    """Return when the server started, in Unix milliseconds."""
+    if "born" not in document:
+        return None
+    return _read_whole(document, "born", 0, 2**63)
+
+
+def _read_whole(document: dict, name: str, least: int, most: int) -> int:
+    value = document[name]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{name} is {value!r}, expected a whole number")
+    if not least <= value <= most:
+        raise ValueError(f"{name} is {value}, expected {least} to {most}")
+    return value
+
+
+def _read_text(document: dict, name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is {value!r}, expected a text")
+    return value
--- /dev/null
+++ b/src/flamingobank/platform/configuration.py
@@ -0,0 +1,76 @@
+"""Decode the operator's configuration into a routing table."""
+
+from expression import Error, Ok, Result
+
+from flamingobank.core import RouteName, ServiceName
+from flamingobank.sidecar.routes import (
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    WeightedService,
+)
+
+DEFAULT_TIMEOUT_S = 60.0
+DEFAULT_MAX_ATTEMPTS = 2
+DEFAULT_PRIORITY = 1
+
+
+def decode_configuration(document: object) -> Result[RoutingTable, str]:
+    """Return the routing table of a configuration, or what is wrong with it."""
+    try:
+        return Ok(_decode(document))
+    except (KeyError, TypeError, ValueError) as error:
+        return Error(f"configuration is malformed: {error!r}")
+
+
+def _decode(document: dict) -> RoutingTable:
+    routes: list[Route] = []
+    services: set[ServiceName] = set()
+    limits = RequestLimits()
+    for resource in document["resources"]:
+        kind = resource["resource-kind"]
+        name = resource["metadata"].get("name", "")
+        body = resource["specification"]
+        if kind == "routes":
+            routes.append(_decode_route(name, body))
+        elif kind == "services":
+            services.add(ServiceName(name))
+        elif kind == "limits":
+            limits = _decode_limits(body)
+    version = int(document["version"], 16)
+    return RoutingTable(version, tuple(routes), frozenset(services), limits)
+
+
+def _decode_route(name: str, body: dict) -> Route:
+    split = body.get("weighted-split")
+    if split:
+        targets = tuple(
+            WeightedService(ServiceName(part["service"]), float(part["weight"]))
+            for part in split
+        )
+    else:
+        targets = (WeightedService(ServiceName(body["service"]), 1.0),)
+    timeout_s = float(body.get("timeout-s", DEFAULT_TIMEOUT_S))
+    return Route(
+        name=RouteName(name),
+        host=body["host"].lower(),
+        prefix=body["path-prefix"],
+        kind=RouteKind(body["kind"]),
+        targets=targets,
+        timeout_s=timeout_s,
+        target_latency_s=float(body.get("target-latency-s", timeout_s)),
+        max_attempts=int(body.get("max-attempts", DEFAULT_MAX_ATTEMPTS)),
+        priority=int(body.get("priority", DEFAULT_PRIORITY)),
+    )
+
+
+def _decode_limits(body: dict) -> RequestLimits:
+    defaults = RequestLimits()
+    return RequestLimits(
+        # Bytes of the request line and headers together.
+        max_head_bytes=int(body.get("max-header-bytes", defaults.max_head_bytes)),
+        max_body_bytes=int(body.get("max-body-bytes", defaults.max_body_bytes)),
+        head_timeout_s=float(body.get("header-timeout-s", defaults.head_timeout_s)),
+        idle_timeout_s=float(body.get("idle-timeout-s", defaults.idle_timeout_s)),
+    )
--- /dev/null
+++ b/src/flamingobank/platform/headers.py
@@ -0,0 +1,147 @@
+"""Translate the platform's request and answer headers."""
+
+from flamingobank.core import InstanceId, RequestId
+from flamingobank.loop import Headers
+from flamingobank.sidecar.dialect import CallerFacts, Dialect, ServerFacts
+
+REQUEST_ID = b"request-id"
+# Milliseconds that the caller still waits: a duration, not a point in time.
+DEADLINE = b"deadline-milliseconds"
+EXPECTED_INSTANCE = b"expected-instance"
+CALLING_SERVICE = b"calling-service"
+SEAL = b"server-seal"
+NOT_EXECUTED = b"not-executed"
+# Running requests, waiting requests and slots.
+LOAD = b"server-load"
+RETRY_AFTER = b"retry-after"
+KEEP_ALIVE = b"keep-alive"
+STATUS_MISDIRECTED = 421
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        KEEP_ALIVE,
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Set by the sidecar itself, whatever was sent.
+OWN_REQUEST_HEADERS = HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    DEADLINE,
+    EXPECTED_INSTANCE,
+    CALLING_SERVICE,
+}
+
+
+class PlatformDialect(Dialect):
+    """Speak the platform's headers."""
+
+    def read_caller(self, headers: Headers) -> CallerFacts:
+        """Decode the headers of a caller's request."""
+        request_id = _find(headers, REQUEST_ID) or b""
+        left_ms = _parse_number(_find(headers, DEADLINE))
+        return CallerFacts(
+            RequestId(request_id.decode("latin-1")),
+            None if left_ms is None else left_ms / 1000,
+        )
+
+    def list_refusal_headers(
+        self, request_id: RequestId, retry_after_s: float | None
+    ) -> Headers:
+        """Return the headers of an answer of our own."""
+        headers = [(REQUEST_ID, request_id.encode("latin-1"))] if request_id else []
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, b"%.2f" % retry_after_s))
+        return headers
+
+    def encode_request(
+        self,
+        method: str,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        expected: InstanceId,
+        left_s: float,
+        calling_service: str,
+    ) -> bytes:
+        """Write a request for a server."""
+        dropped = OWN_REQUEST_HEADERS | _list_connection_options(headers)
+        framed = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in headers
+        )
+        lines = [b"%s %s HTTP/1.1" % (method.encode("latin-1"), target)]
+        lines += [b"%s: %s" % item for item in headers if item[0] not in dropped]
+        lines.append(b"%s: %d" % (DEADLINE, max(1, int(left_s * 1000))))
+        lines.append(b"%s: %s" % (EXPECTED_INSTANCE, expected.encode("latin-1")))
+        lines.append(b"%s: %s" % (CALLING_SERVICE, calling_service.encode("latin-1")))
+        if body or framed:
+            lines.append(b"content-length: %d" % len(body))
+        return b"\r\n".join([*lines, b"", body])
+
+    def read_server(
+        self, status: int, headers: Headers, request_id: RequestId
+    ) -> ServerFacts:
+        """Decode the head of a server's answer."""
+        found = {name.lower(): value for name, value in headers}
+        echoed = found.get(REQUEST_ID)
+        misdirected = status == STATUS_MISDIRECTED
+        running, waiting = _parse_load(found.get(LOAD))
+        return ServerFacts(
+            not_run=NOT_EXECUTED in found or misdirected,
+            misdirected=misdirected,
+            signed=SEAL in found,
+            foreign=echoed is not None and echoed != request_id.encode("latin-1"),
+            running=running,
+            waiting=waiting,
+            keep_alive_s=_parse_keep_alive(found.get(KEEP_ALIVE)),
+        )
+
+    def pass_answer_headers(self, headers: Headers) -> Headers:
+        """Return a server's headers that callers get."""
+        lowered = [(name.lower(), value) for name, value in headers]
+        dropped = HOP_BY_HOP | _list_connection_options(lowered)
+        return [item for item in lowered if item[0] not in dropped]
+
+
+def _find(headers: Headers, wanted: bytes) -> bytes | None:
+    for name, value in headers:
+        if name == wanted:
+            return value
+    return None
+
+
+def _list_connection_options(headers: Headers) -> frozenset[bytes]:
+    value = _find(headers, b"connection") or b""
+    return frozenset(option.strip().lower() for option in value.split(b","))
+
+
+def _parse_number(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e9 else None
+
+
+def _parse_load(value: bytes | None) -> tuple[int | None, int | None]:
+    parts = (value or b"").split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None, None
+    return int(parts[0]), int(parts[1])
+
+
+def _parse_keep_alive(value: bytes | None) -> float | None:
+    for parameter in (value or b"").split(b","):
+        name, _, text = parameter.partition(b"=")
+        if name.strip().lower() == b"timeout":
+            return _parse_number(text.strip())
+    return None
--- /dev/null
+++ b/src/flamingobank/platform/settings.py
@@ -0,0 +1,64 @@
+"""Read the platform's settings file into the product's settings."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from flamingobank.core import FailureDomain, NodeId, ServiceName
+from flamingobank.loop import Address
+from flamingobank.sidecar.settings import Bounds, SidecarSettings
+
+SETTINGS_VARIABLE = "FLAMINGOBANK_CONFIG"
+# Offsets from the first of the ports for talk between nodes.
+PEERS_OFFSET = 0
+METRICS_OFFSET = 1
+
+
+def load_platform_settings(path: Path) -> Result[SidecarSettings, str]:
+    """Return the settings of a file, or what is wrong with it."""
+    try:
+        document = tomllib.loads(path.read_text())
+        return Ok(_decode(document))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        return Error(f"{path}: {error}")
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        return Error(f"{path}: missing or malformed field: {error!r}")
+
+
+def parse_address(text: str) -> Address:
+    """Return the address of HOST:PORT; raises ValueError for anything else."""
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not host or not 0 < number < 65536:
+        raise ValueError(f"address is {text!r}, expected HOST:PORT")
+    return host, number
+
+
+def _decode(document: Mapping) -> SidecarSettings:
+    # "self" describes the machine, "platform.platform" the store.
+    own, network = document["self"], document["network"]
+    listen = network["listen"]
+    terms = document["terms"]["bounds"]
+    first_port = int(network["internal-ports"][0])
+    defaults = Bounds()
+    return SidecarSettings(
+        node_id=NodeId(own["node-name"]),
+        failure_domain=FailureDomain(own["zone"]),
+        service=ServiceName(own["service"]),
+        server=parse_address(own["application"]),
+        callers=parse_address(listen["outbound"]),
+        readiness=parse_address(listen["readiness"]),
+        control=parse_address(listen["control"]),
+        peers=(own["ip"], first_port + PEERS_OFFSET),
+        metrics=(own["ip"], first_port + METRICS_OFFSET),
+        store=parse_address(document["platform"]["platform"]["address"]),
+        heartbeat_interval_s=float(document["platform"]["heartbeat-interval-s"]),
+        bounds=Bounds(
+            grace_s=float(terms.get("grace-s", defaults.grace_s)),
+            retry_ratio=float(terms.get("budget-ratio", defaults.retry_ratio)),
+            retry_window_s=float(terms.get("budget-window-s", defaults.retry_window_s)),
+            retry_extra=float(terms.get("budget-extra-tries", defaults.retry_extra)),
+        ),
+    )
--- /dev/null
+++ b/src/flamingobank/platform/store.py
@@ -0,0 +1,200 @@
+"""Call the platform's object store."""
+
+import json
+from collections.abc import Callable
+from urllib.parse import quote
+
+from expression import Error, Ok, Result
+
+from flamingobank.platform.configuration import decode_configuration
+from flamingobank.sidecar.fleet_store import (
+    DoneCallback,
+    FleetStore,
+    FleetStoreError,
+    PeersCallback,
+    TableCallback,
+    TableReading,
+)
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.peers import PeerRecord, pack_record, unpack_record
+from flamingobank.store import Transport
+from flamingobank.store.calls import Answer, CallFailed, StoreCall
+
+OBJECTS = "/flamingobank/objects"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+PEER_KIND = "sidecars"
+READ_TIMEOUT_S = 0.8
+# The store ends a watch by itself; its answer takes some milliseconds more.
+WATCH_GRACE_S = 0.5
+JSON_TYPE = (("Content-Type", "application/json"),)
+STATUS_GONE = 410
+STATUS_MISSING = 404
+
+
+class ObjectStore(FleetStore):
+    """Read the configuration and keep one object for each sidecar."""
+
+    def __init__(self, transport: Transport, journal: Journal) -> None:
+        self._transport = transport
+        self._journal = journal
+
+    def read_table(self, callback: TableCallback) -> None:
+        """Read the present configuration."""
+        self._call(
+            StoreCall(
+                "GET", f"{OBJECTS}/{CONFIGURATION_KIND}", timeout_s=READ_TIMEOUT_S
+            ),
+            lambda result: callback(result.bind(self._decode_listing)),
+        )
+
+    def await_table(
+        self, revision: int, wait_s: float, callback: TableCallback
+    ) -> None:
+        """Wait for a change of the configuration after a revision."""
+        target = (
+            f"{OBJECTS}/{CONFIGURATION_KIND}"
+            f"?watch={revision}&wait-ms={int(wait_s * 1000)}"
+        )
+        self._call(
+            StoreCall("GET", target, timeout_s=wait_s + WATCH_GRACE_S),
+            lambda result: callback(result.bind(self._decode_events)),
+        )
+
+    def list_peers(self, callback: PeersCallback) -> None:
+        """Read the records of all sidecars, page by page."""
+        self._list_page("", [], callback)
+
+    def save_peer(
+        self, record: PeerRecord, timeout_s: float, callback: DoneCallback
+    ) -> None:
+        """Write the record of this sidecar, creating it when there is none."""
+        body = {
+            "metadata": {"name": record.node},
+            "specification": {"record": pack_record(record)},
+        }
+        encoded = json.dumps(body).encode()
+        path = f"{OBJECTS}/{PEER_KIND}"
+
+        def create_if_absent(result: Result[dict, FleetStoreError]) -> None:
+            if result.is_error() and result.error is FleetStoreError.ABSENT:
+                self._call(
+                    StoreCall("POST", path, JSON_TYPE, encoded, timeout_s),
+                    lambda created: callback(created.map(_drop_value)),
+                )
+                return
+            callback(result.map(_drop_value))
+
+        self._call(
+            StoreCall("PUT", _name_peer(record), JSON_TYPE, encoded, timeout_s),
+            create_if_absent,
+        )
+
+    def remove_peer(self, record: PeerRecord, callback: DoneCallback) -> None:
+        """Remove the record of this sidecar."""
+        self._call(
+            StoreCall("DELETE", _name_peer(record), timeout_s=READ_TIMEOUT_S),
+            lambda result: callback(result.map(_drop_value)),
+        )
+
+    def _list_page(
+        self, after: str, records: list[PeerRecord], callback: PeersCallback
+    ) -> None:
+        query = f"?after={quote(after)}" if after else ""
+
+        def take(result: Result[dict, FleetStoreError]) -> None:
+            if result.is_error():
+                callback(Error(result.error))
+                return
+            items = result.ok.get("items") or []
+            for item in items:
+                record = self._decode_peer(item)
+                if record is not None:
+                    records.append(record)
+            if result.ok.get("has-more") and items:
+                last = items[-1]["metadata"]["name"]
+                self._list_page(last, records, callback)
+                return
+            callback(Ok(records))
+
+        self._call(
+            StoreCall("GET", f"{OBJECTS}/{PEER_KIND}{query}", timeout_s=READ_TIMEOUT_S),
+            take,
+        )
+
+    def _call(
+        self, call: StoreCall, callback: Callable[[Result[dict, FleetStoreError]], None]
+    ) -> None:
+        self._transport.send(call, lambda answer: callback(self._decode(call, answer)))
+
+    def _decode(self, call: StoreCall, answer: Answer) -> Result[dict, FleetStoreError]:
+        if isinstance(answer, CallFailed):
+            self._log_failure(call, answer.reason)
+            return Error(FleetStoreError.AWAY)
+        if answer.status == STATUS_GONE:
+            self._log_failure(call, "history is gone")
+            return Error(FleetStoreError.HISTORY_GONE)
+        if answer.status == STATUS_MISSING:
+            return Error(FleetStoreError.ABSENT)
+        if not 200 <= answer.status < 300:
+            self._log_failure(call, f"status {answer.status}")
+            return Error(FleetStoreError.AWAY)
+        try:
+            document = json.loads(answer.body) if answer.body else {}
+        except ValueError as error:
+            self._log_failure(call, f"body is not JSON: {error}")
+            return Error(FleetStoreError.MALFORMED)
+        if not isinstance(document, dict):
+            self._log_failure(call, "body is not an object")
+            return Error(FleetStoreError.MALFORMED)
+        return Ok(document)
+
+    def _decode_listing(self, document: dict) -> Result[TableReading, FleetStoreError]:
+        return self._decode_objects(document, document.get("items") or [])
+
+    def _decode_events(self, document: dict) -> Result[TableReading, FleetStoreError]:
+        objects = [
+            event.get("object")
+            for event in document.get("events") or []
+            if not event.get("deleted")
+        ]
+        return self._decode_objects(document, objects)
+
+    def _decode_objects(
+        self, document: dict, objects: list
+    ) -> Result[TableReading, FleetStoreError]:
+        revision = document.get("current-rev")
+        if not isinstance(revision, int):
+            self._journal.warn("store:malformed", field="current-rev")
+            return Error(FleetStoreError.MALFORMED)
+        newest = None
+        for item in objects:
+            if item["metadata"]["name"] != CONFIGURATION_NAME:
+                continue
+            decoded = decode_configuration(item["specification"])
+            if decoded.is_error():
+                self._journal.warn("store:malformed", error=decoded.error)
+                continue
+            if newest is None or decoded.ok.version > newest.version:
+                newest = decoded.ok
+        return Ok(TableReading(newest, revision))
+
+    def _decode_peer(self, item: dict) -> PeerRecord | None:
+        try:
+            return unpack_record(item["specification"]["record"])
+        except (KeyError, TypeError, ValueError) as error:
+            self._journal.warn("store:malformed", error=repr(error))
+            return None
+
+    def _log_failure(self, call: StoreCall, reason: str) -> None:
+        self._journal.event(
+            "store:call-failed", call=f"{call.method} {call.target}", reason=reason
+        )
+
+
+def _name_peer(record: PeerRecord) -> str:
+    return f"{OBJECTS}/{PEER_KIND}/{quote(record.node, safe='')}"
+
+
+def _drop_value(value: dict) -> None:
+    return None
--- /dev/null
+++ b/src/flamingobank/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Run one small process beside each instance."""
--- /dev/null
+++ b/src/flamingobank/sidecar/belief.py
@@ -0,0 +1,53 @@
+"""Estimate from outcomes of real work whether a server fails grayly.
+
+A server is modelled as a hidden Markov chain with two states. Evidence fades at the
+rates at which servers change between the states, so a server without traffic drifts
+back to the long-run share of failing servers.
+"""
+
+import math
+
+# A server fails grayly for some seconds and then works for two to four times as long.
+ONSET_PER_S = 0.11
+RECOVERY_PER_S = 0.33
+# Failing servers fail most requests; healthy ones about one in eighty.
+FAILURE_WHEN_FAILING = 0.8
+FAILURE_WHEN_HEALTHY = 0.012
+# Bounds the belief so that contrary evidence can still move it.
+MIN_PROBABILITY = 0.002
+MAX_PROBABILITY = 0.995
+
+_TOTAL_RATE = ONSET_PER_S + RECOVERY_PER_S
+LONG_RUN_PROBABILITY = ONSET_PER_S / _TOTAL_RATE
+
+
+def fade_probability(probability: float, elapsed_s: float) -> float:
+    """Return a probability of failing after a time without evidence."""
+    remaining = math.exp(-_TOTAL_RATE * max(0.0, elapsed_s))
+    return LONG_RUN_PROBABILITY + (probability - LONG_RUN_PROBABILITY) * remaining
+
+
+class FailureBelief:
+    """Hold the probability that a server is failing now."""
+
+    __slots__ = ("_probability", "_read_at")
+
+    def __init__(self, now: float) -> None:
+        self._probability = LONG_RUN_PROBABILITY
+        self._read_at = now
+
+    def read(self, now: float) -> float:
+        """Return the probability that the server fails work at this moment."""
+        return fade_probability(self._probability, now - self._read_at)
+
+    def observe(self, failed: bool, now: float) -> None:
+        """Update the belief with the outcome of one request."""
+        prior = self.read(now)
+        if failed:
+            failing, healthy = FAILURE_WHEN_FAILING, FAILURE_WHEN_HEALTHY
+        else:
+            failing, healthy = 1 - FAILURE_WHEN_FAILING, 1 - FAILURE_WHEN_HEALTHY
+        joint = prior * failing
+        posterior = joint / (joint + (1 - prior) * healthy)
+        self._probability = min(MAX_PROBABILITY, max(MIN_PROBABILITY, posterior))
+        self._read_at = now
--- /dev/null
+++ b/src/flamingobank/sidecar/control.py
@@ -0,0 +1,100 @@
+"""Take the announcements of the server beside this process.
+
+An acknowledgement of a departure binds also a later process of this machine, so the
+departure is given to peers and written to the store before it is acknowledged.
+"""
+
+from collections.abc import Callable
+
+from expression import Result
+
+from flamingobank.core import Clock
+from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.http_server import CallerRequest
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.routes import RoutingTable
+from flamingobank.sidecar.server_state import Announcement, Departure
+
+CallDecoder = Callable[[str, str, bytes], Result[Announcement | Departure, str]]
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class Control:
+    """Keep the home's server up to date."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        home: Home,
+        journal: Journal,
+        metrics: Metrics,
+        decode: CallDecoder,
+    ) -> None:
+        self.read_table: Callable[[], RoutingTable | None] = lambda: None
+        self.on_changed: Callable[[], None] = lambda: None
+        # Publishes a departure and calls back when it will outlive this process.
+        self.keep_departure: Callable[[Callable[[], None]], None] = lambda done: done()
+        self._clock = clock
+        self._home = home
+        self._journal = journal
+        self._metrics = metrics
+        self._decode = decode
+
+    def take(self, request: CallerRequest) -> None:
+        """Answer one call of a server."""
+        path = request.target.decode("latin-1").partition("?")[0]
+        decoded = self._decode(request.method, path, request.body)
+        if decoded.is_error():
+            self._metrics.count("announcements_total", outcome="malformed")
+            self._journal.warn("control:malformed", error=decoded.error)
+            request.answer(400, JSON_HEADERS, b"{}")
+            return
+        call = decoded.ok
+        if isinstance(call, Departure):
+            changed = self._home.server.take_departure(call)
+            leaving = True
+        else:
+            if not self._names_known_service(call):
+                self._metrics.count("announcements_total", outcome="unknown-service")
+                self._journal.warn(
+                    "control:unknown-service",
+                    instance=call.instance,
+                    service=call.service,
+                )
+                request.answer(400, JSON_HEADERS, b"{}")
+                return
+            changed, leaving = self._apply(call)
+        self._metrics.count("announcements_total", outcome="accepted")
+        if not changed:
+            request.answer(200, JSON_HEADERS, b"{}")
+            return
+        self._journal.event(
+            "control:server",
+            instance=call.instance,
+            started_ms=call.started_ms,
+            accepts_work=self._home.server.accepts_work,
+            leaving=leaving,
+        )
+        self._home.on_server_changed()
+        self.on_changed()
+        if leaving:
+            self.keep_departure(lambda: request.answer(200, JSON_HEADERS, b"{}"))
+            return
+        request.answer(200, JSON_HEADERS, b"{}")
+
+    def _apply(self, announcement: Announcement) -> tuple[bool, bool]:
+        server = self._home.server
+        before = server.current
+        changed = server.take(announcement, self._clock.now())
+        current = server.current
+        if before is None or (before.instance, before.started_ms) != (
+            current.instance,
+            current.started_ms,
+        ):
+            self._home.on_new_instance()
+        return changed, changed and not server.accepts_work
+
+    def _names_known_service(self, announcement: Announcement) -> bool:
+        table = self.read_table()
+        return table is None or announcement.service in table.services
--- /dev/null
+++ b/src/flamingobank/sidecar/daemon.py
@@ -0,0 +1,416 @@
+"""Connect the parts of a sidecar to one loop."""
+
+import os
+import random
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+
+from circuits import handler
+from expression import Result
+
+from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
+from flamingobank.loop import Address, LoopComponent, Poller, Timers
+from flamingobank.sidecar.control import CallDecoder, Control
+from flamingobank.sidecar.dialect import Dialect
+from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.fleet_store import FleetStore
+from flamingobank.sidecar.gossip import Gossip
+from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.http_server import CallerRequest, HttpServer
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.links import (
+    Link,
+    LinkObserver,
+    Links,
+    MessageChannel,
+    PeerObserver,
+)
+from flamingobank.sidecar.local_link import LocalLink
+from flamingobank.sidecar.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    Message,
+    ReportPush,
+    TablePull,
+    TableUpdate,
+)
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.routes import (
+    RequestLimits,
+    RoutingTable,
+    pack_table,
+    unpack_table,
+)
+from flamingobank.sidecar.server_client import ServerClient
+from flamingobank.sidecar.settings import SidecarSettings
+from flamingobank.sidecar.store_sync import StoreSync
+
+# Callers are told twice, a second apart, that this process leaves.
+READINESS_NOTICE_S = 2.3
+# What is still under way this long before the end of the grace is cut.
+STOP_MARGIN_S = 0.4
+STOP_CHECK_S = 0.05
+# A process that knows its configuration takes callers also without having found peers
+# for this long, as it may be the only one.
+PEERS_WAIT_S = 1.5
+# The departures that an earlier process acknowledged come from peers or the store.
+RECALL_WAIT_S = 1.0
+MAX_DEPARTURES = 8
+SETTINGS_CHECK_S = 1.0
+PULL_SPACING_S = 0.3
+EXIT_INVARIANT = 70
+# Calls of servers are small.
+CONTROL_LIMITS = RequestLimits(max_body_bytes=262_144, idle_timeout_s=30.0)
+
+SettingsLoader = Callable[[], Result[SidecarSettings, str]]
+StoreFactory = Callable[["Sidecar"], FleetStore]
+
+
+class PeerTraffic(LinkObserver, PeerObserver):
+    """Give a sidecar the messages that belong to no request of its own."""
+
+    def __init__(self, sidecar: "Sidecar") -> None:
+        self._sidecar = sidecar
+
+    def on_link_message(self, link: Link | LocalLink, message: Message) -> None:
+        self._sidecar.receive_from_home(link, message)
+
+    def on_peer_message(self, link: MessageChannel, message: Message) -> None:
+        self._sidecar.receive_from_entry(link, message)
+
+    def on_channel_closed(self, link: MessageChannel) -> None:
+        self._sidecar.links.forget(link)
+        self._sidecar.home.on_channel_closed(link)
+
+
+class Sidecar(LoopComponent):
+    """Run one process beside one server."""
+
+    channel = "sidecar"
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        journal: Journal,
+        poller: Poller,
+        dialect: Dialect,
+        decode_call: CallDecoder,
+        make_store: StoreFactory,
+        load_settings: SettingsLoader,
+        seed: int | None = None,
+    ) -> None:
+        super().__init__(channel=self.channel)
+        self.settings = settings
+        self.journal = journal
+        self.clock = MonotonicClock()
+        journal.use_clock(self.clock)
+        self.boot = BootId(os.urandom(8).hex())
+        self.poller = poller.register(self)
+        self.timers = Timers(self.clock).register(self)
+        self.metrics = Metrics({"node": settings.node_id})
+        self.stopping = False
+        self._stop_at = 0.0
+        self._exit_at = 0.0
+        self._started_at = self.clock.now()
+        self._load_settings = load_settings
+        self._pulled_at = -1.0
+        self._addresses: dict[NodeId, Address] = {}
+        rng = random.Random(seed)
+        self.peers = PeerTable(self._describe_own())
+        traffic = PeerTraffic(self)
+        self.links = Links(
+            self.poller,
+            self.timers,
+            self.clock,
+            rng,
+            journal,
+            Hello(PROTOCOL_VERSION, settings.node_id, self.boot),
+            traffic,
+        )
+        client = ServerClient(self.poller, self.timers, self.clock, dialect)
+        self.home = Home(
+            self.clock,
+            self.timers,
+            client,
+            dialect,
+            journal,
+            self.metrics,
+            self._list_channels,
+        )
+        self.entry = Entry(
+            self.clock,
+            self.timers,
+            rng,
+            dialect,
+            journal,
+            self.metrics,
+            self.peers,
+            RetryShare(
+                settings.bounds.retry_ratio,
+                settings.bounds.retry_extra,
+                settings.bounds.retry_window_s,
+            ),
+            settings.service,
+        )
+        self.local_link = LocalLink(
+            self.timers, self.boot, self.home.receive, self.receive_from_home
+        )
+        self.entry.get_link = self._get_link
+        self.entry.on_call_failed = self._note_call_failure
+        self.gossip = Gossip(
+            self.poller,
+            self.timers,
+            self.clock,
+            rng,
+            journal,
+            self.peers,
+            settings.peers,
+        )
+        self.gossip.on_record = self._on_record
+        self.gossip.on_news = self._on_news
+        self.store = StoreSync(
+            self.clock,
+            self.timers,
+            rng,
+            journal,
+            self.metrics,
+            make_store(self),
+            self.peers,
+        )
+        self.store.on_table = self._apply_table
+        self.store.on_peers = self._on_peers
+        self.gossip.read_age = lambda: self.store.age_s
+        self.control = Control(
+            self.clock, self.home, journal, self.metrics, decode_call
+        )
+        self.control.read_table = lambda: self.entry.table
+        self.control.on_changed = self._publish_server
+        self.control.keep_departure = self._keep_departure
+        self.links.listen(settings.peers, traffic)
+        self.callers = self._serve(settings.callers, self.entry.take, self._get_limits)
+        self._serve(settings.control, self.control.take)
+        self._serve(settings.readiness, self._answer_readiness)
+        self._serve(settings.metrics, self._answer_metrics)
+        self.store.start()
+        self.timers.call_every(SETTINGS_CHECK_S, self._check_settings)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should come here."""
+        if self.stopping or self.entry.table is None:
+            return False
+        waited_s = self.clock.now() - self._started_at
+        return len(self.peers) > 0 or waited_s > PEERS_WAIT_S
+
+    def receive_from_home(self, link: Link | LocalLink, message: Message) -> None:
+        """React to a message of a home that belongs to no request."""
+        if isinstance(message, ReportPush):
+            node = self._find_node(link)
+            if node is not None:
+                self.entry.note_report(node, message.report)
+        elif isinstance(message, TableUpdate):
+            self._take_table_update(message)
+
+    def receive_from_entry(self, link: MessageChannel, message: Message) -> None:
+        """React to a message of an entry."""
+        if self.home.receive(link, message):
+            return
+        if isinstance(message, TablePull) and self.entry.table is not None:
+            link.send(TableUpdate(pack_table(self.entry.table)))
+
+    def begin_stop(self) -> None:
+        """Send callers elsewhere, finish what is under way, then end."""
+        if self.stopping:
+            return
+        now = self.clock.now()
+        self.stopping = True
+        self._stop_at = now + READINESS_NOTICE_S
+        self._exit_at = now + self.settings.bounds.grace_s - STOP_MARGIN_S
+        self.journal.event(
+            "sidecar:stopping",
+            open_requests=len(self.entry.exchanges),
+            running=len(self.home.works),
+        )
+        self.store.stopping = True
+        self.home.leave()
+        self.gossip.leave()
+        self.store.remove_own()
+        self.callers.drain()
+        self.timers.call_every(STOP_CHECK_S, self._check_stopped)
+
+    def reload(self) -> None:
+        """Read the settings again."""
+        loaded = self._load_settings()
+        if loaded.is_error():
+            self.journal.warn("sidecar:bad-settings", error=loaded.error)
+            return
+        if loaded.ok == self.settings:
+            return
+        self.settings = loaded.ok
+        self.entry.calling_service = loaded.ok.service
+        self.journal.event("sidecar:reloaded", service=loaded.ok.service)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, signo: int, stack) -> None:
+        event.stop()
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.begin_stop()
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, error, trace, handler=None, fevent=None) -> None:
+        self.journal.warn(
+            "sidecar:exception",
+            error=f"{kind.__name__}: {error}",
+            trace="".join(trace) if isinstance(trace, list) else str(trace),
+        )
+        if isinstance(error, InvariantError):
+            # A broken promise must not be served on; the platform starts anew.
+            os._exit(EXIT_INVARIANT)
+
+    def _describe_own(self) -> PeerRecord:
+        settings = self.settings
+        return PeerRecord(
+            node=settings.node_id,
+            incarnation=time.time_ns() // 1_000_000,
+            revision=1,
+            address=settings.peers,
+            failure_domain=settings.failure_domain,
+            service=settings.service,
+            serving=False,
+            left=False,
+            departures=(),
+        )
+
+    def _serve(
+        self,
+        address: Address,
+        on_request: Callable[[CallerRequest], None],
+        limits: Callable[[], RequestLimits] = lambda: CONTROL_LIMITS,
+    ) -> HttpServer:
+        return HttpServer(
+            self.poller,
+            self.timers,
+            self.clock,
+            address,
+            limits,
+            on_request,
+            lambda reason: self.journal.warn("http:malformed", error=reason),
+        )
+
+    def _get_limits(self) -> RequestLimits:
+        table = self.entry.table
+        return table.limits if table is not None else CONTROL_LIMITS
+
+    def _get_link(self, node: NodeId) -> Link | LocalLink:
+        if node == self.peers.own.node:
+            return self.local_link
+        record = self.peers.find(node)
+        if record is not None:
+            self._addresses[node] = record.address
+        # Requests under way may still name a peer whose record is gone.
+        return self.links.get(self._addresses[node])
+
+    def _find_node(self, link: Link | LocalLink) -> NodeId | None:
+        if isinstance(link, LocalLink):
+            return self.peers.own.node
+        for record in self.peers.list_peers():
+            if record.address == link.address:
+                return record.node
+        return None
+
+    def _list_channels(self) -> list:
+        return [*self.links.accepted, self.local_link.channel]
+
+    def _answer_readiness(self, request: CallerRequest) -> None:
+        request.answer(200 if self.is_ready else 503, [], b"")
+
+    def _answer_metrics(self, request: CallerRequest) -> None:
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        request.answer(200, headers, self.metrics.render())
+
+    def _note_call_failure(self) -> None:
+        self.home.call_failed_at = self.clock.now()
+
+    def _apply_table(self, table: RoutingTable) -> None:
+        current = self.entry.table
+        if current is not None and table.version <= current.version:
+            return
+        self.entry.table = table
+        self.journal.event(
+            "configuration:applied", version=table.version, routes=len(table.routes)
+        )
+        self.gossip.set_version(table.version)
+
+    def _take_table_update(self, message: TableUpdate) -> None:
+        try:
+            table = unpack_table(message.table)
+        except (ValueError, TypeError) as error:
+            self.journal.warn("configuration:malformed", error=str(error))
+            return
+        self._apply_table(table)
+
+    def _on_news(self, peer: PeerRecord, version: int, age_s: float) -> None:
+        self.store.note_age(age_s)
+        now = self.clock.now()
+        if version <= self.gossip.version or now < self._pulled_at + PULL_SPACING_S:
+            return
+        self._pulled_at = now
+        self.links.get(peer.address).send(TablePull())
+
+    def _on_peers(self, records: list[PeerRecord]) -> None:
+        self.gossip.learn(records)
+
+    def _on_record(self, record: PeerRecord) -> None:
+        if record.node == self.peers.own.node:
+            # An earlier process of this machine wrote it.
+            self.home.server.recall_departures(set(record.departures))
+            self._publish_server()
+            return
+        if record.left:
+            self.entry.forget_home(record.node)
+
+    def _publish_server(self) -> None:
+        server = self.home.server
+        current = server.current
+        departures = tuple(sorted(server.list_departures()))[-MAX_DEPARTURES:]
+        service = current.service if current is not None else self.settings.service
+        own = self.peers.own
+        serving = server.accepts_work and not self.stopping
+        if (own.serving, own.service, own.departures) == (serving, service, departures):
+            return
+        self.gossip.publish(serving=serving, service=service, departures=departures)
+
+    def _keep_departure(self, on_kept: Callable[[], None]) -> None:
+        self.store.save_departure(on_kept)
+
+    def _check_settings(self) -> None:
+        self.reload()
+
+    def _check_stopped(self) -> None:
+        now = self.clock.now()
+        if now < self._stop_at:
+            return
+        self.callers.close()
+        idle = (
+            not self.entry.exchanges
+            and self.home.is_idle
+            and not self.callers.connections
+        )
+        if not idle and now < self._exit_at:
+            return
+        self.journal.event(
+            "sidecar:stopped",
+            cut=len(self.entry.exchanges),
+            connections=len(self.callers.connections),
+        )
+        self.root.stop()
+
+
+def handle_hangup(sidecar: Sidecar) -> None:
+    """Read the settings again on SIGHUP."""
+    on_hangup = partial(sidecar.timers.call_soon, sidecar.reload)
+    signal.signal(signal.SIGHUP, lambda signo, stack: on_hangup())
--- /dev/null
+++ b/src/flamingobank/sidecar/entry.py
@@ -0,0 +1,192 @@
+"""Take callers' requests, find their route and follow them to their answer."""
+
+import itertools
+import random
+from collections.abc import Callable
+
+from flamingobank.core import Clock, NodeId, ServiceName
+from flamingobank.loop import Timers
+from flamingobank.sidecar.dialect import Dialect
+from flamingobank.sidecar.exchange import RETURN_MARGIN_S, Exchange
+from flamingobank.sidecar.http_server import CallerRequest
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.messages import HomeReport
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.refusals import RefusalCause, choose_return
+from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.routes import RouteKind, RoutingTable, choose_target
+from flamingobank.sidecar.selection import HomeView, rank_homes
+
+
+class Entry:
+    """Serve the callers of one machine."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        rng: random.Random,
+        dialect: Dialect,
+        journal: Journal,
+        metrics: Metrics,
+        peers: PeerTable,
+        retries: RetryShare,
+        calling_service: ServiceName,
+    ) -> None:
+        self.clock = clock
+        self.timers = timers
+        self.journal = journal
+        self.calling_service = calling_service
+        self.table: RoutingTable | None = None
+        self.exchanges: set[Exchange] = set()
+        self.get_link: Callable[[NodeId], object] = lambda node: None
+        self.on_call_failed: Callable[[], None] = lambda: None
+        self._rng = rng
+        self._dialect = dialect
+        self._metrics = metrics
+        self._peers = peers
+        self._retries = retries
+        self._views: dict[NodeId, HomeView] = {}
+        self._streams = itertools.count(1)
+
+    def take(self, request: CallerRequest) -> None:
+        """Start to serve a request."""
+        now = self.clock.now()
+        facts = self._dialect.read_caller(request.headers)
+        if self.table is None:
+            self._refuse_early(
+                request, facts.request_id, 503, RefusalCause.NO_CONFIGURATION
+            )
+            return
+        host = request.get_header(b"host").partition(":")[0].lower()
+        path = request.target.decode("latin-1").partition("?")[0]
+        route = self.table.find(host, path)
+        if route is None:
+            self._refuse_early(request, facts.request_id, 404, None)
+            return
+        service = choose_target(route, self._rng.random())
+        self._retries.count_request(service, now)
+        deadline = request.read_at + route.timeout_s
+        if facts.left_s is not None:
+            deadline = min(deadline, request.read_at + facts.left_s - RETURN_MARGIN_S)
+        exchange = Exchange(self, request, facts.request_id, route, service, deadline)
+        self.exchanges.add(exchange)
+        self.journal.request(
+            "exchange:taken",
+            facts.request_id,
+            route=route.name,
+            service=service,
+            kind=route.kind.value,
+            version=self.table.version,
+            left_ms=round((deadline - now) * 1000),
+        )
+        exchange.start()
+
+    def new_stream(self) -> int:
+        """Return the number of a new request on a link."""
+        return next(self._streams)
+
+    def pick_home(
+        self, service: ServiceName, kind: RouteKind, excluded: set[str], now: float
+    ) -> HomeView | None:
+        """Return the best home of a service that may be asked."""
+        views = []
+        for record in self._list_homes(service):
+            if record.node in excluded:
+                continue
+            if not self.get_link(record.node).is_usable:
+                continue
+            views.append(self._get_view(record))
+        if not views:
+            return None
+        return rank_homes(views, kind, now, self._rng)[0]
+
+    def note_report(self, node: NodeId, report: HomeReport) -> None:
+        """Take a report that a home sent by itself."""
+        view = self._views.get(node)
+        if view is not None:
+            view.take_report(report, self.clock.now())
+
+    def note_silence(self, home: HomeView) -> None:
+        """Avoid a home that did not answer an offer."""
+        self.journal.event("entry:home-silent", home=home.node)
+        self.get_link(home.node).suspect()
+
+    def forget_home(self, node: NodeId) -> None:
+        """Drop what was known of a home."""
+        self._views.pop(node, None)
+
+    def spend_retry(self, service: ServiceName, now: float) -> bool:
+        """Take a retry from this entry's share of the fleet's budget."""
+        if self._retries.spend(service, len(self._peers) + 1, now):
+            return True
+        self._metrics.count("retries_denied_total")
+        return False
+
+    def measure_retries(self, service: ServiceName, now: float) -> float:
+        """Return how many more retries may be sent to a service."""
+        return self._retries.measure_allowance(service, len(self._peers) + 1, now)
+
+    def refuse(self, exchange: Exchange, cause: RefusalCause) -> None:
+        """Tell a caller that its request has not run and when to come back."""
+        retry_after_s = choose_return(cause, self._rng)
+        headers = self._dialect.list_refusal_headers(exchange.request_id, retry_after_s)
+        exchange.request.answer(503, headers, b"")
+
+    def answer_error(self, exchange: Exchange, status: int, why: str) -> None:
+        """Tell a caller that the outcome of its request is unknown."""
+        headers = self._dialect.list_refusal_headers(exchange.request_id, None)
+        exchange.request.answer(status, headers, b"")
+
+    def on_ended(self, exchange: Exchange, outcome: str) -> None:
+        """Count a request that got its final answer."""
+        self.exchanges.discard(exchange)
+        now = self.clock.now()
+        took_s = now - exchange.request.read_at
+        self.journal.request(
+            "exchange:ended",
+            exchange.request_id,
+            outcome=outcome,
+            took_ms=round(took_s * 1000),
+            runs=exchange.runs,
+            arrivals=exchange.arrivals,
+        )
+        kind = exchange.route.kind.value
+        self._metrics.count("requests_total", kind=kind, outcome=outcome)
+        self._metrics.observe_latency(took_s, kind)
+        if not outcome.startswith("2"):
+            self.on_call_failed()
+
+    def _list_homes(self, service: ServiceName) -> list[PeerRecord]:
+        return [
+            record
+            for record in self._peers.list_all()
+            if record.service == service and record.serving and not record.left
+        ]
+
+    def _get_view(self, record: PeerRecord) -> HomeView:
+        view = self._views.get(record.node)
+        if view is None:
+            near = record.failure_domain == self._peers.own.failure_domain
+            view = HomeView(record.node, near)
+            self._views[record.node] = view
+        return view
+
+    def _refuse_early(
+        self,
+        request: CallerRequest,
+        request_id: str,
+        status: int,
+        cause: RefusalCause | None,
+    ) -> None:
+        retry_after_s = None if cause is None else choose_return(cause, self._rng)
+        self.journal.request(
+            "entry:refused",
+            request_id,
+            status=status,
+            cause=cause.value if cause else "no-route",
+            version=self.table.version if self.table else None,
+        )
+        headers = self._dialect.list_refusal_headers(request_id, retry_after_s)
+        request.answer(status, headers, b"")
--- /dev/null
+++ b/src/flamingobank/sidecar/fleet_store.py
@@ -0,0 +1,63 @@
+"""Define what a sidecar keeps in and learns from the platform's store."""
+
+import abc
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Result
+
+from flamingobank.sidecar.peers import PeerRecord
+from flamingobank.sidecar.routes import RoutingTable
+
+
+class FleetStoreError(enum.Enum):
+    """Say why a call to the store gave nothing."""
+
+    # Down, refusing, silent or over its rates.
+    AWAY = "away"
+    # The asked-for history is gone; read the present state instead.
+    HISTORY_GONE = "history-gone"
+    ABSENT = "absent"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class TableReading:
+    """Hold a routing table, if it changed, and the store's revision."""
+
+    table: RoutingTable | None
+    revision: int
+
+
+TableCallback = Callable[[Result[TableReading, FleetStoreError]], None]
+PeersCallback = Callable[[Result[list[PeerRecord], FleetStoreError]], None]
+DoneCallback = Callable[[Result[None, FleetStoreError]], None]
+
+
+class FleetStore(abc.ABC):
+    """Call the store; each callback gets one result."""
+
+    @abc.abstractmethod
+    def read_table(self, callback: TableCallback) -> None:
+        """Read the present configuration."""
+
+    @abc.abstractmethod
+    def await_table(
+        self, revision: int, wait_s: float, callback: TableCallback
+    ) -> None:
+        """Wait for a change of the configuration after a revision."""
+
+    @abc.abstractmethod
+    def list_peers(self, callback: PeersCallback) -> None:
+        """Read the records of all sidecars."""
+
+    @abc.abstractmethod
+    def save_peer(
+        self, record: PeerRecord, timeout_s: float, callback: DoneCallback
+    ) -> None:
+        """Write the record of this sidecar."""
+
+    @abc.abstractmethod
+    def remove_peer(self, record: PeerRecord, callback: DoneCallback) -> None:
+        """Remove the record of this sidecar."""
--- /dev/null
+++ b/src/flamingobank/sidecar/gate.py
@@ -0,0 +1,75 @@
+"""Decide whether a home takes a request for its server.
+
+Answers overload and gray failures: work that may run only once needs a server with
+fresh successes, work that may be repeated finds out whether a suspect has recovered,
+and a queue is only joined by requests that it can serve in time.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from flamingobank.sidecar.messages import RefusalReason
+
+# Work that may run only once is kept from servers that fail more likely than this.
+UNSAFE_LIMIT = 0.2
+# Beyond this a server gets one repeatable request at a time, spaced out.
+SUSPECT_LIMIT = 0.5
+PROBE_SPACING_S = 0.4
+# A request joins a queue only when this share of the usual work fits behind the wait.
+NEEDED_WORK_SHARE = 0.8
+
+
+class Verdict(enum.Enum):
+    """Say what happens to an offer."""
+
+    GRANT = "grant"
+    QUEUE = "queue"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, slots=True)
+class GateState:
+    """Hold what decides about an offer."""
+
+    failing: float
+    running: int
+    waiting: int
+    # Waiting requests that are at least as urgent.
+    waiting_before: int
+    slots: int
+    # Mean duration of recent requests at the server, in seconds.
+    mean_work_s: float
+    probed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold a verdict and, for a refusal, its reason."""
+
+    verdict: Verdict
+    reason: RefusalReason | None = None
+
+
+GRANT = Decision(Verdict.GRANT)
+QUEUE = Decision(Verdict.QUEUE)
+
+
+def decide_offer(
+    idempotent: bool, forced: bool, left_s: float, state: GateState, now: float
+) -> Decision:
+    """Return what to do with an offer to a server that accepts work."""
+    if not forced:
+        if not idempotent and state.failing > UNSAFE_LIMIT:
+            return Decision(Verdict.REFUSE, RefusalReason.SUSPECT)
+        probing = state.running > 0 or now < state.probed_at + PROBE_SPACING_S
+        if state.failing > SUSPECT_LIMIT and probing:
+            return Decision(Verdict.REFUSE, RefusalReason.SUSPECT)
+    if state.running < state.slots and not state.waiting:
+        return GRANT
+    if not forced:
+        return Decision(Verdict.REFUSE, RefusalReason.BUSY)
+    rounds = (state.waiting_before + 1) / max(1, state.slots)
+    needed_s = (rounds + NEEDED_WORK_SHARE) * state.mean_work_s
+    if needed_s > left_s:
+        return Decision(Verdict.REFUSE, RefusalReason.BUSY)
+    return QUEUE
--- /dev/null
+++ b/src/flamingobank/sidecar/gossip.py
@@ -0,0 +1,208 @@
+"""Spread the records of peers and the version of the configuration by datagrams."""
+
+import enum
+import random
+from collections import deque
+from collections.abc import Callable
+
+import msgpack
+
+from flamingobank.core import Clock, NodeId
+from flamingobank.loop import Address, DatagramEndpoint, Poller, Timers
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.peers import (
+    PeerRecord,
+    PeerTable,
+    pack_record,
+    unpack_record,
+)
+
+INTERVAL_S = 0.4
+FANOUT = 2
+# News goes to this many peers at once and in as many later rounds.
+NEWS_FANOUT = 4
+NEWS_ROUNDS = 4
+# Keeps a datagram within one packet on common links.
+MAX_DATAGRAM_BYTES = 1200
+COMPARE_SPACING_S = 0.3
+EXPIRE_INTERVAL_S = 5.0
+MAX_AGE_S = 3600.0
+
+
+class DatagramKind(enum.IntEnum):
+    """Say what a datagram carries."""
+
+    # The sender's digest and version, with recent news.
+    DIGEST = 1
+    # Hashes of all records, to find what differs.
+    COMPARE = 2
+    # Records that the receiver lacks.
+    RECORDS = 3
+
+
+class Gossip:
+    """Keep the table of peers alike on all nodes."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        rng: random.Random,
+        journal: Journal,
+        table: PeerTable,
+        address: Address,
+    ) -> None:
+        self.table = table
+        self.on_record: Callable[[PeerRecord], None] = lambda record: None
+        self.on_news: Callable[[PeerRecord, int, float], None] = (
+            lambda peer, version, age_s: None
+        )
+        # Age in seconds of the newest reading of the store that is known of.
+        self.read_age: Callable[[], float] = lambda: MAX_AGE_S
+        self.version = 0
+        self._clock = clock
+        self._rng = rng
+        self._journal = journal
+        self._news: deque[list] = deque()
+        self._compared_at = -1.0
+        self._endpoint = DatagramEndpoint(poller, address, self._receive)
+        timers.call_every(INTERVAL_S, self._run_round)
+        timers.call_every(EXPIRE_INTERVAL_S, lambda: table.expire(clock.now()))
+
+    def publish(self, **changes: object) -> None:
+        """Tell peers of a change of this process."""
+        self.table.change_own(**changes)
+        self._spread(self.table.own)
+
+    def set_version(self, version: int) -> None:
+        """Tell peers of a new version of the configuration."""
+        self.version = version
+        for peer in self._pick(NEWS_FANOUT):
+            self._send_digest(peer)
+
+    def learn(self, records: list[PeerRecord]) -> None:
+        """Take records from another source and introduce this process."""
+        for record in records:
+            self._merge(record)
+        for peer in self.table.list_peers():
+            self._send(peer.address, DatagramKind.COMPARE, self.table.list_hashes())
+
+    def leave(self) -> None:
+        """Tell peers that this process ends."""
+        self.publish(left=True, serving=False)
+        for peer in self.table.list_peers():
+            self._send_digest(peer)
+
+    def _run_round(self) -> None:
+        for peer in self._pick(FANOUT):
+            self._send_digest(peer)
+        for entry in list(self._news):
+            entry[1] -= 1
+            if entry[1] <= 0:
+                self._news.remove(entry)
+
+    def _pick(self, count: int) -> list[PeerRecord]:
+        peers = self.table.list_peers()
+        return self._rng.sample(peers, min(count, len(peers)))
+
+    def _spread(self, record: PeerRecord) -> None:
+        self._news = deque(
+            entry for entry in self._news if entry[0].node != record.node
+        )
+        self._news.append([record, NEWS_ROUNDS])
+        for peer in self._pick(NEWS_FANOUT):
+            if peer.node != record.node:
+                self._send_digest(peer)
+
+    def _send_digest(self, peer: PeerRecord) -> None:
+        records = []
+        size = 0
+        for record, _ in reversed(self._news):
+            packed = pack_record(record)
+            size += len(msgpack.packb(packed))
+            if size > MAX_DATAGRAM_BYTES:
+                break
+            records.append(packed)
+        self._send(
+            peer.address,
+            DatagramKind.DIGEST,
+            self.table.digest,
+            self.version,
+            int(1000 * min(MAX_AGE_S, self.read_age())),
+            records,
+        )
+
+    def _send(self, address: Address, kind: DatagramKind, *fields: object) -> None:
+        own = self.table.own
+        data = msgpack.packb((int(kind), own.node, fields))
+        self._endpoint.send(data, address)
+
+    def _receive(self, data: bytes, address: Address) -> None:
+        try:
+            number, node, fields = msgpack.unpackb(data)
+            kind = DatagramKind(number)
+            if kind is DatagramKind.DIGEST:
+                digest, version, age_ms, records = fields
+                self._take_records(records)
+                sender = self.table.find(NodeId(node))
+                if sender is not None:
+                    self.on_news(sender, version, age_ms / 1000)
+                self._compare(digest, address)
+            elif kind is DatagramKind.COMPARE:
+                self._answer_comparison(fields[0], address)
+            else:
+                self._take_records(fields[0])
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            self._journal.warn("gossip:malformed", error=str(error), sender=address[0])
+
+    def _take_records(self, records: list) -> None:
+        for values in records:
+            self._merge(unpack_record(values))
+
+    def _merge(self, record: PeerRecord) -> None:
+        if not self.table.merge(record, self._clock.now()):
+            return
+        if record.node == self.table.own.node:
+            self._journal.event(
+                "gossip:refuted", incarnation=self.table.own.incarnation
+            )
+            self.on_record(record)
+            self._spread(self.table.own)
+            return
+        self._journal.event(
+            "gossip:peer",
+            peer=record.node,
+            service=record.service,
+            serving=record.serving,
+            left=record.left,
+            incarnation=record.incarnation,
+            revision=record.revision,
+        )
+        self.on_record(record)
+        self._spread(record)
+
+    def _compare(self, digest: int, address: Address) -> None:
+        now = self._clock.now()
+        if digest == self.table.digest or now < self._compared_at + COMPARE_SPACING_S:
+            return
+        self._compared_at = now
+        self._send(address, DatagramKind.COMPARE, self.table.list_hashes())
+
+    def _answer_comparison(self, hashes: bytes, address: Address) -> None:
+        missing, lacking = self.table.list_missing(hashes)
+        batch: list[list] = []
+        size = 0
+        for record in missing:
+            packed = pack_record(record)
+            size += len(msgpack.packb(packed))
+            if size > MAX_DATAGRAM_BYTES and batch:
+                self._send(address, DatagramKind.RECORDS, batch)
+                batch, size = [], len(msgpack.packb(packed))
+            batch.append(packed)
+        if batch:
+            self._send(address, DatagramKind.RECORDS, batch)
+        now = self._clock.now()
+        if lacking and now >= self._compared_at + COMPARE_SPACING_S:
+            self._compared_at = now
+            self._send(address, DatagramKind.COMPARE, self.table.list_hashes())
--- /dev/null
+++ b/src/flamingobank/sidecar/home.py
@@ -0,0 +1,481 @@
+"""Be the only way to the server beside this process.
+
+The home counts the server's slots, judges its health by real work and remembers the
+outcomes of requests for a while, so that an entry whose link broke can still ask.
+"""
+
+import enum
+import itertools
+from collections.abc import Callable
+
+from flamingobank.core import (
+    Clock,
+    InstanceId,
+    Invariant,
+    RequestId,
+    check_invariant,
+)
+from flamingobank.loop import Headers, Timers
+from flamingobank.sidecar.belief import FailureBelief
+from flamingobank.sidecar.dialect import Dialect
+from flamingobank.sidecar.gate import (
+    SUSPECT_LIMIT,
+    UNSAFE_LIMIT,
+    GateState,
+    Verdict,
+    decide_offer,
+)
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.messages import (
+    Answer,
+    AnswerPart,
+    Cancel,
+    Commit,
+    Failed,
+    Granted,
+    HomeReport,
+    Message,
+    Offer,
+    Queued,
+    RefusalReason,
+    Refused,
+    ReportPush,
+    Resume,
+)
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.server_client import (
+    RunFailure,
+    RunHandler,
+    RunOutcome,
+    ServerClient,
+    ServerRun,
+)
+from flamingobank.sidecar.server_state import DEFAULT_SLOTS, AnnouncedServer
+
+# The request follows a grant within one round trip.
+GRANT_TIMEOUT_S = 0.6
+# Entries ask for the outcome as soon as their link is back.
+RETAIN_S = 6.0
+# A repeatable request runs on this long for an entry whose link broke; the entry
+# sends it elsewhere meanwhile.
+ORPHAN_S = 0.8
+SWEEP_INTERVAL_S = 0.2
+FIRST_DOWN_S = 0.15
+MAX_DOWN_S = 1.0
+FIRST_WORK_ESTIMATE_S = 0.2
+WORK_SMOOTHING = 0.1
+# A failure that follows a failed call of the server's own within this time is put
+# down to the call.
+CALL_FAILURE_S = 0.3
+
+
+class WorkState(enum.Enum):
+    """Say how far a request at its home has come."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Work(RunHandler):
+    """Follow one request from its offer to its outcome."""
+
+    def __init__(self, home: "Home", channel, offer: Offer, now: float) -> None:
+        self.home = home
+        self.channel = channel
+        self.offer = offer
+        self.state = WorkState.WAITING
+        self.deadline = now + offer.left_s
+        self.state_since = now
+        self.request_id = RequestId("")
+        self.run: ServerRun | None = None
+        self.outcome: list[Message] = []
+        self.orphaned_at: float | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Identify the request among those of all entries."""
+        return (self.channel.peer_boot, self.offer.stream)
+
+    def report(self, message: Message) -> None:
+        """Send a part of the outcome and keep it for a resumed link."""
+        self.outcome.append(message)
+        self.channel.send(message)
+
+    def on_run_answer(
+        self, status: int, headers: Headers, body: bytes, complete: bool
+    ) -> None:
+        if complete:
+            self.home.on_answered(self, status)
+        headers = self.home.dialect.pass_answer_headers(headers)
+        report = self.home.describe()
+        self.report(Answer(self.offer.stream, status, headers, body, complete, report))
+
+    def on_run_part(self, body: bytes, complete: bool) -> None:
+        if complete:
+            self.home.on_answered(self, 200)
+        elif not body:
+            failure = RunFailure(RunOutcome.UNKNOWN, True, False, "broke midway")
+            self.home.on_failed(self, failure, crashed=False)
+            return
+        self.report(AnswerPart(self.offer.stream, body, complete))
+
+    def on_run_failed(self, failure: RunFailure) -> None:
+        self.home.judge_failure(self, failure)
+
+
+class Home:
+    """Serve offers of entries with the server of this machine."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        client: ServerClient,
+        dialect: Dialect,
+        journal: Journal,
+        metrics: Metrics,
+        list_channels: Callable[[], list],
+    ) -> None:
+        self.clock = clock
+        self.timers = timers
+        self.client = client
+        self.dialect = dialect
+        self.server = AnnouncedServer()
+        self.leaving = False
+        self.works: dict[tuple[str, int], Work] = {}
+        self.call_failed_at = -1e9
+        self._journal = journal
+        self._metrics = metrics
+        self._list_channels = list_channels
+        self._belief = FailureBelief(clock.now())
+        self._waiting: list[tuple[int, int, Work]] = []
+        self._order = itertools.count()
+        self._busy = 0
+        self._down_until = 0.0
+        self._down_s = FIRST_DOWN_S
+        self._mean_work_s = FIRST_WORK_ESTIMATE_S
+        self._probed_at = 0.0
+        self._was_trusted = True
+        timers.call_every(SWEEP_INTERVAL_S, self._sweep)
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests the server runs at a time."""
+        current = self.server.current
+        return current.slots if current is not None else DEFAULT_SLOTS
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return not self._busy and not self._waiting
+
+    def describe(self) -> HomeReport:
+        """Return what entries are told of this home."""
+        now = self.clock.now()
+        current = self.server.current
+        return HomeReport(
+            current.service if current is not None else "",
+            round(self._belief.read(now), 3),
+            self._busy,
+            len(self._waiting),
+            self.slots,
+            self.server.accepts_work and not self.leaving and now >= self._down_until,
+        )
+
+    def on_server_changed(self) -> None:
+        """React to a new server or a change of its lifecycle."""
+        current = self.server.current
+        if current is not None:
+            self.client.set_server(current.address, current.instance)
+        if not self.server.accepts_work:
+            self._refuse_waiting()
+        self._push_report()
+
+    def on_new_instance(self) -> None:
+        """Forget what was believed of an earlier server."""
+        self._belief = FailureBelief(self.clock.now())
+        self._down_until = 0.0
+        self._down_s = FIRST_DOWN_S
+
+    def leave(self) -> None:
+        """Take no new work."""
+        self.leaving = True
+        self._refuse_waiting()
+        self._push_report()
+
+    def receive(self, channel, message: Message) -> bool:
+        """React to a message of an entry; tell whether it was for the home."""
+        if isinstance(message, Offer):
+            self._take_offer(channel, message)
+            return True
+        if not isinstance(message, Commit | Cancel | Resume):
+            return False
+        key = (channel.peer_boot, message.stream)
+        work = self.works.get(key)
+        if isinstance(message, Commit):
+            self._take_commit(channel, work, message)
+        elif isinstance(message, Cancel):
+            if work is not None:
+                self._cancel(work, "cancelled by entry")
+        else:
+            self._resume(channel, work, message.stream)
+        return True
+
+    def on_channel_closed(self, channel) -> None:
+        """Give up what waits for an entry that cannot be reached."""
+        now = self.clock.now()
+        for work in list(self.works.values()):
+            if work.channel is not channel:
+                continue
+            if work.state in (WorkState.WAITING, WorkState.GRANTED):
+                self._cancel(work, "link closed")
+            elif work.state is WorkState.RUNNING:
+                work.orphaned_at = now
+
+    def on_answered(self, work: Work, status: int) -> None:
+        """Learn from a complete answer."""
+        now = self.clock.now()
+        took_s = now - work.state_since
+        if status < 500:
+            self._mean_work_s += WORK_SMOOTHING * (took_s - self._mean_work_s)
+        failed = status >= 500
+        by_call = (
+            failed
+            and work.offer.idempotent
+            and now < self.call_failed_at + CALL_FAILURE_S
+        )
+        self._down_s = FIRST_DOWN_S
+        # At the deadline a server answers 504; that says nothing about the server.
+        if status != 504 and not by_call:
+            self._observe(failed, work, str(status))
+        self._journal.request(
+            "home:answered",
+            work.request_id,
+            status=status,
+            took_ms=round(took_s * 1000, 1),
+            failing=round(self._belief.read(now), 3),
+            blamed_on_call=by_call,
+        )
+        self._finish(work)
+
+    def judge_failure(self, work: Work, failure: RunFailure) -> None:
+        """Find out whether the server is still there, then report the failure."""
+        now = self.clock.now()
+        if failure.unreachable:
+            self._mark_down(now, failure.reason)
+        elif failure.misdirected:
+            # The expected instance is gone; its successor announces itself.
+            self._mark_down(now, "another instance answers")
+        elif failure.outcome is RunOutcome.UNKNOWN or work.deadline - now > 0.05:
+            self._observe(True, work, failure.reason)
+        self.on_failed(work, failure, crashed=False)
+
+    def on_failed(self, work: Work, failure: RunFailure, crashed: bool) -> None:
+        """Report a request without an answer."""
+        self._journal.request(
+            "home:failed",
+            work.request_id,
+            outcome=failure.outcome.value,
+            reason=failure.reason,
+            failing=round(self._belief.read(self.clock.now()), 3),
+        )
+        work.report(
+            Failed(
+                work.offer.stream,
+                failure.outcome is RunOutcome.NOT_RUN,
+                failure.arrived,
+                crashed,
+                failure.reason,
+                self.describe(),
+            )
+        )
+        self._finish(work)
+
+    def _take_offer(self, channel, offer: Offer) -> None:
+        now = self.clock.now()
+        current = self.server.current
+        if self.leaving:
+            self._refuse(channel, offer.stream, RefusalReason.LEAVING)
+            return
+        if not self.server.accepts_work or current.service != offer.service:
+            self._refuse(channel, offer.stream, RefusalReason.NO_SERVER)
+            return
+        if now < self._down_until:
+            self._refuse(channel, offer.stream, RefusalReason.SERVER_DOWN)
+            return
+        state = GateState(
+            self._belief.read(now),
+            self._busy,
+            len(self._waiting),
+            sum(1 for entry in self._waiting if entry[0] <= offer.priority),
+            self.slots,
+            self._mean_work_s,
+            self._probed_at,
+        )
+        decision = decide_offer(
+            offer.idempotent, offer.forced, offer.left_s, state, now
+        )
+        if decision.verdict is Verdict.REFUSE:
+            self._refuse(channel, offer.stream, decision.reason)
+            return
+        work = Work(self, channel, offer, now)
+        self.works[work.key] = work
+        if decision.verdict is Verdict.QUEUE:
+            self._waiting.append((offer.priority, next(self._order), work))
+            self._waiting.sort(key=lambda entry: entry[:2])
+            channel.send(Queued(offer.stream))
+            self._grant_waiting()
+            return
+        self._grant(work)
+
+    def _grant(self, work: Work) -> None:
+        now = self.clock.now()
+        self._busy += 1
+        if self._belief.read(now) > SUSPECT_LIMIT:
+            self._probed_at = now
+        work.state = WorkState.GRANTED
+        work.state_since = now
+        work.channel.send(Granted(work.offer.stream))
+
+    def _grant_waiting(self) -> None:
+        while self._waiting and self._busy < self.slots:
+            if not self.server.accepts_work or self.leaving:
+                return
+            _, _, work = self._waiting.pop(0)
+            self._grant(work)
+
+    def _take_commit(self, channel, work: Work | None, message: Commit) -> None:
+        if work is None or work.state is not WorkState.GRANTED:
+            if work is None or work.state is WorkState.WAITING:
+                self._answer_unknown(channel, message.stream)
+            return
+        now = self.clock.now()
+        work.request_id = RequestId(message.request_id)
+        work.deadline = now + message.left_s
+        if not self.server.accepts_work:
+            # The server began to leave between the grant and the request.
+            self._refuse_work(work, RefusalReason.NO_SERVER)
+            return
+        work.state = WorkState.RUNNING
+        work.state_since = now
+        self._metrics.count("server_requests_total")
+
+        def encode(instance: InstanceId) -> bytes:
+            return self.dialect.encode_request(
+                message.method,
+                message.target,
+                [(name, value) for name, value in message.headers],
+                message.body,
+                instance,
+                message.left_s,
+                message.calling_service,
+            )
+
+        work.run = self.client.run(work.request_id, encode, work.offer.idempotent, work)
+
+    def _resume(self, channel, work: Work | None, stream: int) -> None:
+        if work is not None and work.state in (WorkState.WAITING, WorkState.GRANTED):
+            # The request was lost with the link; a late copy finds no grant.
+            self._cancel(work, "request was lost with its link")
+            work = None
+        if work is None:
+            self._answer_unknown(channel, stream)
+            return
+        work.channel = channel
+        work.orphaned_at = None
+        for message in work.outcome:
+            channel.send(message)
+
+    def _answer_unknown(self, channel, stream: int) -> None:
+        """Promise that a request without a grant never runs."""
+        self._refuse(channel, stream, RefusalReason.NEVER_RECEIVED)
+
+    def _refuse(self, channel, stream: int, reason: RefusalReason) -> None:
+        self._metrics.count("home_refusals_total", reason=reason.value)
+        channel.send(Refused(stream, reason.value, self.describe()))
+
+    def _refuse_work(self, work: Work, reason: RefusalReason) -> None:
+        message = Refused(work.offer.stream, reason.value, self.describe())
+        work.report(message)
+        self._finish(work)
+
+    def _refuse_waiting(self) -> None:
+        waiting = self._waiting
+        self._waiting = []
+        for _, _, work in waiting:
+            self._refuse_work(work, RefusalReason.LEAVING)
+
+    def _cancel(self, work: Work, why: str) -> None:
+        if work.state is WorkState.RUNNING:
+            work.run.cancel()
+            self._journal.request("home:cancelled", work.request_id, why=why)
+        self._finish(work)
+        self.works.pop(work.key, None)
+
+    def _finish(self, work: Work) -> None:
+        if work.state is WorkState.DONE:
+            return
+        if work.state is WorkState.WAITING:
+            self._waiting = [entry for entry in self._waiting if entry[2] is not work]
+        else:
+            self._busy -= 1
+        work.state = WorkState.DONE
+        work.state_since = self.clock.now()
+        check_invariant(Invariant.SLOTS, self._busy >= 0, busy=self._busy)
+        self._grant_waiting()
+
+    def _observe(self, failed: bool, work: Work, detail: str) -> None:
+        now = self.clock.now()
+        self._belief.observe(failed, now)
+        self._metrics.count("server_outcomes_total", failed=str(failed).lower())
+        failing = self._belief.read(now)
+        # Two thresholds, so that a belief near one of them is not pushed to and fro.
+        if self._was_trusted and failing > SUSPECT_LIMIT:
+            self._was_trusted = False
+        elif not self._was_trusted and failing < UNSAFE_LIMIT:
+            self._was_trusted = True
+        else:
+            return
+        self._journal.event(
+            "home:judged",
+            trusted=self._was_trusted,
+            failing=round(failing, 3),
+            request=work.request_id,
+            detail=detail,
+        )
+        self._push_report()
+
+    def _mark_down(self, now: float, reason: str) -> None:
+        self._down_until = now + self._down_s
+        self._down_s = min(MAX_DOWN_S, self._down_s * 2)
+        self.client.close_idle()
+        self._journal.event("home:server-down", reason=reason)
+        self._push_report()
+
+    def _push_report(self) -> None:
+        push = ReportPush(self.describe())
+        for channel in self._list_channels():
+            channel.send(push)
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        for key, work in list(self.works.items()):
+            if work.state is WorkState.DONE:
+                if now > work.state_since + RETAIN_S:
+                    del self.works[key]
+                continue
+            if work.state is WorkState.GRANTED:
+                if now > work.state_since + GRANT_TIMEOUT_S:
+                    self._cancel(work, "request did not follow the grant")
+                continue
+            if work.state is WorkState.WAITING:
+                if now > work.deadline:
+                    self._refuse_work(work, RefusalReason.EXPIRED)
+                continue
+            orphaned = work.orphaned_at is not None and work.offer.idempotent
+            if orphaned and now > work.orphaned_at + ORPHAN_S:
+                self._cancel(work, "entry did not come back")
+            elif now > work.deadline + 1.0:
+                self._cancel(work, "deadline passed")
--- /dev/null
+++ b/src/flamingobank/sidecar/http_server.py
@@ -0,0 +1,413 @@
+"""Serve HTTP/1.1 with pipelining; answers leave in the order of their requests."""
+
+import abc
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import httptools
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    Connection,
+    ConnectionHandler,
+    Listener,
+    Poller,
+    Timers,
+)
+from flamingobank.sidecar.routes import RequestLimits
+
+Headers = list[tuple[bytes, bytes]]
+
+# Further requests of a pipeline wait in the socket.
+MAX_PIPELINED = 32
+SWEEP_INTERVAL_S = 0.5
+# A connection lives a little longer than promised, so that a request that is under
+# way when the promise ends is still read.
+IDLE_SLACK_S = 1.0
+# The peer reads the last answer and closes; unread input at a close resets instead.
+LINGER_S = 2.0
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+BODILESS_STATUSES = (204, 304)
+
+
+class CallerWatcher(abc.ABC):
+    """Observe the caller of a request that is being answered."""
+
+    @abc.abstractmethod
+    def on_caller_left(self) -> None:
+        """React to the end of the caller's connection."""
+
+
+class CallerRequest:
+    """Hold one request and write its answer."""
+
+    __slots__ = (
+        "_chunked",
+        "_output",
+        "body_parts",
+        "complete",
+        "connection",
+        "finished",
+        "headers",
+        "keep_alive",
+        "method",
+        "read_at",
+        "started",
+        "target",
+        "watcher",
+    )
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.method = ""
+        self.target = b""
+        self.headers: Headers = []
+        self.body_parts: list[bytes] = []
+        self.keep_alive = True
+        self.complete = False
+        self.started = False
+        self.finished = False
+        self.read_at = 0.0
+        self.watcher: CallerWatcher | None = None
+        self._chunked = False
+        self._output: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        if len(self.body_parts) != 1:
+            self.body_parts = [b"".join(self.body_parts)]
+        return self.body_parts[0]
+
+    def get_header(self, name: bytes) -> str:
+        """Return the first value of a header, an empty text without one."""
+        for known, value in self.headers:
+            if known == name:
+                return value.decode("latin-1")
+        return ""
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        self.start(status, headers, len(body))
+        if self.method != "HEAD":
+            self.write(body)
+        self.finish()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of an answer; without a length its parts are chunked."""
+        self.started = True
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Answer"))]
+        lines += [
+            b"%s: %s" % header for header in headers if header[0] != b"content-length"
+        ]
+        if status not in BODILESS_STATUSES:
+            self._chunked = length is None
+            if self._chunked:
+                lines.append(b"Transfer-Encoding: chunked")
+            else:
+                lines.append(b"Content-Length: %d" % length)
+        lines += self.connection.describe_persistence(self)
+        self._send(b"\r\n".join([*lines, b"", b""]))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._send(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
+        self.finished = True
+        self.watcher = None
+        self.connection.on_answered()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it does not look complete."""
+        self.watcher = None
+        self.connection.abort()
+
+    def flush(self) -> None:
+        """Pass on what was written while an earlier answer was under way."""
+        for data in self._output:
+            self.connection.send(data)
+        self._output.clear()
+
+    def _send(self, data: bytes) -> None:
+        if self.connection.is_next(self):
+            self.connection.send(data)
+            return
+        self._output.append(data)
+
+
+class CallerConnection(ConnectionHandler):
+    """Read the requests of one connection and order their answers."""
+
+    def __init__(self, server: "HttpServer", sock: socket.socket) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[CallerRequest] = deque()
+        self._current: CallerRequest | None = None
+        self._complete: list[CallerRequest] = []
+        self._refused = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._head_done = True
+        self._closing = False
+        self._closed = False
+        self._paused = False
+        self._promised_idle_s = server.limits().idle_timeout_s
+        self.idle_deadline = server.clock.now() + self._promised_idle_s + IDLE_SLACK_S
+        self.head_deadline: float | None = None
+        self.connection = Connection(server.poller, sock, self, connecting=False)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        return not self._waiting and self._current is None and not self._closing
+
+    def describe_persistence(self, request: CallerRequest) -> list[bytes]:
+        """Return the headers that tell whether the connection stays open."""
+        last = len(self._waiting) == 1 and self._current is None
+        if not request.keep_alive or (self._server.draining and last):
+            request.keep_alive = False
+            return [b"Connection: close"]
+        self._promised_idle_s = self._server.limits().idle_timeout_s
+        return [b"Keep-Alive: timeout=%d" % max(1, int(self._promised_idle_s))]
+
+    def is_next(self, request: CallerRequest) -> bool:
+        """Tell whether a request's answer may be sent now."""
+        return bool(self._waiting) and self._waiting[0] is request
+
+    def send(self, data: bytes) -> None:
+        """Send bytes of the answer that is due."""
+        self.connection.write(data)
+
+    def on_answered(self) -> None:
+        """Go on to the answers that follow."""
+        while self._waiting and self._waiting[0].finished:
+            done = self._waiting.popleft()
+            if not done.keep_alive:
+                self.finish_output()
+                return
+            if self._waiting:
+                self._waiting[0].flush()
+        now = self._server.clock.now()
+        self.idle_deadline = now + self._promised_idle_s + IDLE_SLACK_S
+        if self._paused and len(self._waiting) < MAX_PIPELINED:
+            self._paused = False
+            if not self._closed:
+                self.connection.resume_reading()
+
+    def finish_output(self) -> None:
+        """Close towards the caller and discard what it still sends."""
+        if self._closed or self._closing:
+            return
+        self._closing = True
+        self._leave_waiting()
+        self.connection.finish_output()
+        self._server.timers.call_at(
+            self._server.clock.now() + LINGER_S,
+            lambda: self.connection.close("caller kept the connection"),
+        )
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self.connection.reset("answer broken off")
+
+    def sweep(self, now: float) -> None:
+        """Close the connection when the caller takes too long."""
+        if self._closed or self._closing:
+            return
+        if self.head_deadline is not None and now > self.head_deadline:
+            self._refuse(408)
+            return
+        if self.is_idle and now > self.idle_deadline:
+            self.finish_output()
+
+    def on_connected(self) -> None:
+        """React to a connection that can carry data; accepted ones always can."""
+
+    def on_data(self, data: bytes) -> None:
+        if self._closing:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refused = self._refused or 501
+        except (httptools.HttpParserError, ValueError) as error:
+            self._server.log_malformed(str(error))
+            self._refused = self._refused or 400
+        # Not from within the parser, which hides what a handler raises.
+        complete, self._complete = self._complete, []
+        for request in complete:
+            self._server.on_request(request)
+        if self._refused and not self._closed:
+            self._refuse(self._refused)
+
+    def on_closed(self, reason: str) -> None:
+        self._closed = True
+        self._server.forget(self)
+        self._leave_waiting()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._current = CallerRequest(self)
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._head_done = False
+        limits = self._server.limits()
+        self.head_deadline = self._server.clock.now() + limits.head_timeout_s
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target, which may come in pieces."""
+        self._current.target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        self._count_head(len(name) + len(value) + 4)
+        if not self._head_done:
+            self._current.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._head_done = True
+        self.head_deadline = None
+        request = self._current
+        request.method = self._parser.get_method().decode("latin-1")
+        request.keep_alive = self._parser.should_keep_alive()
+        names = [name for name, _ in request.headers]
+        if names.count(b"host") > 1 or names.count(b"content-length") > 1:
+            self._refused = 400
+        for name, value in request.headers:
+            if name == b"content-length":
+                self._check_body_size(int(value))
+        expects = request.get_header(b"expect").lower() == "100-continue"
+        if expects and not self._refused and not self._waiting:
+            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(data)
+        self._check_body_size(self._body_bytes)
+        if not self._refused:
+            self._current.body_parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand a request over."""
+        if self._refused or self._closing:
+            return
+        request = self._current
+        self._current = None
+        request.complete = True
+        request.read_at = self._server.clock.now()
+        self._waiting.append(request)
+        if len(self._waiting) >= MAX_PIPELINED:
+            self._paused = True
+            self.connection.pause_reading()
+        self._complete.append(request)
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._server.limits().max_head_bytes:
+            self._refused = 431
+
+    def _check_body_size(self, count: int) -> None:
+        if count > self._server.limits().max_body_bytes:
+            self._refused = self._refused or 413
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that cannot be read, after those before it."""
+        self.head_deadline = None
+        self._refused = 0
+        request = self._current or CallerRequest(self)
+        self._current = None
+        request.keep_alive = False
+        self._waiting.append(request)
+        request.answer(status, [], b"")
+        self._closing = True
+
+    def _leave_waiting(self) -> None:
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        for request in waiting:
+            watcher = request.watcher
+            request.watcher = None
+            if watcher is not None:
+                watcher.on_caller_left()
+
+
+class HttpServer:
+    """Accept connections and hand requests over."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        address: Address,
+        limits: Callable[[], RequestLimits],
+        on_request: Callable[[CallerRequest], None],
+        on_malformed: Callable[[str], None] = lambda reason: None,
+    ) -> None:
+        self.poller = poller
+        self.timers = timers
+        self.clock = clock
+        self.limits = limits
+        self.on_request = on_request
+        self.log_malformed = on_malformed
+        self.draining = False
+        self.connections: set[CallerConnection] = set()
+        self._listener: Listener | None = Listener(poller, address, self._accept)
+        self.address = self._listener.address
+        timers.call_every(SWEEP_INTERVAL_S, self._sweep)
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Drop a closed connection."""
+        self.connections.discard(connection)
+
+    def drain(self) -> None:
+        """Close kept connections between answers; go on accepting."""
+        self.draining = True
+        self._close_idle()
+
+    def close(self) -> None:
+        """Accept nothing more."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self._close_idle()
+
+    def _close_idle(self) -> None:
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.finish_output()
+
+    def _accept(self, sock: socket.socket) -> None:
+        self.connections.add(CallerConnection(self, sock))
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        for connection in list(self.connections):
+            connection.sweep(now)
--- /dev/null
+++ b/src/flamingobank/sidecar/links.py
@@ -0,0 +1,402 @@
+"""Carry messages between sidecars over TCP, and survive the loss of a connection."""
+
+import abc
+import enum
+import random
+import socket
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    Connection,
+    ConnectionHandler,
+    Listener,
+    Poller,
+    Timers,
+    connect,
+)
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    Message,
+    MessageReader,
+    Ping,
+    Pong,
+    Resume,
+    pack_message,
+)
+
+# Two round trips between failure domains take a few milliseconds; a lost opening
+# packet is sent again only after a second.
+CONNECT_TIMEOUT_S = 0.4
+# A link with work under way and without input is asked for a sign of life, and is
+# given up when none comes.
+QUIET_S = 0.3
+SILENT_S = 0.9
+# A link on which an offer got no reaction is given up after this time.
+PROBE_S = 0.5
+CHECK_INTERVAL_S = 0.1
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 3.0
+
+
+class LinkState(enum.Enum):
+    """Say whether a link carries messages."""
+
+    IDLE = "idle"
+    CONNECTING = "connecting"
+    UP = "up"
+
+
+class StreamHandler(abc.ABC):
+    """Receive what concerns one request that was sent to a home."""
+
+    @abc.abstractmethod
+    def on_message(self, message: Message) -> None:
+        """React to a message of the home."""
+
+    @abc.abstractmethod
+    def on_link_lost(self) -> bool:
+        """React to a broken link; tell whether the outcome is still wanted."""
+
+    @abc.abstractmethod
+    def on_home_restarted(self) -> None:
+        """React to a home that knows nothing of the request any more."""
+
+
+class PeerObserver(abc.ABC):
+    """Receive the messages of links that belong to no request."""
+
+    @abc.abstractmethod
+    def on_peer_message(self, link: "MessageChannel", message: Message) -> None:
+        """React to a message."""
+
+    @abc.abstractmethod
+    def on_channel_closed(self, link: "MessageChannel") -> None:
+        """React to the end of an accepted connection."""
+
+
+class MessageChannel(ConnectionHandler):
+    """Exchange messages on one connection."""
+
+    def __init__(self, observer: PeerObserver, journal: Journal) -> None:
+        self.peer = ""
+        self.peer_boot = ""
+        self.closed = False
+        self._observer = observer
+        self._journal = journal
+        self._reader = MessageReader()
+        self._connection: Connection | None = None
+
+    def attach(self, connection: Connection) -> None:
+        """Use a connection."""
+        self._connection = connection
+
+    @property
+    def output_bytes(self) -> int:
+        """Return the number of bytes that wait to be sent."""
+        return 0 if self.closed else self._connection.output_bytes
+
+    def send(self, message: Message) -> None:
+        """Send a message; a closed channel drops it."""
+        if not self.closed:
+            self._connection.write(pack_message(message))
+
+    def close(self, reason: str) -> None:
+        """Close the connection."""
+        self._connection.close(reason)
+
+    def on_connected(self) -> None:
+        """React to a connection that can carry data."""
+
+    def on_data(self, data: bytes) -> None:
+        try:
+            messages = self._reader.feed(data)
+        except ValueError as error:
+            self._journal.warn("link:malformed", peer=self.peer, error=str(error))
+            self.close("malformed message")
+            return
+        for message in messages:
+            if self.closed:
+                return
+            self.receive(message)
+
+    def on_closed(self, reason: str) -> None:
+        self.closed = True
+        self._observer.on_channel_closed(self)
+
+    def receive(self, message: Message) -> None:
+        """React to one message."""
+        if isinstance(message, Hello):
+            if message.protocol != PROTOCOL_VERSION:
+                self.close(f"protocol {message.protocol} is not {PROTOCOL_VERSION}")
+                return
+            self.peer = message.node
+            self.peer_boot = message.boot
+            self.on_hello()
+            return
+        if isinstance(message, Ping):
+            self.send(Pong())
+            return
+        self._observer.on_peer_message(self, message)
+
+    def on_hello(self) -> None:
+        """React to the peer's introduction."""
+
+
+class AcceptedChannel(MessageChannel):
+    """Answer the introduction of a peer that connected."""
+
+    def __init__(
+        self, observer: PeerObserver, journal: Journal, greeting: Hello
+    ) -> None:
+        super().__init__(observer, journal)
+        self._greeting = greeting
+
+    def on_hello(self) -> None:
+        """Introduce this process in turn."""
+        self.send(self._greeting)
+
+
+class Link(PeerObserver):
+    """Reach one peer; reconnects while requests wait for their outcome."""
+
+    def __init__(self, links: "Links", address: Address) -> None:
+        self.address = address
+        self.state = LinkState.IDLE
+        self.handlers: dict[int, StreamHandler] = {}
+        self.retry_at = 0.0
+        # The last connection failed or was silent; only the check of links, never a
+        # caller's request, finds out whether the peer is back.
+        self.failed = False
+        self.peer_boot = ""
+        self.heard_at = 0.0
+        self._links = links
+        self._channel: OutgoingChannel | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self._unsent: list[Message] = []
+        self._connect_deadline = 0.0
+        self._pinged = False
+        self._probe_deadline = 0.0
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether a request may be offered over this link."""
+        return not self.failed
+
+    def suspect(self) -> None:
+        """Offer nothing over this link until the peer is heard."""
+        if self.state is LinkState.UP and not self.failed:
+            self.failed = True
+            self._probe_deadline = self._links.clock.now() + PROBE_S
+            self._channel.send(Ping())
+
+    def open_stream(self, stream: int, handler: StreamHandler) -> None:
+        """Receive the messages of one request."""
+        if not self.handlers:
+            self.heard_at = self._links.clock.now()
+            self._pinged = False
+        self.handlers[stream] = handler
+
+    def close_stream(self, stream: int) -> None:
+        """Forget a request."""
+        self.handlers.pop(stream, None)
+
+    def send(self, message: Message) -> None:
+        """Send a message, connecting first if need be."""
+        if self.state is LinkState.UP:
+            self._channel.send(message)
+            return
+        self._unsent.append(message)
+        if self.state is LinkState.IDLE:
+            self.connect()
+
+    def send_if_up(self, message: Message) -> None:
+        """Send a message that is not worth a connection."""
+        if self.state is LinkState.UP:
+            self._channel.send(message)
+
+    def close(self, reason: str) -> None:
+        """Close the present connection, if there is one."""
+        if self._channel is not None:
+            self._channel.close(reason)
+
+    def connect(self) -> None:
+        """Start to connect."""
+        now = self._links.clock.now()
+        self.state = LinkState.CONNECTING
+        self._connect_deadline = now + CONNECT_TIMEOUT_S
+        self._channel = OutgoingChannel(self, self._links.journal)
+        self._channel.attach(connect(self._links.poller, self.address, self._channel))
+        self._channel.send(self._links.greeting)
+
+    def check(self, now: float) -> None:
+        """Give a silent connection up, and try again when requests wait."""
+        if self.state is LinkState.CONNECTING and now > self._connect_deadline:
+            self._channel.close("no connection in time")
+            return
+        if self.state is LinkState.IDLE:
+            if (self.handlers or self.failed) and now >= self.retry_at:
+                self.connect()
+            return
+        if self.state is not LinkState.UP:
+            return
+        if self.failed and now > self._probe_deadline:
+            self._channel.close("silent")
+            return
+        if not self.handlers:
+            return
+        quiet_s = now - self.heard_at
+        if quiet_s > SILENT_S:
+            self._channel.close("silent")
+            return
+        if quiet_s > QUIET_S and not self._pinged:
+            self._pinged = True
+            self._channel.send(Ping())
+
+    def on_up(self, channel: "OutgoingChannel") -> None:
+        """React to the peer's introduction."""
+        now = self._links.clock.now()
+        restarted = bool(self.peer_boot) and self.peer_boot != channel.peer_boot
+        self.peer_boot = channel.peer_boot
+        self.state = LinkState.UP
+        self.heard_at = now
+        self._pinged = False
+        self._backoff_s = FIRST_BACKOFF_S
+        self.failed = False
+        waiting = list(self.handlers.items())
+        unsent = self._unsent
+        self._unsent = []
+        fresh = {getattr(message, "stream", None) for message in unsent}
+        for stream, handler in waiting:
+            if stream in fresh:
+                continue
+            if restarted:
+                self.handlers.pop(stream, None)
+                handler.on_home_restarted()
+                continue
+            channel.send(Resume(stream))
+        for message in unsent:
+            channel.send(message)
+
+    def on_heard(self) -> None:
+        """Note a sign of life."""
+        self.heard_at = self._links.clock.now()
+        self._pinged = False
+        if self.state is LinkState.UP:
+            self.failed = False
+
+    def on_peer_message(self, link: MessageChannel, message: Message) -> None:
+        stream = getattr(message, "stream", None)
+        if stream is None:
+            self._links.observer.on_link_message(self, message)
+            return
+        handler = self.handlers.get(stream)
+        if handler is not None:
+            handler.on_message(message)
+
+    def on_channel_closed(self, link: MessageChannel) -> None:
+        now = self._links.clock.now()
+        was_up = self.state is LinkState.UP
+        self.state = LinkState.IDLE
+        self.failed = True
+        self._channel = None
+        self._unsent.clear()
+        if not was_up:
+            self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+        jitter = self._links.rng.uniform(0.8, 1.2)
+        self.retry_at = now + self._backoff_s * jitter
+        self._links.journal.event(
+            "link:lost",
+            address=f"{self.address[0]}:{self.address[1]}",
+            was_up=was_up,
+            open_requests=len(self.handlers),
+        )
+        for stream, handler in list(self.handlers.items()):
+            if not handler.on_link_lost():
+                self.handlers.pop(stream, None)
+
+
+class OutgoingChannel(MessageChannel):
+    """Tell a link what happens on its present connection."""
+
+    def __init__(self, link: Link, journal: Journal) -> None:
+        super().__init__(link, journal)
+        self._link = link
+
+    def on_hello(self) -> None:
+        """Report that the peer answers."""
+        self._link.on_up(self)
+
+    def on_data(self, data: bytes) -> None:
+        self._link.on_heard()
+        super().on_data(data)
+
+
+class LinkObserver(abc.ABC):
+    """Receive messages of outgoing links that belong to no request."""
+
+    @abc.abstractmethod
+    def on_link_message(self, link: Link, message: Message) -> None:
+        """React to a message."""
+
+
+class Links:
+    """Hold one link to each peer in use and accept those of peers."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        rng: random.Random,
+        journal: Journal,
+        greeting: Hello,
+        observer: LinkObserver,
+    ) -> None:
+        self.poller = poller
+        self.clock = clock
+        self.rng = rng
+        self.journal = journal
+        self.greeting = greeting
+        self.observer = observer
+        self._links: dict[Address, Link] = {}
+        self.accepted: set[AcceptedChannel] = set()
+        self._accept_observer: PeerObserver | None = None
+        self._listener: Listener | None = None
+        timers.call_every(CHECK_INTERVAL_S, self._check)
+
+    def listen(self, address: Address, observer: PeerObserver) -> Address:
+        """Accept links of peers; return the bound address."""
+        self._accept_observer = observer
+        self._listener = Listener(self.poller, address, self._accept)
+        return self._listener.address
+
+    def get(self, address: Address) -> Link:
+        """Return the link to a peer."""
+        link = self._links.get(address)
+        if link is None:
+            link = Link(self, address)
+            self._links[address] = link
+        return link
+
+    def drop(self, address: Address) -> None:
+        """Stop reaching a peer that has left."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.close("peer left")
+
+    def forget(self, channel: AcceptedChannel) -> None:
+        """Drop an accepted channel that has ended."""
+        self.accepted.discard(channel)
+
+    def _accept(self, sock: socket.socket) -> None:
+        channel = AcceptedChannel(self._accept_observer, self.journal, self.greeting)
+        channel.attach(Connection(self.poller, sock, channel, connecting=False))
+        self.accepted.add(channel)
+
+    def _check(self) -> None:
+        now = self.clock.now()
+        for link in list(self._links.values()):
+            link.check(now)
--- /dev/null
+++ b/src/flamingobank/sidecar/local_link.py
@@ -0,0 +1,75 @@
+"""Let an entry offer requests to the home in its own process."""
+
+from collections.abc import Callable
+
+from flamingobank.core import BootId
+from flamingobank.loop import Timers
+from flamingobank.sidecar.links import StreamHandler
+from flamingobank.sidecar.messages import Message
+
+
+class LocalChannel:
+    """Carry a home's messages to the entry of the same process."""
+
+    def __init__(self, link: "LocalLink", boot: BootId) -> None:
+        self.peer_boot = boot
+        self.closed = False
+        self._link = link
+
+    def send(self, message: Message) -> None:
+        """Deliver a message in the next turn of the loop."""
+        self._link.deliver_later(message)
+
+
+class LocalLink:
+    """Stand for a link to the home in this process."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        boot: BootId,
+        receive: Callable[[LocalChannel, Message], bool],
+        on_message: Callable[["LocalLink", Message], None],
+    ) -> None:
+        self.handlers: dict[int, StreamHandler] = {}
+        self.channel = LocalChannel(self, boot)
+        self._timers = timers
+        self._receive = receive
+        self._on_message = on_message
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell that the own process can always be reached."""
+        return True
+
+    def suspect(self) -> None:
+        """Ignore a home that was slow; there is no path to avoid."""
+
+    def open_stream(self, stream: int, handler: StreamHandler) -> None:
+        """Receive the messages of one request."""
+        self.handlers[stream] = handler
+
+    def close_stream(self, stream: int) -> None:
+        """Forget a request."""
+        self.handlers.pop(stream, None)
+
+    def send(self, message: Message) -> None:
+        """Deliver a message to the home in the next turn of the loop."""
+        self._timers.call_soon(lambda: self._receive(self.channel, message))
+
+    def send_if_up(self, message: Message) -> None:
+        """Deliver a message to the home."""
+        self.send(message)
+
+    def deliver_later(self, message: Message) -> None:
+        """Deliver a message of the home in the next turn of the loop."""
+        self._timers.call_soon(lambda: self._deliver(message))
+
+    def _deliver(self, message: Message) -> None:
+        stream = getattr(message, "stream", None)
+        if stream is None:
+            self._on_message(self, message)
+            return
+        handler = self.handlers.get(stream)
+        if handler is not None:
+            handler.on_message(message)
--- /dev/null
+++ b/src/flamingobank/sidecar/metrics.py
@@ -0,0 +1,52 @@
+"""Count events and measure latencies, with label sets of bounded size."""
+
+from aioprometheus import Counter, Histogram, Registry
+from aioprometheus.renderer import render
+
+PREFIX = "flamingobank_"
+ACCEPTED = ("text/plain",)
+LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0]
+
+COUNTERS = {
+    "requests_total": "Requests of callers by service, kind and final status.",
+    "attempts_total": "Requests that were sent to a home, by outcome.",
+    "home_refusals_total": "Offers that this home turned down, by reason.",
+    "server_requests_total": "Requests that were sent to the server beside.",
+    "server_outcomes_total": "Outcomes that say something about the server.",
+    "retries_denied_total": "Retries that the fleet's budget did not allow.",
+    "store_calls_total": "Calls to the platform's store, by operation and outcome.",
+    "announcements_total": "Announcements of servers, by outcome.",
+    "log_lines_dropped_total": "Log lines that were not written.",
+}
+
+
+class Metrics:
+    """Hold the counters and histograms of one process."""
+
+    def __init__(self, labels: dict[str, str]) -> None:
+        self._registry = Registry()
+        self._counters = {
+            name: Counter(
+                PREFIX + name, help_text, const_labels=labels, registry=self._registry
+            )
+            for name, help_text in COUNTERS.items()
+        }
+        self._latency = Histogram(
+            PREFIX + "request_duration_seconds",
+            "Time from the last byte of a request to its answer.",
+            const_labels=labels,
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter."""
+        self._counters[name].inc(labels)
+
+    def observe_latency(self, seconds: float, kind: str) -> None:
+        """Add one request's duration to the histogram."""
+        self._latency.observe({"kind": kind}, seconds)
+
+    def render(self) -> bytes:
+        """Return all figures in the text format."""
+        return render(self._registry, ACCEPTED)[0]
--- /dev/null
+++ b/src/flamingobank/sidecar/peers.py
@@ -0,0 +1,187 @@
+"""Hold what a sidecar knows of the others, and merge what it is told.
+
+Each process writes only its own record; a higher incarnation or, within one, a higher
+revision replaces what was known. Nobody is declared dead by others: each entry judges
+a home by its own path to it, which stays right when paths fail one way.
+"""
+
+import hashlib
+import struct
+from dataclasses import dataclass, replace
+
+from flamingobank.core import FailureDomain, InstanceId, NodeId, ServiceName
+from flamingobank.loop import Address
+
+HASH_BYTES = 6
+# A record of a process that left is kept until every peer has heard of it.
+FORGET_LEFT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """Describe one sidecar and the server beside it."""
+
+    node: NodeId
+    # Wall-clock milliseconds of the start, raised past earlier incarnations.
+    incarnation: int
+    revision: int
+    address: Address
+    failure_domain: FailureDomain
+    service: ServiceName
+    # The server accepts work.
+    serving: bool
+    # The process has announced its end.
+    left: bool
+    # Servers that this home acknowledged as leaving: instance and start.
+    departures: tuple[tuple[InstanceId, int], ...]
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Order the records of one process."""
+        return (self.incarnation, self.revision)
+
+
+def pack_record(record: PeerRecord) -> list:
+    """Return the fields of a record for the protocol between nodes."""
+    return [
+        record.node,
+        record.incarnation,
+        record.revision,
+        list(record.address),
+        record.failure_domain,
+        record.service,
+        record.serving,
+        record.left,
+        [list(departure) for departure in record.departures],
+    ]
+
+
+def unpack_record(values: list) -> PeerRecord:
+    """Return the record of packed fields; raises ValueError when they are malformed."""
+    try:
+        node, incarnation, revision, address, domain, service, *rest = values
+        serving, left, departures = rest
+        return PeerRecord(
+            NodeId(str(node)),
+            int(incarnation),
+            int(revision),
+            (str(address[0]), int(address[1])),
+            FailureDomain(str(domain)),
+            ServiceName(str(service)),
+            bool(serving),
+            bool(left),
+            tuple((InstanceId(str(i)), int(started)) for i, started in departures),
+        )
+    except (TypeError, IndexError) as error:
+        raise ValueError(f"peer record is malformed: {error}") from error
+
+
+def hash_record(record: PeerRecord) -> bytes:
+    """Return a short hash that changes with each version of a record."""
+    digest = hashlib.blake2b(record.node.encode(), digest_size=HASH_BYTES)
+    digest.update(struct.pack(">QQ", record.incarnation, record.revision))
+    return digest.digest()
+
+
+class PeerTable:
+    """Merge records of peers; the own record cannot be overruled."""
+
+    def __init__(self, own: PeerRecord) -> None:
+        self.own = own
+        self._records: dict[NodeId, PeerRecord] = {}
+        self._hashes: dict[NodeId, bytes] = {own.node: hash_record(own)}
+        self._digest: int | None = None
+        self._left_at: dict[NodeId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def digest(self) -> int:
+        """Return a number that is equal for equal tables."""
+        if self._digest is None:
+            digest = 0
+            for record_hash in self._hashes.values():
+                digest ^= int.from_bytes(record_hash, "big")
+            self._digest = digest
+        return self._digest
+
+    def change_own(self, **changes: object) -> None:
+        """Publish a new state of this process."""
+        self._set_own(replace(self.own, revision=self.own.revision + 1, **changes))
+
+    def merge(self, record: PeerRecord, now: float) -> bool:
+        """Apply a record; tell whether it was news."""
+        if record.node == self.own.node:
+            return self._refute(record)
+        known = self._records.get(record.node)
+        if known is not None and known.version >= record.version:
+            return False
+        for node, other in list(self._records.items()):
+            # An address belongs to one process; the newer start replaces the other.
+            if other.address != record.address or node == record.node:
+                continue
+            if other.incarnation > record.incarnation:
+                return False
+            self._drop(node)
+        self._records[record.node] = record
+        self._hashes[record.node] = hash_record(record)
+        self._digest = None
+        if record.left:
+            self._left_at[record.node] = now
+        else:
+            self._left_at.pop(record.node, None)
+        return True
+
+    def find(self, node: NodeId) -> PeerRecord | None:
+        """Return the record of a peer."""
+        return self._records.get(node)
+
+    def list_peers(self) -> list[PeerRecord]:
+        """Return the peers that have not left."""
+        return [record for record in self._records.values() if not record.left]
+
+    def list_all(self) -> list[PeerRecord]:
+        """Return all records, the own one included."""
+        return [self.own, *self._records.values()]
+
+    def list_hashes(self) -> bytes:
+        """Return the hashes of all records in one string."""
+        return b"".join(self._hashes.values())
+
+    def list_missing(self, hashes: bytes) -> tuple[list[PeerRecord], bool]:
+        """Return the records that a peer lacks and whether it knows others."""
+        theirs = {
+            hashes[start : start + HASH_BYTES]
+            for start in range(0, len(hashes), HASH_BYTES)
+        }
+        missing = [
+            record
+            for record in self.list_all()
+            if self._hashes[record.node] not in theirs
+        ]
+        return missing, not theirs <= set(self._hashes.values())
+
+    def expire(self, now: float) -> None:
+        """Forget processes that left long ago."""
+        for node, left_at in list(self._left_at.items()):
+            if now > left_at + FORGET_LEFT_S:
+                self._drop(node)
+
+    def _refute(self, record: PeerRecord) -> bool:
+        """Raise the own version above that of an earlier incarnation."""
+        if record.version <= self.own.version:
+            return False
+        self._set_own(replace(self.own, incarnation=record.incarnation + 1, revision=1))
+        return True
+
+    def _set_own(self, record: PeerRecord) -> None:
+        self.own = record
+        self._hashes[record.node] = hash_record(record)
+        self._digest = None
+
+    def _drop(self, node: NodeId) -> None:
+        self._records.pop(node, None)
+        self._hashes.pop(node, None)
+        self._left_at.pop(node, None)
+        self._digest = None
--- /dev/null
+++ b/src/flamingobank/sidecar/routes.py
@@ -0,0 +1,151 @@
+"""Describe routes, callers' limits and the table that finds a route."""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from flamingobank.core import RouteName, ServiceName
+
+
+class RouteKind(enum.Enum):
+    """Say what may be repeated for requests of a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    DOWNLOAD = "download"
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self is not RouteKind.UNSAFE
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """Give a service its share of a route's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe where requests go and how they may be tried."""
+
+    name: RouteName
+    host: str
+    prefix: str
+    kind: RouteKind
+    targets: tuple[WeightedService, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    # 0 is the most urgent.
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bound what callers may send and how long they may take."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    head_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """Hold one version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: frozenset[ServiceName]
+    limits: RequestLimits
+    _by_host: dict[str, tuple[Route, ...]] = field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        ordered = {
+            host: tuple(sorted(routes, key=_prefix_length, reverse=True))
+            for host, routes in by_host.items()
+        }
+        object.__setattr__(self, "_by_host", ordered)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, if there is one."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def choose_target(route: Route, draw: float) -> ServiceName:
+    """Return the service that a draw from [0, 1) selects by weight."""
+    left = draw * sum(target.weight for target in route.targets)
+    for target in route.targets:
+        left -= target.weight
+        if left < 0:
+            return target.service
+    return route.targets[-1].service
+
+
+def pack_table(table: RoutingTable) -> list:
+    """Return the fields of a table for the protocol between nodes."""
+    limits = table.limits
+    return [
+        table.version,
+        [_pack_route(route) for route in table.routes],
+        sorted(table.services),
+        [
+            limits.max_head_bytes,
+            limits.max_body_bytes,
+            limits.head_timeout_s,
+            limits.idle_timeout_s,
+        ],
+    ]
+
+
+def unpack_table(fields: list) -> RoutingTable:
+    """Return the table of packed fields; raises ValueError for an unknown kind."""
+    version, routes, services, limits = fields
+    return RoutingTable(
+        version,
+        tuple(_unpack_route(route) for route in routes),
+        frozenset(ServiceName(service) for service in services),
+        RequestLimits(*limits),
+    )
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
+def _pack_route(route: Route) -> list:
+    return [
+        route.name,
+        route.host,
+        route.prefix,
+        route.kind.value,
+        [[target.service, target.weight] for target in route.targets],
+        route.timeout_s,
+        route.target_latency_s,
+        route.max_attempts,
+        route.priority,
+    ]
+
+
+def _unpack_route(fields: Iterable) -> Route:
+    name, host, prefix, kind, targets, *figures = fields
+    return Route(
+        RouteName(name),
+        host,
+        prefix,
+        RouteKind(kind),
+        tuple(WeightedService(ServiceName(s), weight) for s, weight in targets),
+        *figures,
+    )
--- /dev/null
+++ b/src/flamingobank/sidecar/selection.py
@@ -0,0 +1,89 @@
+"""Order the homes of a service for one request.
+
+Answers gray failures under load: the cost of a home grows with the chance that its
+server fails, with its load and with the distance, and a share of repeatable work goes
+to suspects first, since only real work shows that they have recovered.
+"""
+
+import math
+import random
+from dataclasses import dataclass
+
+from flamingobank.core import NodeId
+from flamingobank.sidecar.belief import LONG_RUN_PROBABILITY, fade_probability
+from flamingobank.sidecar.messages import HomeReport
+from flamingobank.sidecar.routes import RouteKind
+
+# Work that runs once is lost by a failure; other work only by a second one.
+FAILURE_COST = {RouteKind.UNSAFE: 4.0, RouteKind.SAFE: 1.5, RouteKind.DOWNLOAD: 1.5}
+# Bytes between failure domains have a price, which large answers feel most.
+DISTANCE_COST = {RouteKind.UNSAFE: 0.04, RouteKind.SAFE: 0.04, RouteKind.DOWNLOAD: 0.3}
+FULL_COST = 1.0
+JITTER = 0.15
+PROBE_SHARE = 0.3
+PROBE_ABOVE = 0.4
+# What was reported of load is half forgotten after this time.
+LOAD_HALF_LIFE_S = 0.6
+USUAL_LOAD = 0.35
+
+
+@dataclass(slots=True)
+class HomeView:
+    """Hold what an entry knows of a home."""
+
+    node: NodeId
+    near: bool
+    report: HomeReport | None = None
+    reported_at: float = 0.0
+    # Requests of this entry that are under way there.
+    own_running: int = 0
+
+    def take_report(self, report: HomeReport, now: float) -> None:
+        """Note the newest report."""
+        self.report = report
+        self.reported_at = now
+
+    def estimate_failing(self, now: float) -> float:
+        """Return the probability that the home's server fails work now."""
+        if self.report is None:
+            return LONG_RUN_PROBABILITY
+        return fade_probability(self.report.failing, now - self.reported_at)
+
+    def estimate_load(self, now: float) -> float:
+        """Return the share of the server's slots that are in use."""
+        if self.report is None:
+            return USUAL_LOAD
+        slots = max(1, self.report.slots)
+        reported = (self.report.running + self.report.waiting) / slots
+        remaining = math.exp2(-(now - self.reported_at) / LOAD_HALF_LIFE_S)
+        load = USUAL_LOAD + (reported - USUAL_LOAD) * remaining
+        return max(load, self.own_running / slots)
+
+
+def rank_homes(
+    views: list[HomeView], kind: RouteKind, now: float, rng: random.Random
+) -> list[HomeView]:
+    """Return the homes in the order in which to ask them."""
+    ranked = sorted(
+        (_measure_cost(view, kind, now) + rng.uniform(0, JITTER), index)
+        for index, view in enumerate(views)
+    )
+    order = [views[index] for _, index in ranked]
+    if not kind.is_idempotent or rng.random() >= PROBE_SHARE:
+        return order
+    suspects = [view for view in order if view.estimate_failing(now) > PROBE_ABOVE]
+    if suspects:
+        probed = rng.choice(suspects)
+        order.remove(probed)
+        order.insert(0, probed)
+    return order
+
+
+def _measure_cost(view: HomeView, kind: RouteKind, now: float) -> float:
+    load = view.estimate_load(now)
+    cost = FAILURE_COST[kind] * view.estimate_failing(now) + load
+    if load >= 1:
+        cost += FULL_COST
+    if not view.near:
+        cost += DISTANCE_COST[kind]
+    return cost
--- /dev/null
+++ b/src/flamingobank/sidecar/server_client.py
@@ -0,0 +1,260 @@
+"""Run requests on the server beside this process, one at a time on a connection."""
+
+import abc
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flamingobank.core import Clock, InstanceId, RequestId
+from flamingobank.loop import (
+    Address,
+    AnswerHandler,
+    Headers,
+    HttpClientConnection,
+    Poller,
+    Timers,
+)
+from flamingobank.sidecar.dialect import Dialect, ServerFacts
+
+# The server is on this machine; a connection that takes longer will not come.
+CONNECT_TIMEOUT_S = 0.5
+MAX_IDLE_CONNECTIONS = 8
+DEFAULT_KEEP_ALIVE_S = 5.0
+# A server may close an idle connection just as a request is sent.
+KEEP_ALIVE_SHARE = 0.6
+# A request that may run only once goes on a connection that was in use just now,
+# because a server may have forgotten an idle one without notice.
+FRESH_REUSE_S = 0.4
+# Parts are passed on early only for long answers; until then another server can
+# still replace a broken answer.
+HOLD_BYTES = 1_048_576
+HOLD_S = 0.5
+
+
+class RunOutcome(enum.Enum):
+    """Say how a request on a server ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class RunFailure:
+    """Describe a request without an answer that can be used."""
+
+    outcome: RunOutcome
+    # The server got the request, or a part of it.
+    arrived: bool
+    # The connection could not be opened.
+    unreachable: bool
+    reason: str
+    misdirected: bool = False
+
+
+class RunHandler(abc.ABC):
+    """Receive the outcome of a request on a server."""
+
+    @abc.abstractmethod
+    def on_run_answer(
+        self, status: int, headers: Headers, body: bytes, complete: bool
+    ) -> None:
+        """React to a whole answer or its first part."""
+
+    @abc.abstractmethod
+    def on_run_part(self, body: bytes, complete: bool) -> None:
+        """React to a further part; an empty incomplete one says that it broke."""
+
+    @abc.abstractmethod
+    def on_run_failed(self, failure: RunFailure) -> None:
+        """React to there being no answer."""
+
+
+class ServerRun(AnswerHandler):
+    """Run one request."""
+
+    def __init__(
+        self, client: "ServerClient", request_id: RequestId, handler: RunHandler
+    ) -> None:
+        self.facts: ServerFacts | None = None
+        self.connection: HttpClientConnection | None = None
+        self._client = client
+        self._request_id = request_id
+        self._handler = handler
+        self._status = 0
+        self._headers: Headers = []
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._passing = False
+        self._done = False
+        self._hold_timer = None
+        self._connect_timer = None
+
+    def start(self, connection: HttpClientConnection, request: bytes) -> None:
+        """Send the request."""
+        self.connection = connection
+        connection.identify = self._is_own
+        connection.send(request, self)
+        if not connection.connected:
+            self._connect_timer = self._client.timers.call_at(
+                self._client.clock.now() + CONNECT_TIMEOUT_S, self._check_connected
+            )
+
+    def cancel(self) -> None:
+        """Close the connection, on which most servers drop the request."""
+        self._done = True
+        self._stop_timers()
+        self.connection.cancel()
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        self._status = status
+        self._headers = headers
+        self.facts = self._client.dialect.read_server(status, headers, self._request_id)
+        if not self.facts.not_run:
+            self._hold_timer = self._client.timers.call_at(
+                self._client.clock.now() + HOLD_S, self._pass_parts
+            )
+
+    def on_answer_part(self, data: bytes) -> None:
+        if self._passing:
+            self._handler.on_run_part(data, complete=False)
+            return
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > HOLD_BYTES and not self.facts.not_run:
+            self._pass_parts()
+
+    def on_answer_end(self) -> None:
+        if self._done:
+            return
+        self._done = True
+        self._stop_timers()
+        self._client.keep(self.connection, self.facts)
+        if self._passing:
+            self._handler.on_run_part(b"", complete=True)
+            return
+        if self.facts.not_run:
+            self._fail(RunOutcome.NOT_RUN, f"server answered {self._status}")
+            return
+        if not self.facts.signed and self._status < 300:
+            # A success without the signature is not the server's answer.
+            self._fail(RunOutcome.UNKNOWN, "success without signature")
+            return
+        self._handler.on_run_answer(
+            self._status, self._headers, b"".join(self._parts), complete=True
+        )
+
+    def on_answer_failed(self, reason: str, sent: bool) -> None:
+        if self._done:
+            return
+        self._done = True
+        self._stop_timers()
+        if self._passing:
+            self._handler.on_run_part(b"", complete=False)
+            return
+        if not sent:
+            self._handler.on_run_failed(
+                RunFailure(RunOutcome.NOT_RUN, False, True, reason)
+            )
+            return
+        self._fail(RunOutcome.UNKNOWN, reason)
+
+    def _fail(self, outcome: RunOutcome, reason: str) -> None:
+        misdirected = self.facts is not None and self.facts.misdirected
+        self._handler.on_run_failed(
+            RunFailure(outcome, True, False, reason, misdirected)
+        )
+
+    def _is_own(self, status: int, headers: Headers) -> bool:
+        return not self._client.dialect.read_server(
+            status, headers, self._request_id
+        ).foreign
+
+    def _pass_parts(self) -> None:
+        if self._done or self._passing:
+            return
+        if not self.facts.signed:
+            return
+        self._passing = True
+        body = b"".join(self._parts)
+        self._parts.clear()
+        self._handler.on_run_answer(self._status, self._headers, body, complete=False)
+
+    def _check_connected(self) -> None:
+        if not self._done and not self.connection.connected:
+            self.connection.close("no connection in time")
+
+    def _stop_timers(self) -> None:
+        for timer in (self._hold_timer, self._connect_timer):
+            if timer is not None:
+                timer.cancel()
+
+
+class ServerClient:
+    """Keep connections to one server and run requests on them."""
+
+    def __init__(
+        self, poller: Poller, timers: Timers, clock: Clock, dialect: Dialect
+    ) -> None:
+        self.timers = timers
+        self.clock = clock
+        self.dialect = dialect
+        self._poller = poller
+        self._address: Address | None = None
+        self._instance = InstanceId("")
+        # Idle connections with the deadline for their next use.
+        self._idle: list[tuple[HttpClientConnection, float, float]] = []
+
+    def set_server(self, address: Address, instance: InstanceId) -> None:
+        """Use another server; connections to the former one are closed."""
+        if (address, instance) == (self._address, self._instance):
+            return
+        self._address = address
+        self._instance = instance
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        idle = self._idle
+        self._idle = []
+        for connection, _, _ in idle:
+            connection.close()
+
+    def run(
+        self,
+        request_id: RequestId,
+        encode: Callable[[InstanceId], bytes],
+        idempotent: bool,
+        handler: RunHandler,
+    ) -> ServerRun:
+        """Run a request on a kept connection or on a new one."""
+        run = ServerRun(self, request_id, handler)
+        run.start(self._take_connection(idempotent), encode(self._instance))
+        return run
+
+    def keep(self, connection: HttpClientConnection, facts: ServerFacts) -> None:
+        """Keep a connection for a later request."""
+        if not connection.idle or connection.address != self._address:
+            connection.close()
+            return
+        if connection.output_bytes or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        keep_alive_s = facts.keep_alive_s
+        if keep_alive_s is None:
+            keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        now = self.clock.now()
+        self._idle.append((connection, now + keep_alive_s * KEEP_ALIVE_SHARE, now))
+
+    def _take_connection(self, idempotent: bool) -> HttpClientConnection:
+        now = self.clock.now()
+        while self._idle:
+            connection, deadline, kept_at = self._idle.pop()
+            if not connection.idle or now >= deadline:
+                connection.close()
+                continue
+            if not idempotent and now > kept_at + FRESH_REUSE_S:
+                self._idle.append((connection, deadline, kept_at))
+                break
+            return connection
+        return HttpClientConnection(self._poller, self._address)
--- /dev/null
+++ b/src/flamingobank/sidecar/server_state.py
@@ -0,0 +1,109 @@
+"""Hold what a home knows of the server beside it.
+
+A server announces itself to the home on its machine. Announcements may come late, twice
+or from an earlier start; the newest start and the highest sequence number win. A server
+that was once acknowledged as leaving never gets work again in that start.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from flamingobank.core import InstanceId, ServiceName
+from flamingobank.loop import Address
+
+DEFAULT_SLOTS = 4
+
+
+class Lifecycle(enum.Enum):
+    """Say what a server does."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold one valid announcement of a server."""
+
+    instance: InstanceId
+    # Unix milliseconds of the server's start.
+    started_ms: int
+    sequence: int
+    service: ServiceName
+    address: Address
+    version: str
+    slots: int
+    lifecycle: Lifecycle
+    warmup_left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """Hold a server's notice that it leaves."""
+
+    instance: InstanceId
+    # None when the server does not say which of its starts it means.
+    started_ms: int | None
+
+
+class AnnouncedServer:
+    """Keep the newest announcement and whether the server may get work."""
+
+    def __init__(self) -> None:
+        self.current: Announcement | None = None
+        self.heard_at = 0.0
+        self.warm_at = 0.0
+        self._left: set[tuple[InstanceId, int]] = set()
+
+    @property
+    def accepts_work(self) -> bool:
+        """Tell whether new requests may be sent to the server."""
+        current = self.current
+        return (
+            current is not None
+            and current.lifecycle is Lifecycle.READY
+            and (current.instance, current.started_ms) not in self._left
+        )
+
+    def take(self, announcement: Announcement, now: float) -> bool:
+        """Apply an announcement; tell whether the server or its state changed."""
+        current = self.current
+        key = (announcement.instance, announcement.started_ms)
+        if announcement.lifecycle is not Lifecycle.READY:
+            self._left.add(key)
+        if current is not None:
+            if announcement.started_ms < current.started_ms:
+                return False
+            same = key == (current.instance, current.started_ms)
+            if same and announcement.sequence <= current.sequence:
+                return False
+        before = self.accepts_work
+        self.current = announcement
+        self.heard_at = now
+        self.warm_at = now + announcement.warmup_left_s
+        changed = current is None or key != (current.instance, current.started_ms)
+        return changed or before != self.accepts_work
+
+    def take_departure(self, departure: Departure) -> bool:
+        """Stop work to a server; tell whether that is a change."""
+        instance, started_ms = departure.instance, departure.started_ms
+        current = self.current
+        if current is None or current.instance != instance:
+            if started_ms is not None:
+                self._left.add((instance, started_ms))
+            return False
+        if started_ms is not None and started_ms != current.started_ms:
+            self._left.add((instance, started_ms))
+            return False
+        before = self.accepts_work
+        self._left.add((instance, current.started_ms))
+        return before
+
+    def recall_departures(self, departures: set[tuple[InstanceId, int]]) -> None:
+        """Learn of servers whose departure an earlier process acknowledged."""
+        self._left |= departures
+
+    def list_departures(self) -> set[tuple[InstanceId, int]]:
+        """Return the servers that were acknowledged as leaving."""
+        return set(self._left)
--- /dev/null
+++ b/src/flamingobank/sidecar/store_sync.py
@@ -0,0 +1,196 @@
+"""Follow the configuration and the fleet in the platform's store.
+
+Calls are counted and priced, so only a few sidecars watch and the others learn from
+them. Every message between sidecars carries the age of the newest reading that anyone
+had; when it grows old, more of them ask the store themselves.
+"""
+
+import random
+from collections.abc import Callable
+
+from expression import Result
+
+from flamingobank.core import Clock, hash_text
+from flamingobank.loop import Timers
+from flamingobank.sidecar.fleet_store import (
+    FleetStore,
+    FleetStoreError,
+    TableReading,
+)
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.routes import RoutingTable
+
+# Enough that losing some of them at once leaves one.
+WATCHERS = 4
+# A watch ends this soon, so that a connection that went silent is noticed.
+WATCH_WAIT_S = 1.2
+# A reading this old means that the watchers do not reach the store.
+TAKE_OVER_AGE_S = 2.2
+CHECK_INTERVAL_S = 0.5
+FIRST_RETRY_S = 0.25
+MAX_RETRY_S = 2.0
+SAVE_TIMEOUT_S = 1.0
+
+
+class StoreSync:
+    """Read the table and the peers, and publish the own record."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        rng: random.Random,
+        journal: Journal,
+        metrics: Metrics,
+        store: FleetStore,
+        peers: PeerTable,
+    ) -> None:
+        self.on_table: Callable[[RoutingTable], None] = lambda table: None
+        self.on_peers: Callable[[list[PeerRecord]], None] = lambda records: None
+        self.stopping = False
+        self._clock = clock
+        self._timers = timers
+        self._rng = rng
+        self._journal = journal
+        self._metrics = metrics
+        self._store = store
+        self._peers = peers
+        self._revision: int | None = None
+        self._confirmed_at = -1e9
+        self._calling = False
+        self._available = True
+        self._retry_s = FIRST_RETRY_S
+        self._retry_at = 0.0
+        self._listed = False
+        self._saved = False
+        self._saving = False
+
+    @property
+    def age_s(self) -> float:
+        """Return the age of the newest reading that is known of."""
+        return max(0.0, self._clock.now() - self._confirmed_at)
+
+    def start(self) -> None:
+        """Read everything once, then go on as needed."""
+        self._save()
+        self._list_peers()
+        self._check()
+        self._timers.call_every(CHECK_INTERVAL_S, self._check)
+
+    def note_age(self, age_s: float) -> None:
+        """Learn of a reading that another sidecar had."""
+        self._confirmed_at = max(self._confirmed_at, self._clock.now() - age_s)
+
+    def save_departure(self, on_done: Callable[[], None]) -> None:
+        """Write the own record, which lists acknowledged departures."""
+        self._count("save")
+        self._store.save_peer(
+            self._peers.own, SAVE_TIMEOUT_S / 2, lambda result: on_done()
+        )
+
+    def remove_own(self) -> None:
+        """Remove the own record for good."""
+        self._count("remove")
+        self._store.remove_peer(self._peers.own, lambda result: None)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this sidecar is one of the few that watch."""
+        own = self._peers.own
+        rank = sum(
+            1
+            for peer in self._peers.list_peers()
+            if hash_text(peer.node) < hash_text(own.node)
+        )
+        return rank < WATCHERS
+
+    def _check(self) -> None:
+        now = self._clock.now()
+        if self.stopping or now < self._retry_at:
+            return
+        if not self._saved and not self._saving:
+            self._save()
+        if not self._listed:
+            self._list_peers()
+        if self._calling or not self._is_due():
+            return
+        self._calling = True
+        if self._revision is None:
+            self._count("read")
+            self._store.read_table(self._on_reading)
+            return
+        self._count("watch")
+        self._store.await_table(self._revision, WATCH_WAIT_S, self._on_reading)
+
+    def _is_due(self) -> bool:
+        if self._revision is None or self.is_watcher():
+            return True
+        if self.age_s <= TAKE_OVER_AGE_S:
+            return False
+        share = 2 * WATCHERS / (len(self._peers) + 1)
+        return self._rng.random() < share
+
+    def _on_reading(self, result: Result[TableReading, FleetStoreError]) -> None:
+        self._calling = False
+        now = self._clock.now()
+        if result.is_error():
+            self._on_error(result.error, now)
+            return
+        self._on_success()
+        reading = result.ok
+        self._confirmed_at = now
+        self._revision = reading.revision
+        if reading.table is not None:
+            self.on_table(reading.table)
+        self._check()
+
+    def _on_error(self, error: FleetStoreError, now: float) -> None:
+        self._count_error(error)
+        if error in (FleetStoreError.HISTORY_GONE, FleetStoreError.MALFORMED):
+            # What happened since cannot be told, so the present state is read.
+            self._revision = None
+        if error is FleetStoreError.HISTORY_GONE:
+            self._check()
+            return
+        if self._available:
+            self._available = False
+            self._journal.event("store:lost", error=error.value)
+        self._retry_at = now + self._retry_s * self._rng.uniform(0.7, 1.3)
+        self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
+
+    def _on_success(self) -> None:
+        self._retry_s = FIRST_RETRY_S
+        if not self._available:
+            self._available = True
+            self._journal.event("store:regained")
+
+    def _list_peers(self) -> None:
+        self._listed = True
+        self._count("list")
+        self._store.list_peers(self._on_peers)
+
+    def _on_peers(self, result: Result[list[PeerRecord], FleetStoreError]) -> None:
+        if result.is_error():
+            self._count_error(result.error)
+            # Peers that are known tell of the others.
+            self._listed = len(self._peers) > 0
+            return
+        self.on_peers(result.ok)
+
+    def _save(self) -> None:
+        self._saving = True
+        self._count("save")
+        self._store.save_peer(self._peers.own, SAVE_TIMEOUT_S, self._on_saved)
+
+    def _on_saved(self, result: Result[None, FleetStoreError]) -> None:
+        self._saving = False
+        self._saved = result.is_ok()
+        if result.is_error():
+            self._count_error(result.error)
+
+    def _count(self, operation: str) -> None:
+        self._metrics.count("store_calls_total", operation=operation, outcome="sent")
+
+    def _count_error(self, error: FleetStoreError) -> None:
+        self._metrics.count("store_calls_total", operation="any", outcome=error.value)
--- a/src/flamingobank/store/calls.py
+++ b/src/flamingobank/store/calls.py
@@ -100,8 +100,9 @@
     lines = [
         f"{call.method} {call.target} HTTP/1.1",
         f"Host: {host}",
-        f"Authorization: Bearer {token}",
     ]
+    if token:
+        lines.append(f"Authorization: Bearer {token}")
     lines += [f"{name}: {value}" for name, value in call.headers]
     if call.is_write:
         lines.append(f"Content-Length: {len(call.body)}")
