Test the sidecar's decisions, its exchanges and the adapter

The model of gray failures found that homes between 0.2 and 0.4 were neither used by careful work nor probed, so that working servers starved: probes now go to every home that careful work avoids, the one that was heard of least lately first. Random values found two kinds of spoiled call that raised instead of being refused.

--- /dev/null
+++ b/features/sidecar_exchange.feature
@@ -0,0 +1,73 @@
+Feature: A request's way through an entry
+  Work that may run only once must never be sent twice unless a home states that it has
+  not run, and a refusal must be true; the homes here are scripts.
+
+  Scenario Outline: Unsafe work is sent again only when it has not run
+    Given homes that react to unsafe work with "<first>" and "<second>"
+    When the request is served
+    Then the caller gets <status> and <sent> homes got the request
+
+    Examples:
+      | first              | second    | status | sent |
+      | grant 200          | grant 200 | 200    | 1    |
+      | grant 500          | grant 200 | 500    | 1    |
+      | grant unknown      | grant 200 | 502    | 1    |
+      | grant restarted    | grant 200 | 502    | 1    |
+      | grant not-run      | grant 200 | 200    | 2    |
+      | grant lost         | grant 200 | 200    | 2    |
+      | busy               | grant 200 | 200    | 1    |
+      | silent             | grant 200 | 200    | 1    |
+      | server-down        | grant 200 | 200    | 1    |
+
+  Scenario Outline: Repeatable work is sent again after a failure
+    Given homes that react to safe work with "<first>" and "<second>"
+    When the request is served
+    Then the caller gets <status> and <sent> homes got the request
+
+    Examples:
+      | first           | second        | status | sent |
+      | grant 500       | grant 200     | 200    | 2    |
+      | grant unknown   | grant 200     | 200    | 2    |
+      | grant restarted | grant 200     | 200    | 2    |
+      | grant 500       | grant 500     | 500    | 2    |
+      | grant unknown   | grant unknown | 502    | 2    |
+      | grant 500       | busy          | 500    | 1    |
+      | grant 404       | grant 200     | 404    | 1    |
+
+  Scenario: A route with one attempt never uses a second server
+    Given homes that react to safe work in one attempt with "grant 500"
+    When the request is served
+    Then the caller gets 500 and 1 homes got the request
+
+  Scenario: Without retries left a failure is passed on unchanged
+    Given homes that react to safe work without retries with "grant 500"
+    When the request is served
+    Then the caller gets 500 and 1 homes got the request
+    And the answer carries the server's seal
+
+  Scenario: Work that no home takes is refused at once with a time to return
+    Given homes that react to unsafe work with "busy busy" and "busy busy"
+    When the request is served
+    Then the caller gets 503 and 0 homes got the request
+    And the answer names a time to return
+    And less than half a second has passed
+
+  Scenario: A request that is never answered ends at its deadline
+    Given homes that react to unsafe work with "grant hang" and "grant hang"
+    When the request is served
+    Then the caller gets 504 and 1 homes got the request
+
+  Scenario: A hung server does not keep repeatable work waiting
+    Given homes that react to safe work with "grant hang" and "grant 200"
+    When the request is served
+    Then the caller gets 200 and 2 homes got the request
+    And less than one second has passed
+
+  Scenario: A caller that leaves cancels its request
+    Given homes that react to unsafe work with "grant hang" and "grant hang"
+    When the caller leaves while its request runs
+    Then the home is told to cancel it
+
+  Scenario: Whatever homes do, unsafe work runs once and refusals are true
+    When unsafe requests meet homes with random reactions
+    Then each gets one answer in time, ran once at most, and was refused only unrun
--- /dev/null
+++ b/features/steps/sidecar_decisions_steps.py
@@ -0,0 +1,473 @@
+"""Check the decisions of a sidecar by their rules."""
+
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+from flamingobank.core import (
+    FailureDomain,
+    InstanceId,
+    NodeId,
+    RouteName,
+    ServiceName,
+)
+from flamingobank.sidecar.belief import LONG_RUN_PROBABILITY, FailureBelief
+from flamingobank.sidecar.gate import CAREFUL_LIMIT, GateState, Verdict, decide_offer
+from flamingobank.sidecar.messages import HomeReport
+from flamingobank.sidecar.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.refusals import RETURN_TIMES_S, choose_return
+from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.routes import (
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    WeightedService,
+    choose_target,
+    pack_table,
+    unpack_table,
+)
+from flamingobank.sidecar.selection import HomeView, rank_homes
+from flamingobank.sidecar.server_state import (
+    AnnouncedServer,
+    Announcement,
+    Departure,
+    Lifecycle,
+)
+
+RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=100)
+ORDERS = ServiceName("orders")
+
+
+def make_route(host="x.example", prefix="/a/", kind=RouteKind.SAFE, **changes):
+    """Return a route with usual figures."""
+    route = Route(
+        RouteName(prefix),
+        host,
+        prefix,
+        kind,
+        (WeightedService(ORDERS, 1.0),),
+        3.0,
+        1.0,
+        2,
+        1,
+    )
+    return replace(route, **changes)
+
+
+@when("a working server answers 50 requests in 10 seconds and then fails one")
+def step_fail_once(context):
+    context.belief = FailureBelief(0.0)
+    for step in range(50):
+        context.belief.observe(False, step * 0.2)
+    context.belief.observe(True, 10.0)
+
+
+@then("careful work is kept from it")
+def step_kept_away(context):
+    assert context.belief.read(10.0) > CAREFUL_LIMIT, context.belief.read(10.0)
+
+
+@then("after one more failure a success does not bring careful work back")
+def step_still_kept_away(context):
+    context.belief.observe(True, 10.2)
+    context.belief.observe(False, 10.4)
+    assert context.belief.read(10.4) > CAREFUL_LIMIT, context.belief.read(10.4)
+
+
+@then("three successes do")
+def step_brought_back(context):
+    context.belief.observe(False, 10.6)
+    context.belief.observe(False, 10.8)
+    assert context.belief.read(10.8) < CAREFUL_LIMIT, context.belief.read(10.8)
+
+
+@when("random outcomes are followed by a minute without any")
+def step_random_outcomes(context):
+    context.ends = []
+
+    @RANDOMISED
+    @for_all(st.lists(st.tuples(st.booleans(), st.floats(0, 5)), max_size=30))
+    def run(outcomes):
+        belief, now = FailureBelief(0.0), 0.0
+        for failed, wait_s in outcomes:
+            now += wait_s
+            belief.observe(failed, now)
+            assert 0 < belief.read(now) < 1
+        context.ends.append(belief.read(now + 60))
+
+    run()
+
+
+@then("the belief is always a probability and ends at the long-run share")
+def step_long_run(context):
+    assert all(abs(end - LONG_RUN_PROBABILITY) < 1e-6 for end in context.ends)
+
+
+class GrayWorld:
+    """Serve a load with servers that fail grayly for three seconds in twelve."""
+
+    def __init__(self, seed, judged):
+        self.rng = random.Random(seed)
+        self.judged = judged
+        self.beliefs = [FailureBelief(0.0) for _ in range(12)]
+        self.phases = [self.rng.uniform(0, 12) for _ in range(12)]
+        self.careful = [0, 0]
+        self.served = [[0.0] for _ in range(12)]
+
+    def is_failing(self, server, now):
+        return (now + self.phases[server]) % 12 < 3
+
+    def run(self, seconds):
+        now = 0.0
+        while now < seconds:
+            now += self.rng.expovariate(60)
+            self.serve(now, careful=self.rng.random() < 0.7)
+
+    def serve(self, now, careful):
+        server = self.choose(now, careful)
+        share = 0.8 if self.is_failing(server, now) else 0.012
+        failed = self.rng.random() < share
+        self.beliefs[server].observe(failed, now)
+        self.served[server].append(now)
+        if careful:
+            self.careful[failed] += 1
+
+    def choose(self, now, careful):
+        if not self.judged:
+            return self.rng.randrange(12)
+        views = []
+        for server, belief in enumerate(self.beliefs):
+            view = HomeView(NodeId(str(server)), True)
+            running = sum(1 for time in self.served[server][-9:] if time > now - 0.25)
+            report = HomeReport("orders", belief.read(now), running, 0, 4, True)
+            view.take_report(report, now)
+            view.reported_at = self.served[server][-1]
+            views.append(view)
+        for view in rank_homes(views, RouteKind.SAFE, careful, now, self.rng):
+            running = view.report.running
+            state = GateState(view.report.failing, running, 0, 0, 4, 0.2, 0.0)
+            if decide_offer(careful, False, 2.0, state, now).verdict is Verdict.GRANT:
+                return int(view.node)
+        return self.rng.randrange(12)
+
+
+@when("12 servers that fail grayly a quarter of the time serve a mixed load")
+def step_gray_world(context):
+    context.worlds = [GrayWorld(3, True), GrayWorld(3, False)]
+    for world in context.worlds:
+        world.run(120)
+
+
+@then("careful work fails less than a third as often as with random choice")
+def step_fails_less(context):
+    ratios = [world.careful[1] / sum(world.careful) for world in context.worlds]
+    assert ratios[0] < ratios[1] / 3, ratios
+
+
+@then("at least {floor:f} of the working servers get work in any two seconds")
+def step_keeps_work(context, floor):
+    world = context.worlds[0]
+    for start in range(0, 118):
+        # A server counts once it has worked for two seconds.
+        working = [
+            server
+            for server in range(12)
+            if not any(world.is_failing(server, start - 2 + step) for step in range(5))
+        ]
+        served = [
+            server
+            for server in working
+            if any(start <= time < start + 2 for time in world.served[server])
+        ]
+        assert len(served) >= floor * len(working), (start, served, working)
+
+
+@given(
+    "a server that fails with {failing:f}, runs {running:d} of 4 and has {waiting:d} "
+    "waiting"
+)
+def step_gate(context, failing, running, waiting):
+    context.gate = GateState(failing, running, waiting, waiting, 4, 0.25, -9.0)
+
+
+@when("{work} work with {left:d} s left is offered{forced}")
+def step_offer_forced(context, work, left, forced):
+    _decide(context, work, left, forced == "by force")
+
+
+@when("{work} work with {left:d} s left is offered")
+def step_offer(context, work, left):
+    _decide(context, work, left, False)
+
+
+def _decide(context, work, left, forced):
+    context.decision = decide_offer(work == "careful", forced, left, context.gate, 0.0)
+
+
+@then("the offer is {verdict}")
+def step_verdict(context, verdict):
+    decision = context.decision
+    seen = decision.reason.value if decision.reason else decision.verdict.value
+    assert seen == verdict, f"offer is {seen}, expected {verdict}"
+
+
+@when("7 entries send random requests and retries for a minute")
+def step_share(context):
+    rng = random.Random(11)
+    shares = [RetryShare(0.2, 56, 10.0) for _ in range(7)]
+    context.requests, context.retries = [], []
+    now = 0.0
+    while now < 60:
+        now += rng.expovariate(80)
+        share = rng.choice(shares)
+        share.count_request(ORDERS, now)
+        context.requests.append(now)
+        while rng.random() < 0.6 and share.spend(ORDERS, 7, now):
+            context.retries.append(now)
+
+
+@then("no window of 10 seconds has more retries than the fleet allows")
+def step_share_held(context):
+    assert len(context.retries) > 500, len(context.retries)
+    for end in context.retries:
+        retries = sum(1 for time in context.retries if end - 10 < time <= end)
+        requests = sum(1 for time in context.requests if end - 10 < time <= end)
+        assert retries <= 0.2 * requests + 56, (end, retries, requests)
+
+
+@given("an entry that may send 3 retries")
+def step_small_share(context):
+    context.share = RetryShare(0.0, 3.6, 10.0)
+    assert context.share.measure_allowance(ORDERS, 1, 0.0) > 3
+
+
+@when("3 calls of repeated runs are counted")
+def step_count_repeats(context):
+    for _ in range(3):
+        context.share.count_repeat(ORDERS, 0.0)
+
+
+@then("no retry may be sent")
+def step_no_retry(context):
+    assert not context.share.spend(ORDERS, 1, 0.1)
+
+
+@when("1000 callers are refused for each cause")
+def step_refuse(context):
+    rng = random.Random(5)
+    context.returns = {
+        cause: [choose_return(cause, rng) for _ in range(1000)]
+        for cause in RETURN_TIMES_S
+    }
+
+
+@then("no tenth of the time of return holds more than a fifth of them")
+def step_spread(context):
+    for cause, returns in context.returns.items():
+        first, last = min(returns), max(returns)
+        width = (last - first) / 10
+        for step in range(10):
+            start = first + step * width
+            held = sum(1 for time in returns if start <= time < start + width)
+            assert held <= 200, (cause, start, held)
+
+
+@given('a table with routes "{first}" and "{second}" of host "{host}"')
+def step_table(context, first, second, host):
+    routes = (make_route(host, first), make_route(host, second))
+    context.routing = RoutingTable(1, routes, frozenset([ORDERS]), RequestLimits())
+
+
+@then('"{host}" "{path}" goes to "{prefix}"')
+def step_found(context, host, path, prefix):
+    route = context.routing.find(host, path)
+    assert route is not None and route.prefix == prefix, route
+
+
+@then('"{host}" "{path}" goes nowhere')
+def step_not_found(context, host, path):
+    assert context.routing.find(host, path) is None
+
+
+@when("10000 requests choose between weights 90 and 10")
+def step_weights(context):
+    rng = random.Random(2)
+    targets = (WeightedService(ORDERS, 90), WeightedService(ServiceName("b"), 10))
+    route = make_route(targets=targets)
+    context.chosen = [choose_target(route, rng.random()) for _ in range(10_000)]
+
+
+@then("the second target gets between {low:f} and {high:f} of them")
+def step_shares(context, low, high):
+    share = context.chosen.count("b") / len(context.chosen)
+    assert low < share < high, share
+
+
+@when("random routing tables are packed and unpacked")
+def step_pack_tables(context):
+    texts = st.text(max_size=8)
+    routes = st.builds(
+        make_route,
+        texts,
+        texts,
+        st.sampled_from(RouteKind),
+        timeout_s=st.floats(0, 60),
+        max_attempts=st.integers(1, 5),
+    )
+    context.pairs = []
+
+    @RANDOMISED
+    @for_all(st.integers(0, 2**32), st.lists(routes, max_size=5))
+    def run(version, found):
+        table = RoutingTable(version, tuple(found), frozenset("ab"), RequestLimits())
+        context.pairs.append((table, unpack_table(pack_table(table))))
+
+    run()
+
+
+@then("each is equal to the original")
+def step_equal_tables(context):
+    assert all(before == after for before, after in context.pairs)
+
+
+def make_record(node="n", incarnation=1, revision=1, host="10.0.0.1", **changes):
+    """Return the record of a sidecar."""
+    record = PeerRecord(
+        NodeId(node),
+        incarnation,
+        revision,
+        (host, 7380),
+        FailureDomain("graz-a"),
+        ORDERS,
+        True,
+        False,
+        (),
+    )
+    return replace(record, **changes)
+
+
+@when("random records are merged in random orders by several tables")
+def step_merge(context):
+    context.tables = []
+    records = st.builds(
+        lambda node, incarnation, revision: make_record(
+            f"n{node}", incarnation, revision, f"10.0.0.{node}"
+        ),
+        st.integers(1, 4),
+        st.integers(1, 3),
+        st.integers(1, 3),
+    )
+
+    @RANDOMISED
+    @for_all(st.lists(records, max_size=12), st.randoms(use_true_random=False))
+    def run(found, rng):
+        tables = []
+        for _ in range(3):
+            order = found + found[: len(found) // 2]
+            rng.shuffle(order)
+            table = PeerTable(make_record("own", host="10.0.0.9"))
+            for record in order:
+                table.merge(record, 0.0)
+            tables.append(table)
+        context.tables.append(tables)
+
+    run()
+
+
+@then("all tables hold the same newest records")
+def step_converged(context):
+    for tables in context.tables:
+        assert len({table.digest for table in tables}) == 1
+        for record in tables[0].list_peers():
+            assert tables[1].find(record.node) == record
+
+
+@given("a table whose process started at {started:d}")
+def step_own_table(context, started):
+    context.peers = PeerTable(make_record("own", started))
+
+
+@when("a record of its own start at {started:d} arrives")
+def step_own_record(context, started):
+    context.former = make_record("own", started, 7)
+    context.peers.merge(context.former, 0.0)
+
+
+@then("its own record is newer than that")
+def step_own_newer(context):
+    assert context.peers.own.version > context.former.version
+
+
+@given('a table that knows "{node}" at {host}')
+def step_known_peer(context, node, host):
+    context.peers = PeerTable(make_record("own", host="10.0.0.1"))
+    context.peers.merge(make_record(node, 1, 1, host), 0.0)
+
+
+@when('"{node}" announces itself at {host}')
+def step_announce_peer(context, node, host):
+    context.peers.merge(make_record(node, 2, 1, host), 1.0)
+
+
+@then('the table knows only "{node}"')
+def step_only_peer(context, node):
+    assert [peer.node for peer in context.peers.list_peers()] == [node]
+
+
+def make_announcement(instance, started, sequence, lifecycle=Lifecycle.READY):
+    """Return an announcement of a server."""
+    return Announcement(
+        InstanceId(instance),
+        started,
+        sequence,
+        ORDERS,
+        ("127.0.0.1", 8080),
+        "v1",
+        4,
+        lifecycle,
+        0.0,
+    )
+
+
+@given('a server "{instance}" that started at {started:d} and announced {sequence:d}')
+def step_server(context, instance, started, sequence):
+    context.server = AnnouncedServer()
+    context.server.take(make_announcement(instance, started, sequence), 0.0)
+
+
+@given(
+    'a home that learned from peers that "{instance}" started at {started:d} has left'
+)
+def step_recalled(context, instance, started):
+    context.server = AnnouncedServer()
+    context.server.recall_departures({(InstanceId(instance), started)})
+
+
+@when('"{instance}" started at {started:d} announces {sequence:d} as {state}')
+def step_announce(context, instance, started, sequence, state):
+    announcement = make_announcement(instance, started, sequence, Lifecycle(state))
+    context.server.take(announcement, 1.0)
+
+
+@when("it departs and a late announcement with sequence {sequence:d} arrives")
+def step_depart(context, sequence):
+    current = context.server.current
+    context.server.take_departure(Departure(current.instance, None))
+    context.server.take(
+        make_announcement(current.instance, current.started_ms, sequence), 2.0
+    )
+
+
+@then('the home {sends} work to "{instance}"')
+def step_sends(context, sends, instance):
+    assert context.server.current.instance == instance
+    assert context.server.accepts_work == (sends == "sends")
+
+
+@then('a new start of "{instance}" at {started:d} gets work')
+def step_new_start(context, instance, started):
+    context.server.take(make_announcement(instance, started, 1), 3.0)
+    assert context.server.accepts_work
--- /dev/null
+++ b/features/steps/sidecar_exchange_steps.py
@@ -0,0 +1,132 @@
+"""Check what an entry does with a request by scripted homes."""
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+from features.support.sidecar import ExchangeDesk
+from flamingobank.sidecar.routes import RouteKind
+
+RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=60)
+OFFER_REACTIONS = ("grant", "busy", "suspect", "silent", "server-down", "no-server")
+REQUEST_REACTIONS = (200, 500, "not-run", "unknown", "lost", "restarted", "hang")
+REFUSALS = (408, 421, 429, 503)
+
+
+def _parse(script):
+    return [int(word) if word.isdigit() else word for word in script.split()]
+
+
+def _make_desk(kind, scripts, **options):
+    """Return a desk whose first home is asked first, whatever the draw."""
+    for seed in range(50):
+        desk = ExchangeDesk(RouteKind(kind), scripts, seed=seed, **options)
+        for home in desk.homes.values():
+            home.react_to_offer = lambda stream, reaction: None
+        desk.entry.take(desk.request)
+        if desk.homes["h0"].handlers:
+            return ExchangeDesk(RouteKind(kind), scripts, seed=seed, **options)
+    raise AssertionError("no seed asks the first home first")
+
+
+@given('homes that react to {kind} work with "{first}" and "{second}"')
+def step_homes(context, kind, first, second):
+    context.desk = _make_desk(kind, [_parse(first), _parse(second)])
+
+
+@given('homes that react to safe work in one attempt with "{script}"')
+def step_one_attempt(context, script):
+    scripts = [_parse(script), _parse(script)]
+    context.desk = _make_desk("safe", scripts, max_attempts=1)
+
+
+@given('homes that react to safe work without retries with "{script}"')
+def step_no_retries(context, script):
+    context.desk = _make_desk("safe", [_parse(script), _parse(script)], retries=0.0)
+
+
+@when("the request is served")
+def step_serve(context):
+    context.desk.run()
+
+
+@when("the caller leaves while its request runs")
+def step_leave(context):
+    desk = context.desk
+    desk.run(0.1)
+    assert len(desk.commits) == 1, desk.commits
+    desk.request.watcher.on_caller_left()
+
+
+@then("the caller gets {status:d} and {sent:d} homes got the request")
+def step_final(context, status, sent):
+    assert context.desk.final == status, context.desk.request.answers
+    assert len(context.desk.commits) == sent, context.desk.commits
+
+
+@then("the answer carries the server's seal")
+def step_seal(context):
+    assert b"server-seal" in context.desk.request.answers[0][1]
+
+
+@then("the answer names a time to return")
+def step_return(context):
+    headers = context.desk.request.answers[0][1]
+    assert float(headers[b"retry-after"]) > 0, headers
+
+
+@then("less than half a second has passed")
+def step_half_second(context):
+    assert context.desk.loop.clock.now() < 100.5
+
+
+@then("less than one second has passed")
+def step_one_second(context):
+    assert context.desk.loop.clock.now() < 101.0
+
+
+@then("the home is told to cancel it")
+def step_cancelled(context):
+    desk = context.desk
+    (node,) = desk.commits
+    (commit,) = desk.homes[node].commits
+    assert commit.stream in desk.homes[node].cancels
+    assert not desk.request.answers
+
+
+@when("unsafe requests meet homes with random reactions")
+def step_random_homes(context):
+    context.desks = []
+    pair = st.tuples(
+        st.sampled_from(OFFER_REACTIONS), st.sampled_from(REQUEST_REACTIONS)
+    )
+    scripts = st.lists(st.lists(pair, min_size=1, max_size=2), min_size=1, max_size=4)
+
+    @RANDOMISED
+    @for_all(scripts, st.integers(0, 99))
+    def run(found, seed):
+        flat = [
+            [word for offer, request in script for word in _expand(offer, request)]
+            for script in found
+        ]
+        context.desks.append(ExchangeDesk(RouteKind.UNSAFE, flat, seed=seed).run())
+
+    run()
+
+
+def _expand(offer, request):
+    # Only a granted offer is followed by a request.
+    return (offer, request) if offer == "grant" else (offer,)
+
+
+@then("each gets one answer in time, ran once at most, and was refused only unrun")
+def step_random_held(context):
+    for desk in context.desks:
+        assert desk.loop.clock.now() < 102.1, desk.loop.clock.now()
+        ran = 0
+        for home in desk.homes.values():
+            for commit, reaction in zip(home.commits, home.used, strict=True):
+                assert commit.request_id == "r1"
+                ran += reaction not in ("not-run", "lost")
+        assert ran <= 1, [home.commits for home in desk.homes.values()]
+        if desk.final in REFUSALS:
+            assert ran == 0, desk.request.answers
--- /dev/null
+++ b/features/support/sidecar.py
@@ -0,0 +1,193 @@
+"""Run an entry of a sidecar against scripted homes, without a network."""
+
+import random
+
+from features.steps.sidecar_decisions_steps import make_record, make_route
+from features.support.loop import TestLoop
+from flamingobank.core import ServiceName, VirtualClock
+from flamingobank.platform.headers import PlatformDialect
+from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.messages import (
+    Answer,
+    Commit,
+    Failed,
+    Granted,
+    HomeReport,
+    Offer,
+    Queued,
+    Refused,
+)
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peers import PeerTable
+from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.routes import RequestLimits, RouteKind, RoutingTable
+
+REPORT = HomeReport("orders", 0.05, 0, 0, 4, True)
+SEALED = [(b"server-seal", b"s"), (b"content-length", b"2")]
+
+
+class ScriptedHome:
+    """Stand for a link to one home that reacts as a script says.
+
+    A script lists the reactions to successive offers: "grant", "queue", "silent" or a
+    reason of refusal, each followed by the reaction to the request: a status,
+    "not-run", "unknown", "lost", "restarted" or "hang".
+    """
+
+    def __init__(self, desk, node, script):
+        self.desk = desk
+        self.node = node
+        self.script = list(script)
+        self.handlers = {}
+        self.commits = []
+        # The reactions to those requests.
+        self.used = []
+        self.cancels = []
+        self.is_usable = True
+
+    def open_stream(self, stream, handler):
+        """Note who waits."""
+        self.handlers[stream] = handler
+
+    def close_stream(self, stream):
+        """Forget who waits."""
+        self.handlers.pop(stream, None)
+
+    def suspect(self):
+        """Take no more offers."""
+        self.is_usable = False
+
+    def send_if_up(self, message):
+        """Take a message that needs no answer."""
+        self.cancels.append(message.stream)
+
+    def send(self, message):
+        """React to an offer or a request."""
+        if isinstance(message, Offer):
+            reaction = self.script.pop(0) if self.script else "busy"
+            self.react_to_offer(message.stream, reaction)
+        elif isinstance(message, Commit):
+            self.commits.append(message)
+            self.used.append(self.script.pop(0))
+            self.react_to_request(message.stream, self.used[-1])
+
+    def react_to_offer(self, stream, reaction):
+        """Answer an offer in a later turn."""
+        if reaction == "silent":
+            return
+        if reaction == "queue":
+            self.reply(Queued(stream))
+            return
+        if reaction == "grant":
+            self.reply(Granted(stream))
+            return
+        self.reply(Refused(stream, reaction, REPORT))
+
+    def react_to_request(self, stream, reaction):
+        """Answer a request in a later turn."""
+        if isinstance(reaction, int):
+            self.reply(Answer(stream, reaction, SEALED, b"ok", True, REPORT))
+        elif reaction == "not-run":
+            self.reply(Failed(stream, True, True, False, "shed", REPORT))
+        elif reaction == "unknown":
+            self.reply(Failed(stream, False, True, False, "reset", REPORT))
+        elif reaction == "restarted":
+            self.later(lambda: self.handlers[stream].on_home_restarted())
+        elif reaction == "lost":
+            self.later(lambda: self.handlers[stream].on_link_lost())
+            self.reply(Refused(stream, "never-received", REPORT))
+
+    def reply(self, message):
+        """Deliver a message as the link would."""
+
+        def deliver():
+            handler = self.handlers.get(message.stream)
+            if handler is not None:
+                handler.on_message(message)
+
+        self.later(deliver)
+
+    def later(self, callback):
+        """Run a callback a millisecond on."""
+        self.desk.loop.timers.call_at(self.desk.loop.clock.now() + 0.001, callback)
+
+
+class RecordedRequest:
+    """Stand for a caller's request and record its answers."""
+
+    def __init__(self, now, kind):
+        self.method = "POST" if kind is RouteKind.UNSAFE else "GET"
+        self.target = b"/a/x"
+        self.headers = [
+            (b"host", b"x.example"),
+            (b"request-id", b"r1"),
+            (b"deadline-milliseconds", b"2000"),
+        ]
+        self.body = b""
+        self.read_at = now
+        self.watcher = None
+        self.answers = []
+        self.aborted = False
+
+    def get_header(self, name):
+        """Return a header as text."""
+        return dict(self.headers).get(name, b"").decode()
+
+    def answer(self, status, headers, body):
+        """Record a final answer."""
+        self.answers.append((status, dict(headers), body))
+
+    def abort(self):
+        """Record a break."""
+        self.aborted = True
+
+
+class ExchangeDesk:
+    """Hold an entry, its scripted homes and one request."""
+
+    def __init__(self, kind, scripts, max_attempts=2, retries=100.0, seed=1):
+        self.loop = TestLoop(VirtualClock(100.0))
+        self.homes = {}
+        peers = PeerTable(make_record("own", host="10.0.0.1", serving=False))
+        for number, script in enumerate(scripts):
+            node = f"h{number}"
+            peers.merge(make_record(node, host=f"10.0.1.{number}"), 0.0)
+            self.homes[node] = ScriptedHome(self, node, script)
+        self.entry = Entry(
+            self.loop.clock,
+            self.loop.timers,
+            random.Random(seed),
+            PlatformDialect(),
+            Journal("own"),
+            Metrics({"node": "own"}),
+            peers,
+            RetryShare(0.0, retries, 10.0),
+            ServiceName("orders"),
+        )
+        self.entry.get_link = self.homes.__getitem__
+        route = make_route(kind=kind, max_attempts=max_attempts)
+        self.entry.table = RoutingTable(
+            1, (route,), frozenset(["orders"]), RequestLimits()
+        )
+        self.request = RecordedRequest(self.loop.clock.now(), kind)
+
+    def run(self, seconds=4.0):
+        """Serve the request and let time pass."""
+        self.entry.take(self.request)
+        for _ in range(int(seconds / 0.01)):
+            self.loop.advance(0.01, turns=1)
+            if self.request.answers:
+                break
+        return self
+
+    @property
+    def commits(self):
+        """Return the homes that got the request."""
+        return [node for node, home in self.homes.items() for _ in home.commits]
+
+    @property
+    def final(self):
+        """Return the status of the one answer."""
+        assert len(self.request.answers) == 1, self.request.answers
+        return self.request.answers[0][0]
--- a/src/flamingobank/loop/http_client.py
+++ b/src/flamingobank/loop/http_client.py
@@ -126,7 +126,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
-            if self._complete:
+            if self._complete and self.identify is not None:
                 # Bytes behind a complete answer spoil only the connection.
                 self._finish()
                 return
--- a/src/flamingobank/platform/announcements.py
+++ b/src/flamingobank/platform/announcements.py
@@ -11,6 +11,7 @@
 
 _PATH = re.compile(r"^/flamingobank/instances/([^/]{1,200})/(heartbeat|deregister)$")
 MAX_SLOTS = 10_000
+MAX_WARMUP_S = 3600
 
 
 def decode_call(
@@ -28,7 +29,14 @@
         if match[2] == "deregister":
             return Ok(Departure(instance, _read_started(document)))
         return Ok(_decode_announcement(instance, document))
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Error(f"instance {instance[:40]}: {error!r}")
 
 
@@ -39,6 +47,10 @@
     warmup = status.get("warmup-remaining-s", 0)
     if isinstance(warmup, bool) or not isinstance(warmup, int | float):
         raise ValueError(f"warmup-remaining-s is {warmup!r}, expected a number")
+    if not 0 <= warmup <= MAX_WARMUP_S:
+        raise ValueError(
+            f"warmup-remaining-s is {warmup}, expected 0 to {MAX_WARMUP_S}"
+        )
     # "ready" says that the server wants work, not that it is healthy.
     lifecycle = {"ready": Lifecycle.READY, "draining": Lifecycle.DRAINING}.get(
         status["state"]
@@ -55,7 +67,7 @@
         version=_read_text(info, "version"),
         slots=slots,
         lifecycle=lifecycle,
-        warmup_left_s=max(0.0, float(warmup)),
+        warmup_left_s=float(warmup),
     )
 
 
--- a/src/flamingobank/platform/configuration.py
+++ b/src/flamingobank/platform/configuration.py
@@ -20,7 +20,7 @@
     """Return the routing table of a configuration, or what is wrong with it."""
     try:
         return Ok(_decode(document))
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
         return Error(f"configuration is malformed: {error!r}")
 
 
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -17,6 +17,7 @@
 )
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.peers import PeerRecord, pack_record, unpack_record
+from flamingobank.sidecar.routes import RoutingTable
 from flamingobank.store import Transport
 from flamingobank.store.calls import Answer, CallFailed, StoreCall
 
@@ -112,7 +113,7 @@
                 if record is not None:
                     records.append(record)
             if result.ok.get("has-more") and items:
-                last = items[-1]["metadata"]["name"]
+                last = str(items[-1]["metadata"]["name"])
                 self._list_page(last, records, callback)
                 return
             callback(Ok(records))
@@ -169,9 +170,9 @@
             return Error(FleetStoreError.MALFORMED)
         newest = None
         for item in objects:
-            if item["metadata"]["name"] != CONFIGURATION_NAME:
+            decoded = _decode_item(item)
+            if decoded is None:
                 continue
-            decoded = decode_configuration(item["specification"])
             if decoded.is_error():
                 self._journal.warn("store:malformed", error=decoded.error)
                 continue
@@ -192,6 +193,16 @@
         )
 
 
+def _decode_item(item: object) -> Result[RoutingTable, str] | None:
+    """Return the table of a configuration object, None for any other object."""
+    try:
+        if item["metadata"]["name"] != CONFIGURATION_NAME:
+            return None
+        return decode_configuration(item["specification"])
+    except (KeyError, TypeError) as error:
+        return Error(f"object is malformed: {error!r}")
+
+
 def _name_peer(record: PeerRecord) -> str:
     return f"{OBJECTS}/{PEER_KIND}/{quote(record.node, safe='')}"
 
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -161,6 +161,7 @@
         )
         self.entry.get_link = self._get_link
         self.entry.on_call_failed = self._note_call_failure
+        self.entry.has_repeated_runs = lambda: self.home.repeated_runs > 0
         self.gossip = Gossip(
             self.poller,
             self.timers,
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -41,6 +41,7 @@
         self.table: RoutingTable | None = None
         self.exchanges: set[Exchange] = set()
         self.get_link: Callable[[NodeId], object] = lambda node: None
+        self.has_repeated_runs: Callable[[], bool] = lambda: False
         self.on_call_failed: Callable[[], None] = lambda: None
         self._rng = rng
         self._dialect = dialect
@@ -67,6 +68,9 @@
             return
         service = choose_target(route, self._rng.random())
         self._retries.count_request(service, now)
+        if service != self.calling_service and self.has_repeated_runs():
+            # Probably a call of a repeated run, which counts as a repeat itself.
+            self._retries.count_repeat(service, now)
         deadline = request.read_at + route.timeout_s
         if facts.left_s is not None:
             deadline = min(deadline, request.read_at + facts.left_s - RETURN_MARGIN_S)
@@ -88,7 +92,12 @@
         return next(self._streams)
 
     def pick_home(
-        self, service: ServiceName, kind: RouteKind, excluded: set[str], now: float
+        self,
+        service: ServiceName,
+        kind: RouteKind,
+        careful: bool,
+        excluded: set[str],
+        now: float,
     ) -> HomeView | None:
         """Return the best home of a service that may be asked."""
         views = []
@@ -100,7 +109,7 @@
             views.append(self._get_view(record))
         if not views:
             return None
-        return rank_homes(views, kind, now, self._rng)[0]
+        return rank_homes(views, kind, careful, now, self._rng)[0]
 
     def note_report(self, node: NodeId, report: HomeReport) -> None:
         """Take a report that a home sent by itself."""
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -28,14 +28,14 @@
 )
 from flamingobank.sidecar.refusals import RefusalCause
 from flamingobank.sidecar.routes import Route
-from flamingobank.sidecar.selection import HomeView
+from flamingobank.sidecar.selection import HomeView, choose_full_home
 
 if TYPE_CHECKING:
     from flamingobank.sidecar.entry import Entry
 
 # A grant or refusal takes one round trip, some milliseconds; a home that stays silent
 # this long is behind a broken path.
-OFFER_TIMEOUT_S = 0.18
+OFFER_TIMEOUT_S = 0.07
 # The answer travels to the caller within this part of its time.
 RETURN_MARGIN_S = 0.03
 # Less time than this is not worth an attempt.
@@ -44,7 +44,7 @@
 HEDGE_SHARE = 0.55
 # Hedges leave this many retries to requests that have failed.
 HEDGE_RESERVE = 3.0
-# Work that runs once waits for a server to recover for this share of its objective.
+# Careful work waits for a server to recover for this share of its objective.
 PATIENCE_SHARE = 0.3
 PATIENCE_STEP_S = 0.1
 TOO_LIKELY_FAILING = 0.5
@@ -127,6 +127,11 @@
         """Tell whether the request may run more than once."""
         return self.route.kind.is_idempotent
 
+    @property
+    def careful(self) -> bool:
+        """Tell whether a failure of the next attempt would be final."""
+        return not self.idempotent or self.runs + 1 >= self.route.max_attempts
+
     def start(self) -> None:
         """Begin to look for a home."""
         self.request.watcher = self
@@ -227,7 +232,9 @@
 
     def _pick_home(self, now: float) -> HomeView | None:
         excluded = self._asked | self._ran_at
-        return self._entry.pick_home(self.service, self.route.kind, excluded, now)
+        return self._entry.pick_home(
+            self.service, self.route.kind, self.careful, excluded, now
+        )
 
     def _force(self, now: float) -> None:
         """Queue at the best home that was full, or give the request up."""
@@ -243,15 +250,12 @@
             self._full.clear()
             self._call_at(now + PATIENCE_STEP_S, self._ask_next)
             return
-        best = min(
-            homes,
-            key=lambda home: 2 * home.estimate_failing(now) + home.estimate_load(now),
-        )
+        best = choose_full_home(homes, now)
         del self._full[best.node]
         self._offer(best, forced=True)
 
     def _should_wait(self, homes: list[HomeView], now: float) -> bool:
-        if self.idempotent:
+        if not self.careful:
             return False
         waited_s = now - self.request.read_at
         if waited_s > PATIENCE_SHARE * self.route.target_latency_s:
@@ -272,6 +276,7 @@
                 attempt.stream,
                 self.service,
                 self.idempotent,
+                self.careful,
                 self.route.priority,
                 self.deadline - now,
                 forced,
@@ -327,6 +332,7 @@
                 request.body,
                 left_s,
                 self._entry.calling_service,
+                extra,
             )
         )
         if self.idempotent and self.route.max_attempts > self.runs + 1:
@@ -345,7 +351,7 @@
         if self._entry.measure_retries(self.service, now) < HEDGE_RESERVE:
             return
         excluded = self._ran_at | {attempt.home.node}
-        home = self._entry.pick_home(self.service, self.route.kind, excluded, now)
+        home = self._entry.pick_home(self.service, self.route.kind, True, excluded, now)
         if home is not None:
             self._log("exchange:hedged", slow_home=attempt.home.node, home=home.node)
             self._offer(home, forced=False)
--- a/src/flamingobank/sidecar/gate.py
+++ b/src/flamingobank/sidecar/gate.py
@@ -1,8 +1,8 @@
 """Decide whether a home takes a request for its server.
 
-Answers overload and gray failures: work that may run only once needs a server with
-fresh successes, work that may be repeated finds out whether a suspect has recovered,
-and a queue is only joined by requests that it can serve in time.
+Answers overload and gray failures: work whose failure would be final needs a server
+with fresh successes, work that may be tried again finds out whether a suspect has
+recovered, and a queue is only joined by requests that it can serve in time.
 """
 
 import enum
@@ -10,8 +10,8 @@
 
 from flamingobank.sidecar.messages import RefusalReason
 
-# Work that may run only once is kept from servers that fail more likely than this.
-UNSAFE_LIMIT = 0.2
+# Careful work is kept from servers that fail more likely than this.
+CAREFUL_LIMIT = 0.2
 # Beyond this a server gets one repeatable request at a time, spaced out.
 SUSPECT_LIMIT = 0.5
 PROBE_SPACING_S = 0.4
@@ -55,11 +55,11 @@
 
 
 def decide_offer(
-    idempotent: bool, forced: bool, left_s: float, state: GateState, now: float
+    careful: bool, forced: bool, left_s: float, state: GateState, now: float
 ) -> Decision:
     """Return what to do with an offer to a server that accepts work."""
     if not forced:
-        if not idempotent and state.failing > UNSAFE_LIMIT:
+        if careful and state.failing > CAREFUL_LIMIT:
             return Decision(Verdict.REFUSE, RefusalReason.SUSPECT)
         probing = state.running > 0 or now < state.probed_at + PROBE_SPACING_S
         if state.failing > SUSPECT_LIMIT and probing:
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -19,8 +19,8 @@
 from flamingobank.sidecar.belief import FailureBelief
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.gate import (
+    CAREFUL_LIMIT,
     SUSPECT_LIMIT,
-    UNSAFE_LIMIT,
     GateState,
     Verdict,
     decide_offer,
@@ -90,6 +90,7 @@
         self.state_since = now
         self.request_id = RequestId("")
         self.run: ServerRun | None = None
+        self.repeated = False
         self.outcome: list[Message] = []
         self.orphaned_at: float | None = None
 
@@ -146,6 +147,8 @@
         self.leaving = False
         self.works: dict[tuple[str, int], Work] = {}
         self.call_failed_at = -1e9
+        # Runs that repeat an earlier one; the calls that they make are repeats too.
+        self.repeated_runs = 0
         self._journal = journal
         self._metrics = metrics
         self._list_channels = list_channels
@@ -314,9 +317,7 @@
             self._mean_work_s,
             self._probed_at,
         )
-        decision = decide_offer(
-            offer.idempotent, offer.forced, offer.left_s, state, now
-        )
+        decision = decide_offer(offer.careful, offer.forced, offer.left_s, state, now)
         if decision.verdict is Verdict.REFUSE:
             self._refuse(channel, offer.stream, decision.reason)
             return
@@ -360,6 +361,8 @@
             return
         work.state = WorkState.RUNNING
         work.state_since = now
+        work.repeated = message.repeated
+        self.repeated_runs += message.repeated
         self._metrics.count("server_requests_total")
 
         def encode(instance: InstanceId) -> bytes:
@@ -421,6 +424,7 @@
             self._waiting = [entry for entry in self._waiting if entry[2] is not work]
         else:
             self._busy -= 1
+            self.repeated_runs -= work.repeated
         work.state = WorkState.DONE
         work.state_since = self.clock.now()
         check_invariant(Invariant.SLOTS, self._busy >= 0, busy=self._busy)
@@ -434,7 +438,7 @@
         # Two thresholds, so that a belief near one of them is not pushed to and fro.
         if self._was_trusted and failing > SUSPECT_LIMIT:
             self._was_trusted = False
-        elif not self._was_trusted and failing < UNSAFE_LIMIT:
+        elif not self._was_trusted and failing < CAREFUL_LIMIT:
             self._was_trusted = True
         else:
             return
--- a/src/flamingobank/sidecar/messages.py
+++ b/src/flamingobank/sidecar/messages.py
@@ -51,6 +51,8 @@
     stream: int
     service: str
     idempotent: bool
+    # No further attempt can follow, so a failure would be final.
+    careful: bool
     priority: int
     left_s: float
     # Queue when busy, and accept a suspect server.
@@ -92,6 +94,8 @@
     body: bytes
     left_s: float
     calling_service: str
+    # An earlier send of this request has reached a server.
+    repeated: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/flamingobank/sidecar/retry_share.py
+++ b/src/flamingobank/sidecar/retry_share.py
@@ -28,6 +28,10 @@
         """Count a request of a caller."""
         self._requests.setdefault(service, deque()).append(now)
 
+    def count_repeat(self, service: ServiceName, now: float) -> None:
+        """Count an arrival that repeats earlier work."""
+        self._retries.setdefault(service, deque()).append(now)
+
     def measure_allowance(
         self, service: ServiceName, entries: int, now: float
     ) -> float:
@@ -41,7 +45,7 @@
         """Take one retry; return whether it may be sent."""
         if self.measure_allowance(service, entries, now) < 1.0:
             return False
-        self._retries.setdefault(service, deque()).append(now)
+        self.count_repeat(service, now)
         return True
 
     def _trim(
--- a/src/flamingobank/sidecar/selection.py
+++ b/src/flamingobank/sidecar/selection.py
@@ -14,14 +14,18 @@
 from flamingobank.sidecar.messages import HomeReport
 from flamingobank.sidecar.routes import RouteKind
 
-# Work that runs once is lost by a failure; other work only by a second one.
-FAILURE_COST = {RouteKind.UNSAFE: 4.0, RouteKind.SAFE: 1.5, RouteKind.DOWNLOAD: 1.5}
+# A failure is final for careful work; other work is only lost by a second one.
+CAREFUL_FAILURE_COST = 4.0
+FAILURE_COST = 1.5
 # Bytes between failure domains have a price, which large answers feel most.
 DISTANCE_COST = {RouteKind.UNSAFE: 0.04, RouteKind.SAFE: 0.04, RouteKind.DOWNLOAD: 0.3}
 FULL_COST = 1.0
 JITTER = 0.15
 PROBE_SHARE = 0.3
-PROBE_ABOVE = 0.4
+# Careful work avoids homes above this, so without probes nobody would learn of them.
+PROBE_ABOVE = 0.18
+# Queueing elsewhere is better than a server above this.
+AVOID_ABOVE = 0.4
 # What was reported of load is half forgotten after this time.
 LOAD_HALF_LIFE_S = 0.6
 USUAL_LOAD = 0.35
@@ -61,27 +65,47 @@
 
 
 def rank_homes(
-    views: list[HomeView], kind: RouteKind, now: float, rng: random.Random
+    views: list[HomeView],
+    kind: RouteKind,
+    careful: bool,
+    now: float,
+    rng: random.Random,
 ) -> list[HomeView]:
     """Return the homes in the order in which to ask them."""
     ranked = sorted(
-        (_measure_cost(view, kind, now) + rng.uniform(0, JITTER), index)
+        (_measure_cost(view, kind, careful, now) + rng.uniform(0, JITTER), index)
         for index, view in enumerate(views)
     )
     order = [views[index] for _, index in ranked]
-    if not kind.is_idempotent or rng.random() >= PROBE_SHARE:
+    if careful or rng.random() >= PROBE_SHARE:
         return order
     suspects = [view for view in order if view.estimate_failing(now) > PROBE_ABOVE]
     if suspects:
-        probed = rng.choice(suspects)
+        # The one that was heard of least lately may have recovered unnoticed.
+        probed = min(suspects, key=lambda view: view.reported_at)
         order.remove(probed)
         order.insert(0, probed)
     return order
 
 
-def _measure_cost(view: HomeView, kind: RouteKind, now: float) -> float:
+def choose_full_home(views: list[HomeView], now: float) -> HomeView:
+    """Return the home at which to queue when all have turned a request down.
+
+    Waiting for a server that works beats being failed at once by one that does not.
+    """
+    return min(
+        views,
+        key=lambda view: (
+            view.estimate_failing(now) > AVOID_ABOVE,
+            view.estimate_failing(now) + view.estimate_load(now),
+        ),
+    )
+
+
+def _measure_cost(view: HomeView, kind: RouteKind, careful: bool, now: float) -> float:
     load = view.estimate_load(now)
-    cost = FAILURE_COST[kind] * view.estimate_failing(now) + load
+    failure_cost = CAREFUL_FAILURE_COST if careful else FAILURE_COST
+    cost = failure_cost * view.estimate_failing(now) + load
     if load >= 1:
         cost += FULL_COST
     if not view.near:
