Let offers wait as long as their home usually takes, and spare the last retry

Also, entries without retries left still sent first attempts to suspects, so 64 of 980 calls ended with a server's 500.

An offer now waits five times its link's usual reaction (70 to 350 ms), a silent link with an open connection is a last resort before a refusal, and an attempt that no retry can follow counts as careful.

--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -45,6 +45,8 @@
         self.used = []
         self.cancels = []
         self.is_usable = True
+        self.may_answer = False
+        self.patience_s = 0.07
 
     def open_stream(self, stream, handler):
         """Note who waits."""
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -101,12 +101,17 @@
     ) -> HomeView | None:
         """Return the best home of a service that may be asked."""
         views = []
+        silent = []
         for record in self._list_homes(service):
             if record.node in excluded:
                 continue
-            if not self.get_link(record.node).is_usable:
-                continue
-            views.append(self._get_view(record))
+            link = self.get_link(record.node)
+            if link.is_usable:
+                views.append(self._get_view(record))
+            elif link.may_answer:
+                silent.append(self._get_view(record))
+        # A home that was silent may have been slow; it beats refusing the request.
+        views = views or silent
         if not views:
             return None
         return rank_homes(views, kind, careful, now, self._rng)[0]
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -33,9 +33,6 @@
 if TYPE_CHECKING:
     from flamingobank.sidecar.entry import Entry
 
-# A grant or refusal takes one round trip, some milliseconds; a home that stays silent
-# this long is behind a broken path.
-OFFER_TIMEOUT_S = 0.07
 # The answer travels to the caller within this part of its time.
 RETURN_MARGIN_S = 0.03
 # Less time than this is not worth an attempt.
@@ -49,6 +46,8 @@
 PATIENCE_STEP_S = 0.1
 TOO_LIKELY_FAILING = 0.5
 MAX_ARRIVALS = 5
+# With fewer retries left than this, the first attempt may be the last.
+CAREFUL_BELOW = 2.0
 
 
 class AttemptState(enum.Enum):
@@ -130,7 +129,10 @@
     @property
     def careful(self) -> bool:
         """Tell whether a failure of the next attempt would be final."""
-        return not self.idempotent or self.runs + 1 >= self.route.max_attempts
+        if not self.idempotent or self.runs + 1 >= self.route.max_attempts:
+            return True
+        now = self._entry.clock.now()
+        return self._entry.measure_retries(self.service, now) < CAREFUL_BELOW
 
     def start(self) -> None:
         """Begin to look for a home."""
@@ -269,7 +271,7 @@
         link = self._entry.get_link(home.node)
         link.open_stream(attempt.stream, attempt)
         attempt.timer = self._call_at(
-            now + OFFER_TIMEOUT_S, lambda: self._on_offer_timeout(attempt)
+            now + link.patience_s, lambda: self._on_offer_timeout(attempt)
         )
         link.send(
             Offer(
--- a/src/flamingobank/sidecar/gate.py
+++ b/src/flamingobank/sidecar/gate.py
@@ -14,7 +14,7 @@
 CAREFUL_LIMIT = 0.2
 # Beyond this a server gets one repeatable request at a time, spaced out.
 SUSPECT_LIMIT = 0.5
-PROBE_SPACING_S = 0.4
+PROBE_SPACING_S = 0.5
 # A request joins a queue only when this share of the usual work fits behind the wait.
 NEEDED_WORK_SHARE = 0.8
 
--- a/src/flamingobank/sidecar/links.py
+++ b/src/flamingobank/sidecar/links.py
@@ -37,6 +37,13 @@
 # A link on which an offer got no reaction is given up after this time.
 PROBE_S = 0.5
 CHECK_INTERVAL_S = 0.1
+# An offer that takes several times the usual reaction of its home is given up. The
+# usual reaction covers two machines that may be slow, not just the path.
+MIN_PATIENCE_S = 0.07
+MAX_PATIENCE_S = 0.35
+FIRST_REACTION_S = 0.03
+PATIENCE_FACTOR = 5
+REACTION_SMOOTHING = 0.25
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 3.0
 
@@ -179,6 +186,19 @@
         self._connect_deadline = 0.0
         self._pinged = False
         self._probe_deadline = 0.0
+        self._offered: dict[int, float] = {}
+        self._reaction_s = FIRST_REACTION_S
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long an offer waits for a reaction."""
+        patience_s = PATIENCE_FACTOR * self._reaction_s
+        return min(MAX_PATIENCE_S, max(MIN_PATIENCE_S, patience_s))
+
+    @property
+    def may_answer(self) -> bool:
+        """Tell whether a connection is open, though the peer was silent on it."""
+        return self.state is LinkState.UP
 
     @property
     def is_usable(self) -> bool:
@@ -198,6 +218,7 @@
             self.heard_at = self._links.clock.now()
             self._pinged = False
         self.handlers[stream] = handler
+        self._offered[stream] = self._links.clock.now()
 
     def close_stream(self, stream: int) -> None:
         """Forget a request."""
@@ -292,6 +313,11 @@
         if stream is None:
             self._links.observer.on_link_message(self, message)
             return
+        offered_at = self._offered.pop(stream, None)
+        if offered_at is not None:
+            # Late reactions count as well, or patience would never grow.
+            sample_s = self._links.clock.now() - offered_at
+            self._reaction_s += REACTION_SMOOTHING * (sample_s - self._reaction_s)
         handler = self.handlers.get(stream)
         if handler is not None:
             handler.on_message(message)
@@ -302,6 +328,7 @@
         self.state = LinkState.IDLE
         self.failed = True
         self._channel = None
+        self._offered.clear()
         self._unsent.clear()
         if not was_up:
             self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
--- a/src/flamingobank/sidecar/local_link.py
+++ b/src/flamingobank/sidecar/local_link.py
@@ -4,7 +4,7 @@
 
 from flamingobank.core import BootId
 from flamingobank.loop import Timers
-from flamingobank.sidecar.links import StreamHandler
+from flamingobank.sidecar.links import MAX_PATIENCE_S, StreamHandler
 from flamingobank.sidecar.messages import Message
 
 
@@ -42,6 +42,16 @@
         """Tell that the own process can always be reached."""
         return True
 
+    @property
+    def may_answer(self) -> bool:
+        """Tell that the own process can always be reached."""
+        return True
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long an offer waits for a reaction."""
+        return MAX_PATIENCE_S
+
     def suspect(self) -> None:
         """Ignore a home that was slow; there is no path to avoid."""
 
