Test a sidecar's sockets, and close connections that fall idle while draining

A caller that pipelined requests into a draining process kept its connection open: the answers were written before the last request was known to be the last, and only connections that were idle at the start of the drain were closed.

--- /dev/null
+++ b/features/steps/sidecar_network_steps.py
@@ -0,0 +1,326 @@
+"""Check the sockets of a sidecar on loopback."""
+
+from behave import given, then, when
+
+from features.support.home import HomeDesk, RecordedChannel
+from features.support.loop import LOCAL, RawPeer, TestLoop
+from flamingobank.core import VirtualClock
+from flamingobank.sidecar.http_server import CallerWatcher, HttpServer
+from flamingobank.sidecar.messages import (
+    Answer,
+    Cancel,
+    Failed,
+    Granted,
+    Queued,
+    Refused,
+    Resume,
+)
+from flamingobank.sidecar.routes import RequestLimits
+from flamingobank.sidecar.server_state import Lifecycle
+
+LIMITS = RequestLimits(16_384, 1000, 5.0, 15.0)
+GET = b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class RecordedWatcher(CallerWatcher):
+    """Note that the caller left."""
+
+    def __init__(self):
+        self.left = False
+
+    def on_caller_left(self):
+        self.left = True
+
+
+class HttpDesk:
+    """Hold an HTTP server and one caller."""
+
+    def __init__(self, handle):
+        self.loop = TestLoop(VirtualClock(100.0))
+        self.requests = []
+        self.watcher = RecordedWatcher()
+
+        def take(request):
+            request.watcher = self.watcher
+            self.requests.append(request)
+            handle(self, request)
+
+        self.server = HttpServer(
+            self.loop.poller,
+            self.loop.timers,
+            self.loop.clock,
+            LOCAL,
+            lambda: LIMITS,
+            take,
+        )
+        self.peer = RawPeer(self.server.address)
+
+    def read_until(self, text):
+        """Turn the loop until the caller has read a text."""
+        self.loop.run_until(lambda: text in self.peer.poll().received, repr(text))
+
+
+def _echo(desk, request):
+    request.answer(200, [], request.body)
+
+
+def _answer_backwards(desk, request):
+    if len(desk.requests) == 2:
+        desk.requests[1].answer(200, [], b"second")
+        desk.requests[0].answer(200, [], b"first")
+
+
+@given("an HTTP server that answers the second request before the first")
+def step_backwards(context):
+    context.http = HttpDesk(_answer_backwards)
+
+
+@given("an HTTP server that echoes bodies")
+def step_echo(context):
+    context.http = HttpDesk(_echo)
+
+
+@given("an HTTP server that never answers")
+def step_mute(context):
+    context.http = HttpDesk(lambda desk, request: None)
+
+
+@when("a caller sends two requests in one write")
+def step_two(context):
+    context.http.peer.send(GET % b"1" + GET % b"2")
+
+
+@when("a caller sends two requests in one write and the server drains")
+def step_two_draining(context):
+    desk = context.http
+    desk.peer.send(GET % b"1")
+    desk.loop.run_until(lambda: desk.requests, "first request")
+    desk.server.drain()
+    desk.peer.send(GET % b"2")
+
+
+@then('it reads "first" and then "second"')
+def step_ordered(context):
+    context.http.read_until(b"second")
+    received = context.http.peer.received
+    assert received.index(b"first") < received.index(b"second")
+
+
+@then("the connection ends")
+def step_ends(context):
+    peer = context.http.peer
+    context.http.loop.run_until(lambda: peer.poll().ended, "end of the connection")
+    assert peer.ended == "end", peer.ended
+
+
+@when("a caller sends a chunked body byte by byte")
+def step_bytes(context):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+    for position in range(len(data)):
+        context.http.peer.send(data[position : position + 1])
+        context.http.loop.turn(0)
+
+
+@then("it reads its whole body back")
+def step_body(context):
+    context.http.read_until(b"\r\n\r\nabcdefg")
+
+
+@when('a caller sends "{request}"')
+def step_send(context, request):
+    data = {
+        "a head of 20000 bytes": b"GET / HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n"
+        % (b"a" * 20_000),
+        "a body of 2000 bytes": b"POST / HTTP/1.1\r\nHost: x\r\n"
+        b"Content-Length: 2000\r\n\r\n",
+        "two lengths": b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+        b"Content-Length: 2\r\n\r\na",
+        "no HTTP": b"hello there\r\n\r\n",
+    }[request]
+    context.http.peer.send(data)
+
+
+@then("it gets {status:d} and the connection ends")
+def step_refused(context, status):
+    context.http.read_until(b"HTTP/1.1 %d" % status)
+    step_ends(context)
+    assert not context.http.requests
+
+
+@when("a caller sends half a head and waits 6 seconds")
+def step_half_head(context):
+    context.http.peer.send(b"GET / HTTP/1.1\r\nHost:")
+    for _ in range(20):
+        context.http.loop.turn(0)
+    for _ in range(12):
+        context.http.loop.advance(0.5)
+
+
+@when("a caller sends a request and closes")
+def step_send_and_close(context):
+    context.http.peer.send(GET % b"1")
+    context.http.loop.run_until(lambda: context.http.requests, "request")
+    context.http.peer.close()
+
+
+@then("the request's watcher hears of it")
+def step_watcher(context):
+    watcher = context.http.watcher
+    context.http.loop.run_until(lambda: watcher.left, "caller left")
+
+
+@given("a home with a server that {acts}")
+def step_home(context, acts):
+    context.home = HomeDesk(acts)
+
+
+@when("an entry offers and commits a request")
+def step_commit(context):
+    desk = context.home
+    desk.offer(1)
+    assert desk.channel.list_kind(Granted)
+    desk.commit(1)
+    desk.run_until_told(Answer | Failed)
+
+
+@then("the server got it once with its instance, the service and the time left")
+def step_server_got(context):
+    (request,) = context.home.server.requests
+    assert request.startswith(b"GET /a/x HTTP/1.1\r\n")
+    for line in (
+        b"request-id: r1",
+        b"expected-instance: i-1",
+        b"calling-service: patterns",
+        b"deadline-milliseconds: 1500",
+    ):
+        assert line in request, request
+
+
+@then("the entry gets the server's answer")
+def step_entry_answer(context):
+    desk = context.home
+    desk.run_until_told(Answer)
+    (told,) = desk.channel.list_kind(Answer)
+    assert (told.status, told.body, told.complete) == (200, b"ok", True)
+
+
+@then('the entry is told "{outcome}"')
+def step_told(context, outcome):
+    desk = context.home
+    refused = desk.channel.list_kind(Refused)
+    if refused:
+        assert outcome == "not run", refused
+        return
+    (told,) = desk.channel.list_kind(Failed)
+    assert told.not_run == (outcome == "not run"), told
+
+
+@then("the next request uses a new connection")
+def step_new_connection(context):
+    desk = context.home
+    desk.offer(2)
+    desk.commit(2)
+    desk.loop.run_until(lambda: len(desk.server.requests) == 2, "second request")
+    assert len(desk.server.connections) == 2
+
+
+@when("an entry offers 6 requests and commits those that are granted")
+def step_six(context):
+    desk = context.home
+    for stream in range(6):
+        desk.offer(stream)
+    for granted in desk.channel.list_kind(Granted):
+        desk.commit(granted.stream)
+    desk.loop.run_until(lambda: len(desk.server.requests) == 4, "4 requests")
+
+
+@then("the server got 4 requests and 2 were turned down")
+def step_four(context):
+    for _ in range(20):
+        context.home.loop.turn(0)
+    assert len(context.home.server.requests) == 4
+    refused = context.home.channel.list_kind(Refused)
+    assert [message.reason for message in refused] == ["busy", "busy"]
+
+
+@when("an entry fills the slots, queues one by force and cancels the first")
+def step_queue(context):
+    desk = context.home
+    for stream in range(4):
+        desk.offer(stream)
+        desk.commit(stream)
+    desk.offer(9, forced=True)
+    assert desk.channel.list_kind(Queued)
+    assert len(desk.channel.list_kind(Granted)) == 4
+    desk.home.receive(desk.channel, Cancel(0))
+
+
+@then("the queued one is granted")
+def step_granted(context):
+    assert context.home.channel.list_kind(Granted)[-1].stream == 9
+
+
+@when("the server drains between the grant and the request")
+def step_drain(context):
+    desk = context.home
+    desk.offer(1)
+    desk.announce(2, Lifecycle.DRAINING)
+    desk.commit(1)
+
+
+@then("the server got nothing")
+def step_got_nothing(context):
+    for _ in range(20):
+        context.home.loop.turn(0)
+    assert not context.home.server.requests
+
+
+@when("the link breaks before the answer and the entry asks on a new one")
+def step_resume(context):
+    desk = context.home
+    desk.offer(1)
+    desk.commit(1)
+    broken = desk.channel
+    desk.home.on_channel_closed(broken)
+    desk.channel = RecordedChannel()
+    desk.home.receive(desk.channel, Resume(1))
+
+
+@then("the server got it once")
+def step_once(context):
+    assert len(context.home.server.requests) == 1
+
+
+@when("the link breaks after the grant and the entry asks on a new one")
+def step_lost_commit(context):
+    desk = context.home
+    desk.offer(1)
+    context.broken = desk.channel
+    desk.channel = RecordedChannel()
+    desk.home.receive(desk.channel, Resume(1))
+
+
+@then("a late copy of the request is refused")
+def step_late_copy(context):
+    desk = context.home
+    desk.commit(1, context.broken)
+    assert context.broken.list_kind(Refused)
+    step_got_nothing(context)
+
+
+@when("the link breaks after the request and 2 seconds pass")
+def step_orphan(context):
+    desk = context.home
+    desk.offer(1)
+    desk.commit(1)
+    desk.loop.run_until(lambda: desk.server.requests, "request")
+    desk.home.on_channel_closed(desk.channel)
+    for _ in range(10):
+        desk.loop.advance(0.2)
+
+
+@then("the server's connection is closed")
+def step_closed(context):
+    desk = context.home
+    desk.loop.run_until(lambda: desk.server.connections[0].closed, "close")
--- /dev/null
+++ b/features/support/home.py
@@ -0,0 +1,142 @@
+"""Run a home with a scripted server on loopback sockets."""
+
+import socket
+
+from features.support.callers import ScriptedServer
+from features.support.loop import TestLoop
+from flamingobank.core import InstanceId, ServiceName, VirtualClock
+from flamingobank.platform.headers import PlatformDialect
+from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.messages import Commit, Offer
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.server_client import ServerClient
+from flamingobank.sidecar.server_state import Announcement, Lifecycle
+
+SEALED = (
+    b"HTTP/1.1 %d X\r\nServer-Seal: s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
+)
+
+
+def answer(status=200, request_id=b"r1", body=b"ok"):
+    """Return a server's signed answer."""
+    return SEALED % (status, request_id, len(body), body)
+
+
+def write(data):
+    """Return a script that answers with bytes."""
+    return lambda connection, head: connection.connection.write(data)
+
+
+def close(connection, head):
+    """End the connection without an answer."""
+    connection.connection.close("script")
+
+
+def break_off(connection, head):
+    """Send half an answer."""
+    connection.connection.write(answer(body=b"0123456789")[:-5])
+    connection.connection.close_after_output()
+
+
+SCRIPTS = {
+    'answers "ok"': write(answer()),
+    "sheds it": write(
+        b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "is another instance": write(
+        b"HTTP/1.1 421 X\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "closes without an answer": close,
+    "answers another request": lambda connection, head: (
+        connection.connection.write(answer(request_id=b"r0")),
+        connection.connection.close_after_output(),
+    ),
+    "breaks off in the answer": break_off,
+    "succeeds without its seal": write(
+        b"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+    ),
+    "answers another request first": write(answer(request_id=b"r0") + answer()),
+    "answers twice": write(answer() + answer()),
+    "never answers": lambda connection, head: None,
+}
+
+
+class RecordedChannel:
+    """Stand for an entry's connection and keep what the home says."""
+
+    def __init__(self, boot="e"):
+        self.peer_boot = boot
+        self.messages = []
+
+    def send(self, message):
+        """Keep a message."""
+        self.messages.append(message)
+
+    def list_kind(self, kind):
+        """Return the messages of one kind."""
+        return [message for message in self.messages if isinstance(message, kind)]
+
+
+class HomeDesk:
+    """Hold a home, its server and one entry's channel."""
+
+    def __init__(self, acts):
+        self.loop = TestLoop(VirtualClock(100.0))
+        dialect = PlatformDialect()
+        clock, timers = self.loop.clock, self.loop.timers
+        client = ServerClient(self.loop.poller, timers, clock, dialect)
+        self.channel = RecordedChannel()
+        self.home = Home(
+            clock,
+            timers,
+            client,
+            dialect,
+            Journal("home"),
+            Metrics({"node": "home"}),
+            list,
+        )
+        if acts == "refuses the connection":
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))
+                address = unused.getsockname()
+            self.server = None
+        else:
+            self.server = ScriptedServer(self.loop, SCRIPTS[acts])
+            address = self.server.listener.address
+        self.announce(1, Lifecycle.READY, address)
+        self.address = address
+
+    def announce(self, sequence, lifecycle, address=None):
+        """Let the server speak to its home."""
+        announcement = Announcement(
+            InstanceId("i-1"),
+            100,
+            sequence,
+            ServiceName("orders"),
+            address or self.address,
+            "v1",
+            4,
+            lifecycle,
+            0.0,
+        )
+        self.home.server.take(announcement, self.loop.clock.now())
+        self.home.on_server_changed()
+
+    def offer(self, stream, idempotent=True, forced=False):
+        """Offer a request."""
+        careful = not idempotent
+        offer = Offer(stream, "orders", idempotent, careful, 1, 2.0, forced)
+        self.home.receive(self.channel, offer)
+
+    def commit(self, stream, channel=None):
+        """Send an offered request."""
+        headers = [(b"host", b"x.example"), (b"request-id", b"r1")]
+        message = Commit(
+            stream, "r1", "GET", b"/a/x", headers, b"", 1.5, "patterns", False
+        )
+        self.home.receive(channel or self.channel, message)
+
+    def run_until_told(self, kind):
+        """Turn the loop until the home says something."""
+        self.loop.run_until(lambda: self.channel.list_kind(kind), str(kind))
--- a/src/flamingobank/sidecar/http_server.py
+++ b/src/flamingobank/sidecar/http_server.py
@@ -210,6 +210,9 @@
                 return
             if self._waiting:
                 self._waiting[0].flush()
+        if self._server.draining and self.is_idle:
+            self.finish_output()
+            return
         now = self._server.clock.now()
         self.idle_deadline = now + self._promised_idle_s + IDLE_SLACK_S
         if self._paused and len(self._waiting) < MAX_PIPELINED:
