Refuse requests that have crashed two servers

When a server's connection breaks before the answer, the home opens another one; if that is refused, the process has ended, and what it was running is reported to every entry. The ledger of the node decides, so requests that merely shared a crash stay apart.

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -103,3 +103,13 @@
     Given a home with a server that never answers
     When the link breaks after the request and 2 seconds pass
     Then the server's connection is closed
+
+  Scenario: A request that crashes servers is refused after the second crash
+    Given homes with servers that crash on each request
+    When one request crashes two of them
+    Then it is refused everywhere, and another request is not
+
+  Scenario: A server that resets connections has not crashed
+    Given a home with a server that closes without an answer
+    When an entry offers and commits a request
+    Then no crash is reported
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -5,7 +5,9 @@
 from features.support.home import HomeDesk, RecordedChannel
 from features.support.loop import LOCAL, RawPeer, TestLoop
 from flamingobank.core import VirtualClock
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.http_server import CallerWatcher, HttpServer
+from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import (
     Answer,
     Cancel,
@@ -324,3 +326,38 @@
 def step_closed(context):
     desk = context.home
     desk.loop.run_until(lambda: desk.server.connections[0].closed, "close")
+
+
+@given("homes with servers that crash on each request")
+def step_crashing(context):
+    context.homes = [HomeDesk("crashes"), HomeDesk("crashes")]
+    context.reports = []
+    for number, desk in enumerate(context.homes):
+        desk.announce_as(f"i-{number}")
+        desk.home.crashes.spread = lambda *report: context.reports.append(report)
+
+
+@when("one request crashes two of them")
+def step_crash_two(context):
+    for desk in context.homes:
+        desk.offer(1)
+        desk.commit(1)
+        desk.run_until_told(Failed)
+
+
+@then("it is refused everywhere, and another request is not")
+def step_quarantined(context):
+    assert len(context.reports) == 2, context.reports
+    crashes = CrashReports(context.homes[0].loop.clock, Journal("entry"))
+    assert not crashes.is_quarantined("GET", b"/a/x", b"")
+    for report in context.reports:
+        crashes.take(*report)
+    assert crashes.is_quarantined("GET", b"/a/x", b"")
+    assert not crashes.is_quarantined("GET", b"/a/y", b"")
+
+
+@then("no crash is reported")
+def step_no_crash(context):
+    (told,) = context.home.channel.list_kind(Failed)
+    assert not told.crashed
+    assert not context.home.home.crashes.is_quarantined("GET", b"/a/x", b"")
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -6,6 +6,7 @@
 from features.support.loop import TestLoop
 from flamingobank.core import InstanceId, ServiceName, VirtualClock
 from flamingobank.platform.headers import PlatformDialect
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.home import Home
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import Commit, Offer
@@ -39,7 +40,14 @@
     connection.connection.close_after_output()
 
 
+def crash(connection, head):
+    """End the process: nobody listens any more and the connection is reset."""
+    connection.server.listener.close()
+    connection.connection.reset("crash")
+
+
 SCRIPTS = {
+    "crashes": crash,
     'answers "ok"': write(answer()),
     "sheds it": write(
         b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -95,6 +103,7 @@
             Journal("home"),
             Metrics({"node": "home"}),
             list,
+            CrashReports(clock, Journal("home")),
         )
         if acts == "refuses the connection":
             with socket.socket() as unused:
@@ -107,11 +116,15 @@
         self.announce(1, Lifecycle.READY, address)
         self.address = address
 
-    def announce(self, sequence, lifecycle, address=None):
+    def announce_as(self, instance):
+        """Let another instance speak to the home."""
+        self.announce(1, Lifecycle.READY, instance=instance, started=200)
+
+    def announce(self, sequence, lifecycle, address=None, instance="i-1", started=100):
         """Let the server speak to its home."""
         announcement = Announcement(
-            InstanceId("i-1"),
-            100,
+            InstanceId(instance),
+            started,
             sequence,
             ServiceName("orders"),
             address or self.address,
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -6,6 +6,7 @@
 from features.support.loop import TestLoop
 from flamingobank.core import ServiceName, VirtualClock
 from flamingobank.platform.headers import PlatformDialect
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.entry import Entry
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import (
@@ -165,6 +166,7 @@
             Metrics({"node": "own"}),
             peers,
             RetryShare(0.0, retries, 10.0),
+            CrashReports(self.loop.clock, Journal("own")),
             ServiceName("orders"),
         )
         self.entry.get_link = self.homes.__getitem__
--- a/src/flamingobank/loop/http_client.py
+++ b/src/flamingobank/loop/http_client.py
@@ -53,6 +53,7 @@
         # Tells the answer to this exchange from late ones to earlier exchanges.
         self.identify: AnswerFilter | None = None
         self._skipping = False
+        self._on_decided: Callable[[bool], None] | None = None
         self.connected = False
         self.closed = False
         self.reusable = True
@@ -110,8 +111,15 @@
         if not self.closed:
             self._connection.resume_reading()
 
+    def watch_connecting(self, on_decided: Callable[[bool], None]) -> None:
+        """Report once whether the connection could be opened."""
+        self._on_decided = on_decided
+
     def on_connected(self) -> None:
         self.connected = True
+        if self._on_decided is not None:
+            on_decided, self._on_decided = self._on_decided, None
+            on_decided(True)
         if self._request is None:
             return
         self._connection.write(self._request)
@@ -137,6 +145,9 @@
 
     def on_closed(self, reason: str) -> None:
         self.closed = True
+        if self._on_decided is not None:
+            on_decided, self._on_decided = self._on_decided, None
+            on_decided(False)
         exchange = self._exchange
         if exchange is None:
             return
--- /dev/null
+++ b/src/flamingobank/sidecar/crash_reports.py
@@ -0,0 +1,60 @@
+"""Keep requests away from servers once they have crashed several of them."""
+
+from collections.abc import Callable
+
+from flamingobank.core import Clock, Fingerprint, InstanceId, RouteName
+from flamingobank.quarantine import CrashId, CrashLedger, compute_fingerprint
+from flamingobank.sidecar.journal import Journal
+
+NO_ROUTE = RouteName("")
+
+
+class CrashReports:
+    """Collect the crashes that this process saw or was told of."""
+
+    def __init__(self, clock: Clock, journal: Journal) -> None:
+        self.spread: Callable[[Fingerprint, InstanceId, CrashId], None] = (
+            lambda fingerprint, instance, crash_id: None
+        )
+        self._clock = clock
+        self._journal = journal
+        self._ledger = CrashLedger()
+
+    def report(
+        self, method: str, target: bytes, body: bytes, instance: InstanceId, start: int
+    ) -> None:
+        """Report a request that was in flight when its server's process ended."""
+        fingerprint = _identify(method, target, body)
+        crash_id = CrashId(f"{instance}/{start}")
+        if self.take(fingerprint, instance, crash_id):
+            self.spread(fingerprint, instance, crash_id)
+
+    def take(
+        self, fingerprint: Fingerprint, instance: InstanceId, crash_id: CrashId
+    ) -> bool:
+        """Add a report; tell whether it was news."""
+        now = self._clock.now()
+        if not self._ledger.record_crash(fingerprint, instance, crash_id, now):
+            return False
+        self._journal.event(
+            "crash:reported", fingerprint=fingerprint.hex(), crash=crash_id
+        )
+        return True
+
+    def clear(self, method: str, target: bytes, body: bytes) -> None:
+        """Forget the crashes of a request that has completed here."""
+        if len(self._ledger):
+            fingerprint = _identify(method, target, body)
+            self._ledger.record_completion(fingerprint, self._clock.now())
+
+    def is_quarantined(self, method: str, target: bytes, body: bytes) -> bool:
+        """Tell whether a request must be refused as not run."""
+        if not len(self._ledger):
+            return False
+        fingerprint = _identify(method, target, body)
+        return self._ledger.is_quarantined(fingerprint, self._clock.now())
+
+
+def _identify(method: str, target: bytes, body: bytes) -> Fingerprint:
+    path = target.decode("utf-8", "surrogateescape")
+    return compute_fingerprint(NO_ROUTE, "", method, path, body)
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
 from flamingobank.loop import Address, LoopComponent, Poller, Timers
 from flamingobank.sidecar.control import CallDecoder, Control
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.entry import Entry
 from flamingobank.sidecar.fleet_store import FleetStore
@@ -131,6 +132,7 @@
             Hello(PROTOCOL_VERSION, settings.node_id, self.boot),
             traffic,
         )
+        self.crashes = CrashReports(self.clock, journal)
         client = ServerClient(self.poller, self.timers, self.clock, dialect)
         self.home = Home(
             self.clock,
@@ -140,6 +142,7 @@
             journal,
             self.metrics,
             self._list_channels,
+            self.crashes,
         )
         self.entry = Entry(
             self.clock,
@@ -154,6 +157,7 @@
                 settings.bounds.retry_extra,
                 settings.bounds.retry_window_s,
             ),
+            self.crashes,
             settings.service,
         )
         self.local_link = LocalLink(
@@ -173,6 +177,8 @@
         )
         self.gossip.on_record = self._on_record
         self.gossip.on_news = self._on_news
+        self.gossip.on_crash = self.crashes.take
+        self.crashes.spread = self.gossip.spread_crash
         self.store = StoreSync(
             self.clock,
             self.timers,
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -6,6 +6,7 @@
 
 from flamingobank.core import Clock, NodeId, ServiceName
 from flamingobank.loop import Timers
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.exchange import RETURN_MARGIN_S, Exchange
 from flamingobank.sidecar.http_server import CallerRequest
@@ -32,8 +33,10 @@
         metrics: Metrics,
         peers: PeerTable,
         retries: RetryShare,
+        crashes: CrashReports,
         calling_service: ServiceName,
     ) -> None:
+        self._crashes = crashes
         self.clock = clock
         self.timers = timers
         self.journal = journal
@@ -66,6 +69,9 @@
         if route is None:
             self._refuse_early(request, facts.request_id, 404, None)
             return
+        if self.is_quarantined(request):
+            self._refuse_early(request, facts.request_id, 503, RefusalCause.QUARANTINED)
+            return
         service = choose_target(route, self._rng.random())
         self._retries.count_request(service, now)
         if service != self.calling_service and self.has_repeated_runs():
@@ -87,6 +93,12 @@
         )
         exchange.start()
 
+    def is_quarantined(self, request: CallerRequest) -> bool:
+        """Tell whether a request has crashed too many servers."""
+        return self._crashes.is_quarantined(
+            request.method, request.target, request.body
+        )
+
     def new_stream(self) -> int:
         """Return the number of a new request on a link."""
         return next(self._streams)
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -226,6 +226,9 @@
         if self.deadline - now < MIN_LEFT_S:
             self._give_up("no-time-left")
             return
+        if self.arrivals and self._entry.is_quarantined(self.request):
+            self._give_up("quarantined")
+            return
         home = self._pick_home(now)
         if home is None:
             self._force(now)
--- a/src/flamingobank/sidecar/gossip.py
+++ b/src/flamingobank/sidecar/gossip.py
@@ -7,8 +7,9 @@
 
 import msgpack
 
-from flamingobank.core import Clock, NodeId
+from flamingobank.core import Clock, Fingerprint, InstanceId, NodeId
 from flamingobank.loop import Address, DatagramEndpoint, Poller, Timers
+from flamingobank.quarantine import CrashId
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.peers import (
     PeerRecord,
@@ -38,6 +39,8 @@
     COMPARE = 2
     # Records that the receiver lacks.
     RECORDS = 3
+    # A request that seems to have crashed a server.
+    CRASH = 4
 
 
 class Gossip:
@@ -58,6 +61,9 @@
         self.on_news: Callable[[PeerRecord, int, float], None] = (
             lambda peer, version, age_s: None
         )
+        self.on_crash: Callable[[Fingerprint, InstanceId, CrashId], bool] = (
+            lambda fingerprint, instance, crash_id: False
+        )
         # Age in seconds of the newest reading of the store that is known of.
         self.read_age: Callable[[], float] = lambda: MAX_AGE_S
         self.version = 0
@@ -88,6 +94,15 @@
         for peer in self.table.list_peers():
             self._send(peer.address, DatagramKind.COMPARE, self.table.list_hashes())
 
+    def spread_crash(
+        self, fingerprint: Fingerprint, instance: InstanceId, crash_id: CrashId
+    ) -> None:
+        """Tell every peer of a crash; crashes are rare, and each entry decides."""
+        for peer in self.table.list_peers():
+            self._send(
+                peer.address, DatagramKind.CRASH, fingerprint, instance, crash_id
+            )
+
     def leave(self) -> None:
         """Tell peers that this process ends."""
         self.publish(left=True, serving=False)
@@ -151,8 +166,13 @@
                 self._compare(digest, address)
             elif kind is DatagramKind.COMPARE:
                 self._answer_comparison(fields[0], address)
-            else:
+            elif kind is DatagramKind.RECORDS:
                 self._take_records(fields[0])
+            else:
+                fingerprint, instance, crash_id = fields
+                self.on_crash(
+                    Fingerprint(fingerprint), InstanceId(instance), CrashId(crash_id)
+                )
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             self._journal.warn("gossip:malformed", error=str(error), sender=address[0])
 
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -17,6 +17,7 @@
 )
 from flamingobank.loop import Headers, Timers
 from flamingobank.sidecar.belief import FailureBelief
+from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.gate import (
     CAREFUL_LIMIT,
@@ -58,7 +59,7 @@
 RETAIN_S = 6.0
 # A repeatable request runs on this long for an entry whose link broke; the entry
 # sends it elsewhere meanwhile.
-ORPHAN_S = 0.8
+ORPHAN_S = 0.4
 SWEEP_INTERVAL_S = 0.2
 FIRST_DOWN_S = 0.15
 MAX_DOWN_S = 1.0
@@ -89,6 +90,7 @@
         self.deadline = now + offer.left_s
         self.state_since = now
         self.request_id = RequestId("")
+        self.commit: Commit | None = None
         self.run: ServerRun | None = None
         self.repeated = False
         self.outcome: list[Message] = []
@@ -138,7 +140,9 @@
         journal: Journal,
         metrics: Metrics,
         list_channels: Callable[[], list],
+        crashes: CrashReports,
     ) -> None:
+        self.crashes = crashes
         self.clock = clock
         self.timers = timers
         self.client = client
@@ -250,6 +254,8 @@
             and now < self.call_failed_at + CALL_FAILURE_S
         )
         self._down_s = FIRST_DOWN_S
+        if work.commit is not None:
+            self.crashes.clear(work.commit.method, work.commit.target, work.commit.body)
         # At the deadline a server answers 504; that says nothing about the server.
         if status != 504 and not by_call:
             self._observe(failed, work, str(status))
@@ -271,12 +277,20 @@
         elif failure.misdirected:
             # The expected instance is gone; its successor announces itself.
             self._mark_down(now, "another instance answers")
+        elif failure.outcome is RunOutcome.UNKNOWN and failure.broken:
+            self._observe(True, work, failure.reason)
+            self.client.check_alive(
+                lambda alive: self._on_checked(work, failure, alive)
+            )
+            return
         elif failure.outcome is RunOutcome.UNKNOWN or work.deadline - now > 0.05:
             self._observe(True, work, failure.reason)
         self.on_failed(work, failure, crashed=False)
 
     def on_failed(self, work: Work, failure: RunFailure, crashed: bool) -> None:
         """Report a request without an answer."""
+        if work.state is WorkState.DONE:
+            return
         self._journal.request(
             "home:failed",
             work.request_id,
@@ -296,6 +310,20 @@
         )
         self._finish(work)
 
+    def _on_checked(self, work: Work, failure: RunFailure, alive: bool) -> None:
+        if not alive:
+            self._mark_down(self.clock.now(), "crashed")
+            current = self.server.current
+            commit = work.commit
+            self.crashes.report(
+                commit.method,
+                commit.target,
+                commit.body,
+                current.instance,
+                current.started_ms,
+            )
+        self.on_failed(work, failure, crashed=not alive)
+
     def _take_offer(self, channel, offer: Offer) -> None:
         now = self.clock.now()
         current = self.server.current
@@ -354,6 +382,7 @@
             return
         now = self.clock.now()
         work.request_id = RequestId(message.request_id)
+        work.commit = message
         work.deadline = now + message.left_s
         if not self.server.accepts_work:
             # The server began to leave between the grant and the request.
@@ -426,6 +455,7 @@
             self._busy -= 1
             self.repeated_runs -= work.repeated
         work.state = WorkState.DONE
+        work.commit = None
         work.state_since = self.clock.now()
         check_invariant(Invariant.SLOTS, self._busy >= 0, busy=self._busy)
         self._grant_waiting()
--- a/src/flamingobank/sidecar/messages.py
+++ b/src/flamingobank/sidecar/messages.py
@@ -177,15 +177,6 @@
     table: list
 
 
-@dataclass(frozen=True, slots=True)
-class CrashNotice:
-    """Tell that a request seems to have crashed a server."""
-
-    fingerprint: bytes
-    instance: str
-    crash_id: str
-
-
 MESSAGE_TYPES = (
     Hello,
     Offer,
@@ -203,7 +194,6 @@
     ReportPush,
     TablePull,
     TableUpdate,
-    CrashNotice,
 )
 Message = object
 _KINDS = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
--- a/src/flamingobank/sidecar/server_client.py
+++ b/src/flamingobank/sidecar/server_client.py
@@ -50,6 +50,8 @@
     unreachable: bool
     reason: str
     misdirected: bool = False
+    # The connection ended before a complete answer.
+    broken: bool = False
 
 
 class RunHandler(abc.ABC):
@@ -157,12 +159,12 @@
                 RunFailure(RunOutcome.NOT_RUN, False, True, reason)
             )
             return
-        self._fail(RunOutcome.UNKNOWN, reason)
+        self._fail(RunOutcome.UNKNOWN, reason, broken=True)
 
-    def _fail(self, outcome: RunOutcome, reason: str) -> None:
+    def _fail(self, outcome: RunOutcome, reason: str, broken: bool = False) -> None:
         misdirected = self.facts is not None and self.facts.misdirected
         self._handler.on_run_failed(
-            RunFailure(outcome, True, False, reason, misdirected)
+            RunFailure(outcome, True, False, reason, misdirected, broken)
         )
 
     def _is_own(self, status: int, headers: Headers) -> bool:
@@ -190,6 +192,28 @@
                 timer.cancel()
 
 
+class AliveCheck:
+    """Report once whether a connection could be opened."""
+
+    def __init__(
+        self, client: "ServerClient", callback: Callable[[bool], None]
+    ) -> None:
+        self.connection: HttpClientConnection | None = None
+        self._client = client
+        self._callback: Callable[[bool], None] | None = callback
+
+    def finish(self, alive: bool) -> None:
+        """Report; a silent server counts as alive, as its process may be busy."""
+        callback, self._callback = self._callback, None
+        if callback is None:
+            return
+        if self.connection.connected:
+            self._client.keep_fresh(self.connection)
+        else:
+            self.connection.close("no connection")
+        callback(alive)
+
+
 class ServerClient:
     """Keep connections to one server and run requests on them."""
 
@@ -232,6 +256,22 @@
         run.start(self._take_connection(idempotent), encode(self._instance))
         return run
 
+    def check_alive(self, callback: Callable[[bool], None]) -> None:
+        """Find out whether the server's process still accepts connections."""
+        probe = AliveCheck(self, callback)
+        probe.connection = HttpClientConnection(self._poller, self._address)
+        probe.connection.watch_connecting(probe.finish)
+        self.timers.call_at(
+            self.clock.now() + CONNECT_TIMEOUT_S, lambda: probe.finish(True)
+        )
+
+    def keep_fresh(self, connection: HttpClientConnection) -> None:
+        """Keep a connection that has not been used yet."""
+        now = self.clock.now()
+        if connection.address == self._address and not connection.closed:
+            deadline = now + DEFAULT_KEEP_ALIVE_S * KEEP_ALIVE_SHARE
+            self._idle.append((connection, deadline, now))
+
     def keep(self, connection: HttpClientConnection, facts: ServerFacts) -> None:
         """Keep a connection for a later request."""
         if not connection.idle or connection.address != self._address:
