--- /dev/null
+++ b/features/steps/journal_steps.py
@@ -0,0 +1,107 @@
+"""Check logs and what is read from them."""
+
+import io
+import json
+import os
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import eliot
+from behave import given, then, when
+
+from flamingobank.cli.context import CommandContext
+from flamingobank.cli.main import build_parser
+from flamingobank.core import VirtualClock
+from flamingobank.loop import Poller
+from flamingobank.sidecar.journal import MAX_QUEUED_LINES, Journal, LineOutput
+
+
+@given('logs of two nodes that name request "{request}"')
+def step_logs(context, request):
+    entry = [
+        (1.0, "exchange:taken", {"request": request, "route": "r-1"}),
+        (1.2, "exchange:ended", {"request": request, "outcome": "500"}),
+        (1.1, "exchange:taken", {"request": "other"}),
+    ]
+    home = [(1.1, "home:answered", {"request": request, "status": 500})]
+    context.logs = []
+    for node, lines in (("entry", entry), ("home", home)):
+        text = "not json\n{cut\n"
+        for time, kind, fields in lines:
+            record = {"timestamp": time, "message_type": kind, "node": node, **fields}
+            text += f"  {time} {node} {json.dumps(record)}\n"
+        context.logs.append(text)
+
+
+@when('an operator asks why for "{request}"')
+def step_why(context, request):
+    context.command = CommandContext(out=io.StringIO(), err=io.StringIO())
+    with TemporaryDirectory() as folder:
+        paths = []
+        for number, text in enumerate(context.logs):
+            path = Path(folder) / f"{number}.log"
+            path.write_text(text)
+            paths.append(str(path))
+        options = build_parser().parse_args(["why", request, *paths])
+        options.context = context.command
+        context.exit_code = options.run(options)
+
+
+@then("the lines come in the order of their times with their decisions")
+def step_story(context):
+    assert context.exit_code == 0
+    lines = context.command.out.getvalue().splitlines()
+    assert lines == [
+        "+0.000 entry exchange:taken route=r-1",
+        "+0.100 home home:answered status=500",
+        "+0.200 entry exchange:ended outcome=500",
+    ], lines
+
+
+@then('the command fails and names "{request}"')
+def step_why_fails(context, request):
+    assert context.exit_code != 0
+    assert request in context.command.err.getvalue()
+
+
+@given("a log output whose reader has stopped")
+def step_stopped_reader(context):
+    read_end, write_end = os.pipe()
+    context.add_cleanup(os.close, read_end)
+    context.add_cleanup(os.close, write_end)
+    context.poller = Poller()
+    context.output = LineOutput(context.poller, write_end)
+
+
+@when("5000 lines are written")
+def step_write_lines(context):
+    for number in range(5000):
+        context.output.write({"number": number, "text": "x" * 100})
+        context.output.flush()
+
+
+@then("writing returns and 2000 lines at most are held")
+def step_lines_bounded(context):
+    assert context.output.queued <= MAX_QUEUED_LINES
+    assert context.output.dropped > 0
+
+
+@given("a journal that counts its lines")
+def step_journal(context):
+    context.lines = []
+    context.journal = Journal("n")
+    context.journal.use_clock(VirtualClock(5.0))
+    eliot.add_destinations(context.lines.append)
+    context.add_cleanup(eliot.remove_destination, context.lines.append)
+
+
+@when("1000 decisions on requests are logged within a second")
+def step_flood(context):
+    for number in range(1000):
+        context.journal.request("exchange:taken", f"r{number}")
+
+
+@then("200 are written and 800 are counted as dropped")
+def step_flood_bounded(context):
+    assert len(context.lines) == 200, len(context.lines)
+    assert context.journal.dropped == 800
--- a/src/flamingobank/cli/main.py
+++ b/src/flamingobank/cli/main.py
@@ -15,6 +15,7 @@
     history,
     node,
     status,
+    why,
 )
 from flamingobank.cli.config import CONFIG_VARIABLE
 from flamingobank.cli.context import CommandContext
@@ -32,6 +33,7 @@
     status,
     drain,
     node,
+    why,
 )
 
 
--- /dev/null
+++ b/src/flamingobank/cli/why.py
@@ -0,0 +1,84 @@
+"""Print what the logs of several processes say of one request."""
+
+import argparse
+import json
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+
+from flamingobank.cli.exit_codes import ExitCode
+from flamingobank.cli.output import print_line
+
+# Shown in columns of their own, or the same on each line.
+HIDDEN_FIELDS = ("timestamp", "node", "message_type", "request")
+
+
+def add_parser(subparsers) -> None:
+    """Describe the subcommand."""
+    text = "Print the story of one request from logs of sidecars."
+    parser = subparsers.add_parser("why", help=text, description=text)
+    parser.add_argument("request", metavar="REQUEST_ID")
+    parser.add_argument(
+        "files",
+        nargs="*",
+        type=Path,
+        metavar="FILE",
+        help="logs of any number of processes; standard input when none is given",
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> ExitCode:
+    """Print one line per decision, in the order of their times."""
+    context = options.context
+    entries: list[dict] = []
+    if not options.files:
+        entries += find_entries(sys.stdin, options.request)
+    for path in options.files:
+        try:
+            with path.open(errors="replace") as lines:
+                entries += find_entries(lines, options.request)
+        except OSError as error:
+            print_line(f"{path}: {error.strerror}", context.err)
+            return ExitCode.BAD_INPUT
+    if not entries:
+        print_line(f"no line names request {options.request}", context.err)
+        return ExitCode.BAD_INPUT
+    for line in describe_entries(entries):
+        print_line(line, context.out)
+    return ExitCode.DONE
+
+
+def find_entries(lines: Iterable[str], request: str) -> list[dict]:
+    """Return the log entries that name a request; other lines are passed over."""
+    entries = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or request not in line:
+            continue
+        try:
+            entry = json.loads(line[start:])
+        except ValueError:
+            # A line that was cut when its process ended.
+            continue
+        if isinstance(entry, dict) and entry.get("request") == request:
+            entries.append(entry)
+    return entries
+
+
+def describe_entries(entries: list[dict]) -> list[str]:
+    """Return one line per entry, with seconds since the first."""
+    ordered = sorted(entries, key=lambda entry: entry.get("timestamp", 0.0))
+    first = ordered[0].get("timestamp", 0.0)
+    described = []
+    for entry in ordered:
+        fields = " ".join(
+            f"{name}={value}"
+            for name, value in entry.items()
+            if name not in HIDDEN_FIELDS
+        )
+        described.append(
+            f"+{entry.get('timestamp', 0.0) - first:.3f} {entry.get('node', '?')} "
+            f"{entry.get('message_type', '?')} {fields}".rstrip()
+        )
+    return described
--- a/src/flamingobank/platform/__main__.py
+++ b/src/flamingobank/platform/__main__.py
@@ -33,11 +33,12 @@
         print(f"flamingobank: {loaded.error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     poller = Poller()
-    start_logging(poller)
+    output = start_logging(poller)
     journal = Journal(loaded.ok.node_id)
     sidecar = Sidecar(
         loaded.ok,
         journal,
+        output,
         poller,
         PlatformDialect(),
         decode_call,
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -20,7 +20,7 @@
 from flamingobank.sidecar.gossip import Gossip
 from flamingobank.sidecar.home import Home
 from flamingobank.sidecar.http_server import CallerRequest, HttpServer
-from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.journal import Journal, LineOutput
 from flamingobank.sidecar.links import (
     Link,
     LinkObserver,
@@ -97,6 +97,7 @@
         self,
         settings: SidecarSettings,
         journal: Journal,
+        output: LineOutput,
         poller: Poller,
         dialect: Dialect,
         decode_call: CallDecoder,
@@ -107,6 +108,7 @@
         super().__init__(channel=self.channel)
         self.settings = settings
         self.journal = journal
+        self.output = output
         self.clock = MonotonicClock()
         journal.use_clock(self.clock)
         self.boot = BootId(os.urandom(8).hex())
@@ -336,6 +338,7 @@
         request.answer(200 if self.is_ready else 503, [], b"")
 
     def _answer_metrics(self, request: CallerRequest) -> None:
+        self.metrics.count_dropped_lines(self.journal.dropped + self.output.dropped)
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         request.answer(200, headers, self.metrics.render())
 
--- a/src/flamingobank/sidecar/journal.py
+++ b/src/flamingobank/sidecar/journal.py
@@ -74,6 +74,11 @@
         self.dropped = 0
         os.set_blocking(fd, False)
 
+    @property
+    def queued(self) -> int:
+        """Return the number of lines that wait to be written."""
+        return len(self._queue)
+
     def write(self, message: dict) -> None:
         """Queue one line."""
         if len(self._queue) >= MAX_QUEUED_LINES:
--- a/src/flamingobank/sidecar/metrics.py
+++ b/src/flamingobank/sidecar/metrics.py
@@ -43,6 +43,10 @@
         """Add one to a counter."""
         self._counters[name].inc(labels)
 
+    def count_dropped_lines(self, total: int) -> None:
+        """Set how many log lines have been dropped so far."""
+        self._counters["log_lines_dropped_total"].set({}, total)
+
     def observe_latency(self, seconds: float, kind: str) -> None:
         """Add one request's duration to the histogram."""
         self._latency.observe({"kind": kind}, seconds)
