Queue only within the latency objective, and spread work that can be repeated

A queue now takes only what it can start in time, and gives up what cannot start in time while others can. Ruled out: lost processes (each was back in 1 s).

--- a/features/sidecar_decisions.feature
+++ b/features/sidecar_decisions.feature
@@ -38,6 +38,19 @@
       | 0.05    | 4       | 30      | careful    | 1    | by force  | busy    |
       | 0.05    | 3       | 2       | careful    | 2    |           | busy    |
 
+  Scenario Outline: A queue under overload is joined only within the latency objective
+    Given a server that fails with 0.05, runs 4 of 4 and has <waiting> waiting
+    When forced work with <objective> s to its objective and 4 s left is offered
+    Then the offer is <verdict>
+
+    Examples: each round of 4 takes 0.25 s
+      | waiting | objective | verdict |
+      | 3       | 1.0       | queue   |
+      | 12      | 1.0       | busy    |
+      | 12      | 2.0       | queue   |
+      | 3       | -0.2      | busy    |
+      | 3       | 0.1       | queue   |
+
   Scenario: All entries together keep to the fleet's retry budget
     When 7 entries send random requests and retries for a minute
     Then no window of 10 seconds has more retries than the fleet allows
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -149,7 +149,10 @@
         for view in rank_homes(views, RouteKind.SAFE, careful, now, self.rng):
             running = view.report.running
             state = GateState(view.report.failing, running, 0, 0, 4, 0.2, 0.0)
-            if decide_offer(careful, False, 2.0, state, now).verdict is Verdict.GRANT:
+            if (
+                decide_offer(careful, False, 2.0, 1.0, state, now).verdict
+                is Verdict.GRANT
+            ):
                 return int(view.node)
         return self.rng.randrange(12)
 
@@ -193,6 +196,11 @@
     context.gate = GateState(failing, running, waiting, waiting, 4, 0.25, -9.0)
 
 
+@when("forced work with {objective:f} s to its objective and 4 s left is offered")
+def step_offer_objective(context, objective):
+    context.decision = decide_offer(True, True, 4.0, objective, context.gate, 0.0)
+
+
 @when("{work} work with {left:d} s left is offered{forced}")
 def step_offer_forced(context, work, left, forced):
     _decide(context, work, left, forced == "by force")
@@ -204,7 +212,9 @@
 
 
 def _decide(context, work, left, forced):
-    context.decision = decide_offer(work == "careful", forced, left, context.gate, 0.0)
+    context.decision = decide_offer(
+        work == "careful", forced, left, left, context.gate, 0.0
+    )
 
 
 @then("the offer is {verdict}")
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -139,7 +139,7 @@
     def offer(self, stream, idempotent=True, forced=False):
         """Offer a request."""
         careful = not idempotent
-        offer = Offer(stream, "orders", idempotent, careful, 1, 2.0, forced)
+        offer = Offer(stream, "orders", idempotent, careful, 1, 2.0, 1.0, forced)
         self.home.receive(self.channel, offer)
 
     def commit(self, stream, channel=None):
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -284,6 +284,7 @@
                 self.careful,
                 self.route.priority,
                 self.deadline - now,
+                self.request.read_at + self.route.target_latency_s - now,
                 forced,
             )
         )
--- a/src/flamingobank/sidecar/gate.py
+++ b/src/flamingobank/sidecar/gate.py
@@ -2,7 +2,9 @@
 
 Answers overload and gray failures: work whose failure would be final needs a server
 with fresh successes, work that may be tried again finds out whether a suspect has
-recovered, and a queue is only joined by requests that it can serve in time.
+recovered, and a queue is only joined by requests that it can serve within their latency
+objective. A queue that is served in order until deadlines pass makes every answer late
+once there is more work than servers; refusing what cannot be in time keeps the rest so.
 """
 
 import enum
@@ -54,8 +56,25 @@
 QUEUE = Decision(Verdict.QUEUE)
 
 
+def compute_queue_limit(
+    left_s: float, objective_left_s: float, mean_work_s: float
+) -> float:
+    """Return the time within which a queued request must be served to be worth it.
+
+    Where the work alone takes longer than the objective, only the deadline counts.
+    """
+    if mean_work_s > objective_left_s > 0:
+        return left_s
+    return min(left_s, objective_left_s)
+
+
 def decide_offer(
-    careful: bool, forced: bool, left_s: float, state: GateState, now: float
+    careful: bool,
+    forced: bool,
+    left_s: float,
+    objective_left_s: float,
+    state: GateState,
+    now: float,
 ) -> Decision:
     """Return what to do with an offer to a server that accepts work."""
     if not forced:
@@ -70,6 +89,6 @@
         return Decision(Verdict.REFUSE, RefusalReason.BUSY)
     rounds = (state.waiting_before + 1) / max(1, state.slots)
     needed_s = (rounds + NEEDED_WORK_SHARE) * state.mean_work_s
-    if needed_s > left_s:
+    if needed_s > compute_queue_limit(left_s, objective_left_s, state.mean_work_s):
         return Decision(Verdict.REFUSE, RefusalReason.BUSY)
     return QUEUE
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -21,9 +21,11 @@
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.gate import (
     CAREFUL_LIMIT,
+    NEEDED_WORK_SHARE,
     SUSPECT_LIMIT,
     GateState,
     Verdict,
+    compute_queue_limit,
     decide_offer,
 )
 from flamingobank.sidecar.journal import Journal
@@ -88,6 +90,11 @@
         self.offer = offer
         self.state = WorkState.WAITING
         self.deadline = now + offer.left_s
+        limit_s = compute_queue_limit(
+            offer.left_s, offer.objective_left_s, home.mean_work_s
+        )
+        # A start after this misses the latency objective.
+        self.latest_start = now + limit_s - NEEDED_WORK_SHARE * home.mean_work_s
         self.state_since = now
         self.request_id = RequestId("")
         self.commit: Commit | None = None
@@ -162,7 +169,7 @@
         self._busy = 0
         self._down_until = 0.0
         self._down_s = FIRST_DOWN_S
-        self._mean_work_s = FIRST_WORK_ESTIMATE_S
+        self.mean_work_s = FIRST_WORK_ESTIMATE_S
         self._probed_at = 0.0
         self._was_trusted = True
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
@@ -246,7 +253,7 @@
         now = self.clock.now()
         took_s = now - work.state_since
         if status < 500:
-            self._mean_work_s += WORK_SMOOTHING * (took_s - self._mean_work_s)
+            self.mean_work_s += WORK_SMOOTHING * (took_s - self.mean_work_s)
         failed = status >= 500
         by_call = (
             failed
@@ -342,10 +349,17 @@
             len(self._waiting),
             sum(1 for entry in self._waiting if entry[0] <= offer.priority),
             self.slots,
-            self._mean_work_s,
+            self.mean_work_s,
             self._probed_at,
         )
-        decision = decide_offer(offer.careful, offer.forced, offer.left_s, state, now)
+        decision = decide_offer(
+            offer.careful,
+            offer.forced,
+            offer.left_s,
+            offer.objective_left_s,
+            state,
+            now,
+        )
         if decision.verdict is Verdict.REFUSE:
             self._refuse(channel, offer.stream, decision.reason)
             return
@@ -373,6 +387,10 @@
             if not self.server.accepts_work or self.leaving:
                 return
             _, _, work = self._waiting.pop(0)
+            if self._waiting and self.clock.now() > work.latest_start:
+                # Another one can still be in time; this one may be at another home.
+                self._refuse_work(work, RefusalReason.BUSY)
+                continue
             self._grant(work)
 
     def _take_commit(self, channel, work: Work | None, message: Commit) -> None:
--- a/src/flamingobank/sidecar/messages.py
+++ b/src/flamingobank/sidecar/messages.py
@@ -55,6 +55,8 @@
     careful: bool
     priority: int
     left_s: float
+    # Time until the latency objective is missed; negative afterwards.
+    objective_left_s: float
     # Queue when busy, and accept a suspect server.
     forced: bool
 
--- a/src/flamingobank/sidecar/selection.py
+++ b/src/flamingobank/sidecar/selection.py
@@ -15,12 +15,14 @@
 from flamingobank.sidecar.routes import RouteKind
 
 # A failure is final for careful work; other work is only lost by a second one.
-CAREFUL_FAILURE_COST = 4.0
+CAREFUL_FAILURE_COST = 16.0
 FAILURE_COST = 1.5
 # Bytes between failure domains have a price, which large answers feel most.
 DISTANCE_COST = {RouteKind.UNSAFE: 0.04, RouteKind.SAFE: 0.04, RouteKind.DOWNLOAD: 0.3}
 FULL_COST = 1.0
 JITTER = 0.15
+UNHEARD_BONUS_PER_S = 0.4
+MAX_UNHEARD_S = 2.0
 PROBE_SHARE = 0.3
 # Careful work avoids homes above this, so without probes nobody would learn of them.
 PROBE_ABOVE = 0.18
@@ -108,6 +110,11 @@
     cost = failure_cost * view.estimate_failing(now) + load
     if load >= 1:
         cost += FULL_COST
+    if not careful:
+        # Work that can be tried again keeps the knowledge of every home fresh, which
+        # careful work relies on, and keeps working servers from being left out.
+        unheard_s = min(MAX_UNHEARD_S, now - view.reported_at)
+        cost -= UNHEARD_BONUS_PER_S * unheard_s
     if not view.near:
         cost += DISTANCE_COST[kind]
     return cost
