Give the sidecar's parts modules of their own, and keep departures across restarts

A process that stopped removed its object from the store, and one that started wrote its object before it read the former one, so departures that it had acknowledged could be forgotten; own records of a former process were also ignored unless they were newer. The store is now read first, departures stay in it, and peers hand them back. Homes, links, connections and attempts are split by concern.

--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -89,7 +89,7 @@
 @given("a journal that counts its lines")
 def step_journal(context):
     context.lines = []
-    context.journal = Journal("n")
+    context.journal = Journal("flooded")
     context.journal.use_clock(VirtualClock(5.0))
     eliot.add_destinations(context.lines.append)
     context.add_cleanup(eliot.remove_destination, context.lines.append)
@@ -103,5 +103,7 @@
 
 @then("200 are written and 800 are counted as dropped")
 def step_flood_bounded(context):
-    assert len(context.lines) == 200, len(context.lines)
+    # The first destination of a process also gets what was logged before it.
+    written = [line for line in context.lines if line.get("node") == "flooded"]
+    assert len(written) == 200, len(written)
     assert context.journal.dropped == 800
--- /dev/null
+++ b/features/steps/sidecar_fleet_steps.py
@@ -0,0 +1,305 @@
+"""Check how sidecars learn of one another and of the configuration."""
+
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+from expression import Error, Ok
+
+from features.steps.sidecar_decisions_steps import make_record, make_route
+from features.support.loop import LOCAL, TestLoop
+from flamingobank.core import InstanceId, ServiceName, VirtualClock
+from flamingobank.sidecar.fleet_store import (
+    FleetStore,
+    FleetStoreError,
+    TableReading,
+)
+from flamingobank.sidecar.gossip import Gossip
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peers import PeerTable
+from flamingobank.sidecar.routes import RequestLimits, RoutingTable
+from flamingobank.sidecar.store_sync import StoreSync
+
+DEPARTURE = (InstanceId("i-1"), 100)
+
+
+class GossipingNode:
+    """Hold one process's table and its gossip on a loopback socket."""
+
+    def __init__(self, loop, name, incarnation=1, loss=0.0, seed=1):
+        self.rng = random.Random(f"{name}{seed}")
+        own = make_record(name, incarnation)
+        self.table = PeerTable(own)
+        self.gossip = Gossip(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            self.rng,
+            Journal(name),
+            self.table,
+            LOCAL,
+        )
+        address = self.gossip._endpoint.address
+        self.table.own = replace(own, address=address)
+        self.table.change_own()
+        self.recalled = []
+        self.gossip.on_former_record = self.recalled.append
+        send = self.gossip._endpoint.send
+        if loss:
+            self.gossip._endpoint.send = lambda data, to: (
+                None if self.rng.random() < loss else send(data, to)
+            )
+
+
+def _gossip(context, seconds):
+    for _ in range(int(seconds / 0.1)):
+        context.loop.advance(0.1, turns=4)
+
+
+@given("a peer that knows a departure that the former process acknowledged")
+def step_peer_knows(context):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.peer = GossipingNode(context.loop, "peer")
+    former = make_record("own", 5, 9, "10.9.9.9", departures=(DEPARTURE,), left=True)
+    context.peer.table.merge(former, 100.0)
+
+
+@when("the process starts again and finds that peer")
+def step_restart(context):
+    context.node = GossipingNode(context.loop, "own", incarnation=50)
+    context.node.gossip.learn([context.peer.table.own])
+    _gossip(context, 2)
+
+
+@then("it recalls the departure and its own record replaces the former one")
+def step_recalled(context):
+    assert any(DEPARTURE in record.departures for record in context.node.recalled)
+    assert context.peer.table.find("own") == context.node.table.own
+
+
+@given("{count:d} processes that know only the first of them")
+def step_newcomers(context, count):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.nodes = [GossipingNode(context.loop, f"n{i}") for i in range(count)]
+    for node in context.nodes[1:]:
+        node.gossip.learn([context.nodes[0].table.own])
+
+
+@given("{count:d} processes that know one another and lose a third of the datagrams")
+def step_lossy(context, count):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.nodes = [
+        GossipingNode(context.loop, f"n{i}", loss=0.33) for i in range(count)
+    ]
+    for node in context.nodes:
+        for other in context.nodes:
+            node.table.merge(other.table.own, 100.0)
+
+
+@when("they gossip for {seconds:d} seconds")
+def step_gossip(context, seconds):
+    _gossip(context, seconds)
+
+
+@when(
+    "one of them publishes that its server left and they gossip for {seconds:d} seconds"
+)
+def step_publish(context, seconds):
+    context.nodes[2].gossip.publish(serving=False)
+    _gossip(context, seconds)
+
+
+@then("all hold the same records")
+def step_same_records(context):
+    assert len({node.table.digest for node in context.nodes}) == 1
+    for node in context.nodes:
+        assert len(node.table) == len(context.nodes) - 1
+
+
+class ScriptedStore(FleetStore):
+    """Answer calls after 4 ms, or fail them while it is away."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.calls = []
+        self.away = False
+        self.forgotten = False
+        self.version = 7
+
+    def read_table(self, callback):
+        """Return the table."""
+        self.forgotten = False
+        routes = (make_route(),)
+        services = frozenset([ServiceName("orders")])
+        table = RoutingTable(self.version, routes, services, RequestLimits())
+        self._answer("read", Ok(TableReading(table, 30)), callback)
+
+    def await_table(self, revision, wait_s, callback):
+        """Return nothing new after the wait."""
+        if self.forgotten:
+            self._answer("watch", Error(FleetStoreError.HISTORY_GONE), callback)
+            return
+        self._answer("watch", Ok(TableReading(None, revision)), callback, wait_s)
+
+    def list_peers(self, callback):
+        """Return no peers."""
+        self._answer("list", Ok([]), callback)
+
+    def save_peer(self, record, timeout_s, callback):
+        """Take a record."""
+        self._answer("save", Ok(None), callback)
+
+    def remove_peer(self, record, callback):
+        """Drop a record."""
+        self._answer("remove", Ok(None), callback)
+
+    def _answer(self, operation, result, callback, wait_s=0.004):
+        now = self.loop.clock.now()
+        self.calls.append((now, operation))
+        if self.away:
+            result, wait_s = Error(FleetStoreError.AWAY), 0.004
+        self.loop.timers.call_at(now + wait_s, lambda: callback(result))
+
+
+def _make_sync(loop, store, name, peers=()):
+    table = PeerTable(make_record(name))
+    for number, peer in enumerate(peers):
+        if peer != name:
+            table.merge(make_record(peer, host=f"10.0.1.{number}"), 0.0)
+    sync = StoreSync(
+        loop.clock,
+        loop.timers,
+        random.Random(name),
+        Journal(name),
+        Metrics({"node": name}),
+        store,
+        table,
+    )
+    sync.tables = []
+    sync.on_table = sync.tables.append
+    return sync
+
+
+@given("{count:d} processes of which only the four watchers read the store")
+def step_watchers(context, count):
+    loop = context.loop = TestLoop(VirtualClock(100.0))
+    names = [f"n{i}" for i in range(count)]
+    context.syncs = []
+    for name in names:
+        store = ScriptedStore(loop)
+        sync = _make_sync(loop, store, name, names)
+        sync.store = store
+        context.syncs.append(sync)
+        sync.start()
+    context.watchers = [sync for sync in context.syncs if sync.is_watcher()]
+    assert len(context.watchers) == 4
+    _spread_ages(context, 3)
+
+
+def _spread_ages(context, seconds):
+    for _ in range(int(seconds / 0.2)):
+        context.loop.advance(0.2)
+        # Gossip carries the age of the newest reading to everyone.
+        newest = min(sync.age_s for sync in context.syncs)
+        for sync in context.syncs:
+            sync.note_age(newest)
+
+
+@when("the watchers lose the store for 10 seconds")
+def step_cut_watchers(context):
+    context.calm_from = context.loop.clock.now()
+    _spread_ages(context, 5)
+    context.calm_to = context.loop.clock.now()
+    for sync in context.watchers:
+        sync.store.away = True
+    _spread_ages(context, 10)
+
+
+@then("others read it meanwhile, and a calm second has 8 calls at most")
+def step_taken_over(context):
+    assert min(sync.age_s for sync in context.syncs) < 5
+    others = [sync for sync in context.syncs if sync not in context.watchers]
+    later = [
+        time
+        for sync in others
+        for time, _ in sync.store.calls
+        if time > context.calm_to
+    ]
+    assert later
+    calm = [
+        time
+        for sync in context.syncs
+        for time, _ in sync.store.calls
+        if context.calm_from <= time < context.calm_to
+    ]
+    assert len(calm) <= 8 * (context.calm_to - context.calm_from), len(calm)
+
+
+@given("a store that has forgotten its history")
+def step_forgotten(context):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.store = ScriptedStore(context.loop)
+    context.sync = _make_sync(context.loop, context.store, "n1")
+    context.sync.start()
+    _advance(context, 1)
+    context.store.forgotten = True
+    context.store.version = 9
+
+
+@when("a watcher waits for changes")
+def step_wait(context):
+    _advance(context, 4)
+
+
+@then("it reads the present configuration and goes on from there")
+def step_read_again(context):
+    assert [table.version for table in context.sync.tables] == [7, 9]
+    assert context.store.calls[-1][1] == "watch"
+
+
+@given("a store that is away for 20 seconds")
+def step_away(context):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.store = ScriptedStore(context.loop)
+    context.store.away = True
+    context.sync = _make_sync(context.loop, context.store, "n1")
+    context.sync.start()
+
+
+@when("a watcher keeps trying")
+def step_keep_trying(context):
+    _advance(context, 20)
+    context.calls_while_away = len(context.store.calls)
+    context.store.away = False
+    _advance(context, 3)
+
+
+@then("it makes 40 calls at most and knows the configuration 3 seconds later")
+def step_few_calls(context):
+    assert context.calls_while_away <= 40, context.calls_while_away
+    assert context.sync.tables
+
+
+@given("a store that holds the record of the former process")
+def step_former(context):
+    context.loop = TestLoop(VirtualClock(100.0))
+    context.store = ScriptedStore(context.loop)
+    context.sync = _make_sync(context.loop, context.store, "n1")
+
+
+@when("the process starts")
+def step_start(context):
+    context.sync.start()
+    _advance(context, 1)
+
+
+@then("it lists the records before it writes its own")
+def step_listed_first(context):
+    operations = [operation for _, operation in context.store.calls]
+    assert operations.index("list") < operations.index("save"), operations
+
+
+def _advance(context, seconds):
+    for _ in range(int(seconds / 0.05)):
+        context.loop.advance(0.05)
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -5,8 +5,9 @@
 from features.support.home import HomeDesk, RecordedChannel
 from features.support.loop import LOCAL, RawPeer, TestLoop
 from flamingobank.core import VirtualClock
+from flamingobank.sidecar.caller_request import CallerWatcher
 from flamingobank.sidecar.crash_reports import CrashReports
-from flamingobank.sidecar.http_server import CallerWatcher, HttpServer
+from flamingobank.sidecar.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import (
     Answer,
--- /dev/null
+++ b/src/flamingobank/sidecar/caller_request.py
@@ -0,0 +1,137 @@
+"""Hold one request of a caller and write its answer."""
+
+import abc
+from typing import TYPE_CHECKING
+
+from flamingobank.loop import Headers
+
+if TYPE_CHECKING:
+    from flamingobank.sidecar.caller_connection import CallerConnection
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+BODILESS_STATUSES = (204, 304)
+
+
+class CallerWatcher(abc.ABC):
+    """Observe the caller of a request that is being answered."""
+
+    @abc.abstractmethod
+    def on_caller_left(self) -> None:
+        """React to the end of the caller's connection."""
+
+
+class CallerRequest:
+    """Hold one request and write its answer."""
+
+    __slots__ = (
+        "_chunked",
+        "_output",
+        "body_parts",
+        "complete",
+        "connection",
+        "finished",
+        "headers",
+        "keep_alive",
+        "method",
+        "read_at",
+        "started",
+        "target",
+        "watcher",
+    )
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.method = ""
+        self.target = b""
+        self.headers: Headers = []
+        self.body_parts: list[bytes] = []
+        self.keep_alive = True
+        self.complete = False
+        self.started = False
+        self.finished = False
+        self.read_at = 0.0
+        self.watcher: CallerWatcher | None = None
+        self._chunked = False
+        self._output: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        if len(self.body_parts) != 1:
+            self.body_parts = [b"".join(self.body_parts)]
+        return self.body_parts[0]
+
+    def get_header(self, name: bytes) -> str:
+        """Return the first value of a header, an empty text without one."""
+        for known, value in self.headers:
+            if known == name:
+                return value.decode("latin-1")
+        return ""
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        self.start(status, headers, len(body))
+        if self.method != "HEAD":
+            self.write(body)
+        self.finish()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of an answer; without a length its parts are chunked."""
+        self.started = True
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Answer"))]
+        lines += [
+            b"%s: %s" % header for header in headers if header[0] != b"content-length"
+        ]
+        if status not in BODILESS_STATUSES:
+            self._chunked = length is None
+            if self._chunked:
+                lines.append(b"Transfer-Encoding: chunked")
+            else:
+                lines.append(b"Content-Length: %d" % length)
+        lines += self.connection.describe_persistence(self)
+        self._send(b"\r\n".join([*lines, b"", b""]))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._send(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
+        self.finished = True
+        self.watcher = None
+        self.connection.on_answered()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it does not look complete."""
+        self.watcher = None
+        self.connection.abort()
+
+    def flush(self) -> None:
+        """Pass on what was written while an earlier answer was under way."""
+        for data in self._output:
+            self.connection.send(data)
+        self._output.clear()
+
+    def _send(self, data: bytes) -> None:
+        if self.connection.is_next(self):
+            self.connection.send(data)
+            return
+        self._output.append(data)
--- a/src/flamingobank/sidecar/control.py
+++ b/src/flamingobank/sidecar/control.py
@@ -9,8 +9,8 @@
 from expression import Result
 
 from flamingobank.core import Clock
+from flamingobank.sidecar.caller_request import CallerRequest
 from flamingobank.sidecar.home import Home
-from flamingobank.sidecar.http_server import CallerRequest
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.routes import RoutingTable
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -12,6 +12,8 @@
 
 from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
 from flamingobank.loop import Address, LoopComponent, Poller, Timers
+from flamingobank.sidecar.caller_request import CallerRequest
+from flamingobank.sidecar.channels import MessageChannel, PeerObserver
 from flamingobank.sidecar.control import CallDecoder, Control
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
@@ -19,15 +21,9 @@
 from flamingobank.sidecar.fleet_store import FleetStore
 from flamingobank.sidecar.gossip import Gossip
 from flamingobank.sidecar.home import Home
-from flamingobank.sidecar.http_server import CallerRequest, HttpServer
+from flamingobank.sidecar.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal, LineOutput
-from flamingobank.sidecar.links import (
-    Link,
-    LinkObserver,
-    Links,
-    MessageChannel,
-    PeerObserver,
-)
+from flamingobank.sidecar.links import Link, LinkObserver, Links
 from flamingobank.sidecar.local_link import LocalLink
 from flamingobank.sidecar.messages import (
     PROTOCOL_VERSION,
@@ -60,6 +56,7 @@
 PEERS_WAIT_S = 1.5
 # The departures that an earlier process acknowledged come from peers or the store.
 RECALL_WAIT_S = 1.0
+PEERS_ANSWER_S = 0.2
 MAX_DEPARTURES = 8
 SETTINGS_CHECK_S = 1.0
 PULL_SPACING_S = 0.3
@@ -146,6 +143,7 @@
             self._list_channels,
             self.crashes,
         )
+        self.home.serves_from = self._started_at + RECALL_WAIT_S
         self.entry = Entry(
             self.clock,
             self.timers,
@@ -178,6 +176,7 @@
             settings.peers,
         )
         self.gossip.on_record = self._on_record
+        self.gossip.on_former_record = self._on_former_record
         self.gossip.on_news = self._on_news
         self.gossip.on_crash = self.crashes.take
         self.crashes.spread = self.gossip.spread_crash
@@ -247,7 +246,7 @@
         self.store.stopping = True
         self.home.leave()
         self.gossip.leave()
-        self.store.remove_own()
+        self.store.end_own()
         self.callers.drain()
         self.timers.call_every(STOP_CHECK_S, self._check_stopped)
 
@@ -373,16 +372,17 @@
 
     def _on_peers(self, records: list[PeerRecord]) -> None:
         self.gossip.learn(records)
+        answered_at = self.clock.now() + PEERS_ANSWER_S
+        self.home.serves_from = min(self.home.serves_from, answered_at)
 
     def _on_record(self, record: PeerRecord) -> None:
-        if record.node == self.peers.own.node:
-            # An earlier process of this machine wrote it.
-            self.home.server.recall_departures(set(record.departures))
-            self._publish_server()
-            return
         if record.left:
             self.entry.forget_home(record.node)
 
+    def _on_former_record(self, record: PeerRecord) -> None:
+        self.home.server.recall_departures(set(record.departures))
+        self._publish_server()
+
     def _publish_server(self) -> None:
         server = self.home.server
         current = server.current
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -6,10 +6,10 @@
 
 from flamingobank.core import Clock, NodeId, ServiceName
 from flamingobank.loop import Timers
+from flamingobank.sidecar.caller_request import CallerRequest
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.exchange import RETURN_MARGIN_S, Exchange
-from flamingobank.sidecar.http_server import CallerRequest
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import HomeReport
 from flamingobank.sidecar.metrics import Metrics
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -6,13 +6,13 @@
 only once is sent again only when a home states that it has not run.
 """
 
-import enum
 from typing import TYPE_CHECKING
 
 from flamingobank.core import Invariant, RequestId, ServiceName, check_invariant
 from flamingobank.loop import Headers
-from flamingobank.sidecar.http_server import CallerRequest, CallerWatcher
-from flamingobank.sidecar.links import StreamHandler
+from flamingobank.sidecar.attempts import Attempt, AttemptState
+from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
+from flamingobank.sidecar.home_search import HomeSearch, NextStep
 from flamingobank.sidecar.messages import (
     Answer,
     AnswerPart,
@@ -28,7 +28,7 @@
 )
 from flamingobank.sidecar.refusals import RefusalCause
 from flamingobank.sidecar.routes import Route
-from flamingobank.sidecar.selection import HomeView, choose_full_home
+from flamingobank.sidecar.selection import HomeView
 
 if TYPE_CHECKING:
     from flamingobank.sidecar.entry import Entry
@@ -41,52 +41,13 @@
 HEDGE_SHARE = 0.55
 # Hedges leave this many retries to requests that have failed.
 HEDGE_RESERVE = 3.0
-# Careful work waits for a server to recover for this share of its objective.
-PATIENCE_SHARE = 0.3
+# Work that waits for a server to recover asks all homes again after this time.
 PATIENCE_STEP_S = 0.1
-TOO_LIKELY_FAILING = 0.5
 MAX_ARRIVALS = 5
 # With fewer retries left than this, the first attempt may be the last.
 CAREFUL_BELOW = 2.0
 
 
-class AttemptState(enum.Enum):
-    """Say how far one attempt has come."""
-
-    OFFERED = "offered"
-    QUEUED = "queued"
-    COMMITTED = "committed"
-    ENDED = "ended"
-
-
-class Attempt(StreamHandler):
-    """Follow one offer to one home."""
-
-    def __init__(
-        self, exchange: "Exchange", home: HomeView, stream: int, forced: bool
-    ) -> None:
-        self.home = home
-        self.stream = stream
-        self.forced = forced
-        self.state = AttemptState.OFFERED
-        self.streaming = False
-        self.timer = None
-        self._exchange = exchange
-
-    def on_message(self, message: Message) -> None:
-        self._exchange.on_message(self, message)
-
-    def on_link_lost(self) -> bool:
-        if self.state is AttemptState.COMMITTED:
-            self._exchange.on_path_lost(self)
-            return self.state is AttemptState.COMMITTED
-        self._exchange.on_refused(self, RefusalReason.SERVER_DOWN)
-        return False
-
-    def on_home_restarted(self) -> None:
-        self._exchange.on_home_restarted(self)
-
-
 class Exchange(CallerWatcher):
     """Hold one request until its final answer."""
 
@@ -111,10 +72,7 @@
         self.arrivals = 0
         self.done = False
         self._entry = entry
-        self._asked: set[str] = set()
-        self._ran_at: set[str] = set()
-        self._full: dict[str, HomeView] = {}
-        self._forced_round = False
+        self._search = HomeSearch()
         self._failure: Answer | None = None
         self._unknown = False
         self._budget_denied = False
@@ -175,13 +133,7 @@
             failing=round(attempt.home.estimate_failing(self._entry.clock.now()), 3),
         )
         self._close(attempt)
-        self._asked.add(attempt.home.node)
-        if reason in (RefusalReason.BUSY, RefusalReason.SUSPECT):
-            self._full[attempt.home.node] = attempt.home
-        else:
-            self._full.pop(attempt.home.node, None)
-        if attempt.forced:
-            self._full.pop(attempt.home.node, None)
+        self._search.note_refusal(attempt.home, reason, attempt.forced)
         self._ask_next()
 
     def on_path_lost(self, attempt: Attempt) -> None:
@@ -211,7 +163,7 @@
             self._end("broken-midway")
             return
         self.runs += 1
-        self._ran_at.add(attempt.home.node)
+        self._search.ran_at.add(attempt.home.node)
         self._unknown = True
         self._log("exchange:unknown", home=attempt.home.node, reason=reason)
         if self.idempotent:
@@ -231,41 +183,29 @@
             return
         home = self._pick_home(now)
         if home is None:
-            self._force(now)
+            self._ask_full_homes(now)
             return
         self._offer(home, forced=False)
 
     def _pick_home(self, now: float) -> HomeView | None:
-        excluded = self._asked | self._ran_at
         return self._entry.pick_home(
-            self.service, self.route.kind, self.careful, excluded, now
+            self.service, self.route.kind, self.careful, self._search.excluded, now
         )
 
-    def _force(self, now: float) -> None:
-        """Queue at the best home that was full, or give the request up."""
-        homes = [home for home in self._full.values() if home.node not in self._ran_at]
-        if not homes:
-            if self._failure is None and self._ran_at and not self.attempts:
-                self._give_up("no-home-left")
-                return
+    def _ask_full_homes(self, now: float) -> None:
+        """Queue at a home that was full, wait for one, or give the request up."""
+        move = self._search.decide_next(
+            self.careful,
+            now - self.request.read_at,
+            self.route.target_latency_s,
+            now,
+        )
+        if move.step is NextStep.GIVE_UP:
             self._give_up("no-home")
-            return
-        if self._should_wait(homes, now):
-            self._asked.clear()
-            self._full.clear()
+        elif move.step is NextStep.WAIT:
             self._call_at(now + PATIENCE_STEP_S, self._ask_next)
-            return
-        best = choose_full_home(homes, now)
-        del self._full[best.node]
-        self._offer(best, forced=True)
-
-    def _should_wait(self, homes: list[HomeView], now: float) -> bool:
-        if not self.careful:
-            return False
-        waited_s = now - self.request.read_at
-        if waited_s > PATIENCE_SHARE * self.route.target_latency_s:
-            return False
-        return min(home.estimate_failing(now) for home in homes) > TOO_LIKELY_FAILING
+        else:
+            self._offer(move.home, forced=True)
 
     def _offer(self, home: HomeView, forced: bool) -> None:
         now = self._entry.clock.now()
@@ -356,7 +296,7 @@
         now = self._entry.clock.now()
         if self._entry.measure_retries(self.service, now) < HEDGE_RESERVE:
             return
-        excluded = self._ran_at | {attempt.home.node}
+        excluded = self._search.ran_at | {attempt.home.node}
         home = self._entry.pick_home(self.service, self.route.kind, True, excluded, now)
         if home is not None:
             self._log("exchange:hedged", slow_home=attempt.home.node, home=home.node)
@@ -365,7 +305,7 @@
     def _take_answer(self, attempt: Attempt, answer: Answer) -> None:
         self.arrivals += 1
         self.runs += 1
-        self._ran_at.add(attempt.home.node)
+        self._search.ran_at.add(attempt.home.node)
         if answer.status >= 500 and answer.complete:
             self._close(attempt)
             self._failure = answer
@@ -414,7 +354,7 @@
             self.on_unknown(attempt, failure.reason)
             return
         self._close(attempt)
-        self._asked.add(attempt.home.node)
+        self._search.note_refusal(attempt.home, RefusalReason.SERVER_DOWN, True)
         if self.arrivals >= MAX_ARRIVALS:
             self._give_up("retries-spent")
             return
@@ -471,7 +411,9 @@
         if self._budget_denied or why == "retries-spent":
             self._refuse(RefusalCause.RETRIES_SPENT)
             return
-        self._refuse(RefusalCause.BUSY if self._asked else RefusalCause.NO_HOME)
+        self._refuse(
+            RefusalCause.BUSY if self._search.has_asked else RefusalCause.NO_HOME
+        )
 
     def _deliver_failure(self) -> None:
         answer = self._failure
--- a/src/flamingobank/sidecar/gossip.py
+++ b/src/flamingobank/sidecar/gossip.py
@@ -58,6 +58,7 @@
     ) -> None:
         self.table = table
         self.on_record: Callable[[PeerRecord], None] = lambda record: None
+        self.on_former_record: Callable[[PeerRecord], None] = lambda record: None
         self.on_news: Callable[[PeerRecord, int, float], None] = (
             lambda peer, version, age_s: None
         )
@@ -181,14 +182,10 @@
             self._merge(unpack_record(values))
 
     def _merge(self, record: PeerRecord) -> None:
-        if not self.table.merge(record, self._clock.now()):
-            return
         if record.node == self.table.own.node:
-            self._journal.event(
-                "gossip:refuted", incarnation=self.table.own.incarnation
-            )
-            self.on_record(record)
-            self._spread(self.table.own)
+            self._take_own(record)
+            return
+        if not self.table.merge(record, self._clock.now()):
             return
         self._journal.event(
             "gossip:peer",
@@ -202,6 +199,17 @@
         self.on_record(record)
         self._spread(record)
 
+    def _take_own(self, record: PeerRecord) -> None:
+        if record.incarnation == self.table.own.incarnation:
+            return
+        # An earlier process of this machine wrote it; it may list departures.
+        self.on_former_record(record)
+        if self.table.merge(record, self._clock.now()):
+            self._journal.event(
+                "gossip:refuted", incarnation=self.table.own.incarnation
+            )
+            self._spread(self.table.own)
+
     def _compare(self, digest: int, address: Address) -> None:
         now = self._clock.now()
         if digest == self.table.digest or now < self._compared_at + COMPARE_SPACING_S:
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -4,7 +4,6 @@
 outcomes of requests for a while, so that an entry whose link broke can still ask.
 """
 
-import enum
 import itertools
 from collections.abc import Callable
 
@@ -15,23 +14,18 @@
     RequestId,
     check_invariant,
 )
-from flamingobank.loop import Headers, Timers
-from flamingobank.sidecar.belief import FailureBelief
+from flamingobank.loop import Timers
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.gate import (
-    CAREFUL_LIMIT,
-    NEEDED_WORK_SHARE,
     SUSPECT_LIMIT,
     GateState,
     Verdict,
-    compute_queue_limit,
     decide_offer,
 )
 from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.judge import ServerJudge
 from flamingobank.sidecar.messages import (
-    Answer,
-    AnswerPart,
     Cancel,
     Commit,
     Failed,
@@ -48,12 +42,11 @@
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.server_client import (
     RunFailure,
-    RunHandler,
     RunOutcome,
     ServerClient,
-    ServerRun,
 )
 from flamingobank.sidecar.server_state import DEFAULT_SLOTS, AnnouncedServer
+from flamingobank.sidecar.works import Work, WorkState
 
 # The request follows a grant within one round trip.
 GRANT_TIMEOUT_S = 0.6
@@ -63,78 +56,11 @@
 # sends it elsewhere meanwhile.
 ORPHAN_S = 0.4
 SWEEP_INTERVAL_S = 0.2
-FIRST_DOWN_S = 0.15
-MAX_DOWN_S = 1.0
-FIRST_WORK_ESTIMATE_S = 0.2
-WORK_SMOOTHING = 0.1
 # A failure that follows a failed call of the server's own within this time is put
 # down to the call.
 CALL_FAILURE_S = 0.3
 
 
-class WorkState(enum.Enum):
-    """Say how far a request at its home has come."""
-
-    WAITING = "waiting"
-    GRANTED = "granted"
-    RUNNING = "running"
-    DONE = "done"
-
-
-class Work(RunHandler):
-    """Follow one request from its offer to its outcome."""
-
-    def __init__(self, home: "Home", channel, offer: Offer, now: float) -> None:
-        self.home = home
-        self.channel = channel
-        self.offer = offer
-        self.state = WorkState.WAITING
-        self.deadline = now + offer.left_s
-        limit_s = compute_queue_limit(
-            offer.left_s, offer.objective_left_s, home.mean_work_s
-        )
-        # A start after this misses the latency objective.
-        self.latest_start = now + limit_s - NEEDED_WORK_SHARE * home.mean_work_s
-        self.state_since = now
-        self.request_id = RequestId("")
-        self.commit: Commit | None = None
-        self.run: ServerRun | None = None
-        self.repeated = False
-        self.outcome: list[Message] = []
-        self.orphaned_at: float | None = None
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Identify the request among those of all entries."""
-        return (self.channel.peer_boot, self.offer.stream)
-
-    def report(self, message: Message) -> None:
-        """Send a part of the outcome and keep it for a resumed link."""
-        self.outcome.append(message)
-        self.channel.send(message)
-
-    def on_run_answer(
-        self, status: int, headers: Headers, body: bytes, complete: bool
-    ) -> None:
-        if complete:
-            self.home.on_answered(self, status)
-        headers = self.home.dialect.pass_answer_headers(headers)
-        report = self.home.describe()
-        self.report(Answer(self.offer.stream, status, headers, body, complete, report))
-
-    def on_run_part(self, body: bytes, complete: bool) -> None:
-        if complete:
-            self.home.on_answered(self, 200)
-        elif not body:
-            failure = RunFailure(RunOutcome.UNKNOWN, True, False, "broke midway")
-            self.home.on_failed(self, failure, crashed=False)
-            return
-        self.report(AnswerPart(self.offer.stream, body, complete))
-
-    def on_run_failed(self, failure: RunFailure) -> None:
-        self.home.judge_failure(self, failure)
-
-
 class Home:
     """Serve offers of entries with the server of this machine."""
 
@@ -163,15 +89,13 @@
         self._journal = journal
         self._metrics = metrics
         self._list_channels = list_channels
-        self._belief = FailureBelief(clock.now())
+        self.judge = ServerJudge(clock.now())
+        # Departures that an earlier process acknowledged may still have to be learned.
+        self.serves_from = clock.now()
         self._waiting: list[tuple[int, int, Work]] = []
         self._order = itertools.count()
         self._busy = 0
-        self._down_until = 0.0
-        self._down_s = FIRST_DOWN_S
-        self.mean_work_s = FIRST_WORK_ESTIMATE_S
         self._probed_at = 0.0
-        self._was_trusted = True
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
 
     @property
@@ -191,13 +115,20 @@
         current = self.server.current
         return HomeReport(
             current.service if current is not None else "",
-            round(self._belief.read(now), 3),
+            round(self.judge.read_failing(now), 3),
             self._busy,
             len(self._waiting),
             self.slots,
-            self.server.accepts_work and not self.leaving and now >= self._down_until,
+            self.server.accepts_work
+            and not self.leaving
+            and not self.judge.is_down(now),
         )
 
+    def _accepts_work(self, now: float) -> bool:
+        if self.leaving or self.judge.is_down(now):
+            return False
+        return self.server.accepts_work
+
     def on_server_changed(self) -> None:
         """React to a new server or a change of its lifecycle."""
         current = self.server.current
@@ -209,9 +140,7 @@
 
     def on_new_instance(self) -> None:
         """Forget what was believed of an earlier server."""
-        self._belief = FailureBelief(self.clock.now())
-        self._down_until = 0.0
-        self._down_s = FIRST_DOWN_S
+        self.judge.forget(self.clock.now())
 
     def leave(self) -> None:
         """Take no new work."""
@@ -252,15 +181,13 @@
         """Learn from a complete answer."""
         now = self.clock.now()
         took_s = now - work.state_since
-        if status < 500:
-            self.mean_work_s += WORK_SMOOTHING * (took_s - self.mean_work_s)
         failed = status >= 500
+        self.judge.note_answer(took_s, not failed)
         by_call = (
             failed
             and work.offer.idempotent
             and now < self.call_failed_at + CALL_FAILURE_S
         )
-        self._down_s = FIRST_DOWN_S
         if work.commit is not None:
             self.crashes.clear(work.commit.method, work.commit.target, work.commit.body)
         # At the deadline a server answers 504; that says nothing about the server.
@@ -271,7 +198,7 @@
             work.request_id,
             status=status,
             took_ms=round(took_s * 1000, 1),
-            failing=round(self._belief.read(now), 3),
+            failing=round(self.judge.read_failing(now), 3),
             blamed_on_call=by_call,
         )
         self._finish(work)
@@ -303,7 +230,7 @@
             work.request_id,
             outcome=failure.outcome.value,
             reason=failure.reason,
-            failing=round(self._belief.read(self.clock.now()), 3),
+            failing=round(self.judge.read_failing(self.clock.now()), 3),
         )
         work.report(
             Failed(
@@ -337,19 +264,20 @@
         if self.leaving:
             self._refuse(channel, offer.stream, RefusalReason.LEAVING)
             return
-        if not self.server.accepts_work or current.service != offer.service:
+        unknown = now < self.serves_from or not self.server.accepts_work
+        if unknown or current.service != offer.service:
             self._refuse(channel, offer.stream, RefusalReason.NO_SERVER)
             return
-        if now < self._down_until:
+        if self.judge.is_down(now):
             self._refuse(channel, offer.stream, RefusalReason.SERVER_DOWN)
             return
         state = GateState(
-            self._belief.read(now),
+            self.judge.read_failing(now),
             self._busy,
             len(self._waiting),
             sum(1 for entry in self._waiting if entry[0] <= offer.priority),
             self.slots,
-            self.mean_work_s,
+            self.judge.mean_work_s,
             self._probed_at,
         )
         decision = decide_offer(
@@ -376,7 +304,7 @@
     def _grant(self, work: Work) -> None:
         now = self.clock.now()
         self._busy += 1
-        if self._belief.read(now) > SUSPECT_LIMIT:
+        if self.judge.read_failing(now) > SUSPECT_LIMIT:
             self._probed_at = now
         work.state = WorkState.GRANTED
         work.state_since = now
@@ -480,28 +408,20 @@
 
     def _observe(self, failed: bool, work: Work, detail: str) -> None:
         now = self.clock.now()
-        self._belief.observe(failed, now)
         self._metrics.count("server_outcomes_total", failed=str(failed).lower())
-        failing = self._belief.read(now)
-        # Two thresholds, so that a belief near one of them is not pushed to and fro.
-        if self._was_trusted and failing > SUSPECT_LIMIT:
-            self._was_trusted = False
-        elif not self._was_trusted and failing < CAREFUL_LIMIT:
-            self._was_trusted = True
-        else:
+        if not self.judge.observe(failed, now):
             return
         self._journal.event(
             "home:judged",
-            trusted=self._was_trusted,
-            failing=round(failing, 3),
+            trusted=self.judge.trusted,
+            failing=round(self.judge.read_failing(now), 3),
             request=work.request_id,
             detail=detail,
         )
         self._push_report()
 
     def _mark_down(self, now: float, reason: str) -> None:
-        self._down_until = now + self._down_s
-        self._down_s = min(MAX_DOWN_S, self._down_s * 2)
+        self.judge.mark_down(now)
         self.client.close_idle()
         self._journal.event("home:server-down", reason=reason)
         self._push_report()
--- /dev/null
+++ b/src/flamingobank/sidecar/home_search.py
@@ -0,0 +1,73 @@
+"""Remember which homes one request has asked, and decide where to queue."""
+
+import enum
+from dataclasses import dataclass
+
+from flamingobank.core import NodeId
+from flamingobank.sidecar.messages import RefusalReason
+from flamingobank.sidecar.selection import HomeView, choose_full_home
+
+# Careful work waits for a server to recover for this share of its objective.
+PATIENCE_SHARE = 0.3
+TOO_LIKELY_FAILING = 0.5
+
+
+class NextStep(enum.Enum):
+    """Say what a request without a grant does."""
+
+    QUEUE = "queue"
+    WAIT = "wait"
+    GIVE_UP = "give-up"
+
+
+@dataclass(frozen=True, slots=True)
+class NextMove:
+    """Hold the next step and, to queue, the home."""
+
+    step: NextStep
+    home: HomeView | None = None
+
+
+class HomeSearch:
+    """Hold the homes that turned a request down and those that ran it."""
+
+    def __init__(self) -> None:
+        self.ran_at: set[NodeId] = set()
+        self._asked: set[NodeId] = set()
+        # Homes whose server works but could not take the request.
+        self._full: dict[NodeId, HomeView] = {}
+
+    @property
+    def excluded(self) -> set[NodeId]:
+        """Return the homes that are not asked again."""
+        return self._asked | self.ran_at
+
+    @property
+    def has_asked(self) -> bool:
+        """Tell whether any home has turned the request down."""
+        return bool(self._asked)
+
+    def note_refusal(self, home: HomeView, reason: RefusalReason, forced: bool) -> None:
+        """Learn that a home did not take the request."""
+        self._asked.add(home.node)
+        if reason in (RefusalReason.BUSY, RefusalReason.SUSPECT) and not forced:
+            self._full[home.node] = home
+            return
+        self._full.pop(home.node, None)
+
+    def decide_next(
+        self, careful: bool, waited_s: float, objective_s: float, now: float
+    ) -> NextMove:
+        """Decide what follows when every home has turned the request down."""
+        homes = [home for home in self._full.values() if home.node not in self.ran_at]
+        if not homes:
+            return NextMove(NextStep.GIVE_UP)
+        best = min(home.estimate_failing(now) for home in homes)
+        patient = waited_s <= PATIENCE_SHARE * objective_s
+        if careful and patient and best > TOO_LIKELY_FAILING:
+            self._asked.clear()
+            self._full.clear()
+            return NextMove(NextStep.WAIT)
+        home = choose_full_home(homes, now)
+        del self._full[home.node]
+        return NextMove(NextStep.QUEUE, home)
--- /dev/null
+++ b/src/flamingobank/sidecar/judge.py
@@ -0,0 +1,59 @@
+"""Hold what a home believes of its server: if it works, how fast, if it is up."""
+
+from flamingobank.sidecar.belief import FailureBelief
+from flamingobank.sidecar.gate import CAREFUL_LIMIT, SUSPECT_LIMIT
+
+# Until the first answers, work is taken to last this long.
+FIRST_WORK_ESTIMATE_S = 0.2
+WORK_SMOOTHING = 0.1
+FIRST_DOWN_S = 0.15
+MAX_DOWN_S = 1.0
+
+
+class ServerJudge:
+    """Learn from the outcomes of one server's work."""
+
+    def __init__(self, now: float) -> None:
+        self.trusted = True
+        self.mean_work_s = FIRST_WORK_ESTIMATE_S
+        self._belief = FailureBelief(now)
+        self._down_until = 0.0
+        self._down_s = FIRST_DOWN_S
+
+    def read_failing(self, now: float) -> float:
+        """Return the probability that the server fails work now."""
+        return self._belief.read(now)
+
+    def is_down(self, now: float) -> bool:
+        """Tell whether the server could not be reached just now."""
+        return now < self._down_until
+
+    def observe(self, failed: bool, now: float) -> bool:
+        """Learn from one outcome; tell whether the judgement changed."""
+        self._belief.observe(failed, now)
+        failing = self._belief.read(now)
+        before = self.trusted
+        # Two thresholds, so that a belief near one of them is not pushed to and fro.
+        if failing > SUSPECT_LIMIT:
+            self.trusted = False
+        elif failing < CAREFUL_LIMIT:
+            self.trusted = True
+        return self.trusted is not before
+
+    def note_answer(self, took_s: float, succeeded: bool) -> None:
+        """Learn from a complete answer that the server is up and how long it took."""
+        self._down_s = FIRST_DOWN_S
+        if succeeded:
+            self.mean_work_s += WORK_SMOOTHING * (took_s - self.mean_work_s)
+
+    def mark_down(self, now: float) -> None:
+        """Keep work away for a while that grows with each time in a row."""
+        self._down_until = now + self._down_s
+        self._down_s = min(MAX_DOWN_S, self._down_s * 2)
+
+    def forget(self, now: float) -> None:
+        """Drop what was believed of an earlier start of the server."""
+        self._belief = FailureBelief(now)
+        self.trusted = True
+        self._down_until = 0.0
+        self._down_s = FIRST_DOWN_S
--- a/src/flamingobank/sidecar/store_sync.py
+++ b/src/flamingobank/sidecar/store_sync.py
@@ -64,6 +64,7 @@
         self._retry_s = FIRST_RETRY_S
         self._retry_at = 0.0
         self._listed = False
+        self._was_read = False
         self._saved = False
         self._saving = False
 
@@ -74,7 +75,7 @@
 
     def start(self) -> None:
         """Read everything once, then go on as needed."""
-        self._save()
+        # The own record of an earlier process is read before it is overwritten.
         self._list_peers()
         self._check()
         self._timers.call_every(CHECK_INTERVAL_S, self._check)
@@ -90,10 +91,15 @@
             self._peers.own, SAVE_TIMEOUT_S / 2, lambda result: on_done()
         )
 
-    def remove_own(self) -> None:
-        """Remove the own record for good."""
+    def end_own(self) -> None:
+        """Take the own record out, but keep departures for the next process."""
+        own = self._peers.own
+        if own.departures:
+            self._count("save")
+            self._store.save_peer(own, SAVE_TIMEOUT_S, lambda result: None)
+            return
         self._count("remove")
-        self._store.remove_peer(self._peers.own, lambda result: None)
+        self._store.remove_peer(own, lambda result: None)
 
     def is_watcher(self) -> bool:
         """Tell whether this sidecar is one of the few that watch."""
@@ -109,10 +115,10 @@
         now = self._clock.now()
         if self.stopping or now < self._retry_at:
             return
-        if not self._saved and not self._saving:
-            self._save()
         if not self._listed:
             self._list_peers()
+        elif self._was_read and not self._saved and not self._saving:
+            self._save()
         if self._calling or not self._is_due():
             return
         self._calling = True
@@ -173,10 +179,11 @@
     def _on_peers(self, result: Result[list[PeerRecord], FleetStoreError]) -> None:
         if result.is_error():
             self._count_error(result.error)
-            # Peers that are known tell of the others.
-            self._listed = len(self._peers) > 0
+            self._listed = False
             return
+        self._was_read = True
         self.on_peers(result.ok)
+        self._save()
 
     def _save(self) -> None:
         self._saving = True
--- /dev/null
+++ b/src/flamingobank/sidecar/works.py
@@ -0,0 +1,87 @@
+"""Follow one request at its home from its offer to its outcome."""
+
+import enum
+from typing import TYPE_CHECKING
+
+from flamingobank.core import RequestId
+from flamingobank.loop import Headers
+from flamingobank.sidecar.gate import NEEDED_WORK_SHARE, compute_queue_limit
+from flamingobank.sidecar.messages import (
+    Answer,
+    AnswerPart,
+    Commit,
+    Message,
+    Offer,
+)
+from flamingobank.sidecar.server_client import (
+    RunFailure,
+    RunHandler,
+    RunOutcome,
+    ServerRun,
+)
+
+if TYPE_CHECKING:
+    from flamingobank.sidecar.home import Home
+
+
+class WorkState(enum.Enum):
+    """Say how far a request at its home has come."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Work(RunHandler):
+    """Follow one request from its offer to its outcome."""
+
+    def __init__(self, home: "Home", channel, offer: Offer, now: float) -> None:
+        self.home = home
+        self.channel = channel
+        self.offer = offer
+        self.state = WorkState.WAITING
+        self.deadline = now + offer.left_s
+        limit_s = compute_queue_limit(
+            offer.left_s, offer.objective_left_s, home.judge.mean_work_s
+        )
+        # A start after this misses the latency objective.
+        self.latest_start = now + limit_s - NEEDED_WORK_SHARE * home.judge.mean_work_s
+        self.state_since = now
+        self.request_id = RequestId("")
+        self.commit: Commit | None = None
+        self.run: ServerRun | None = None
+        self.repeated = False
+        self.outcome: list[Message] = []
+        self.orphaned_at: float | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Identify the request among those of all entries."""
+        return (self.channel.peer_boot, self.offer.stream)
+
+    def report(self, message: Message) -> None:
+        """Send a part of the outcome and keep it for a resumed link."""
+        self.outcome.append(message)
+        self.channel.send(message)
+
+    def on_run_answer(
+        self, status: int, headers: Headers, body: bytes, complete: bool
+    ) -> None:
+        if complete:
+            self.home.on_answered(self, status)
+        headers = self.home.dialect.pass_answer_headers(headers)
+        report = self.home.describe()
+        self.report(Answer(self.offer.stream, status, headers, body, complete, report))
+
+    def on_run_part(self, body: bytes, complete: bool) -> None:
+        if complete:
+            self.home.on_answered(self, 200)
+        elif not body:
+            failure = RunFailure(RunOutcome.UNKNOWN, True, False, "broke midway")
+            self.home.on_failed(self, failure, crashed=False)
+            return
+        self.report(AnswerPart(self.offer.stream, body, complete))
+
+    def on_run_failed(self, failure: RunFailure) -> None:
+        self.home.judge_failure(self, failure)
