--- /dev/null
+++ b/src/flamingobank_standins/platform/server.py
@@ -0,0 +1,172 @@
+"""Stand in for an application server beside a sidecar."""
+
+import enum
+import json
+import random
+import time
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.loop import (
+    Address,
+    AnswerHandler,
+    Headers,
+    HttpClientConnection,
+    Poller,
+    Timers,
+)
+from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
+from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.routes import RequestLimits
+
+HEARTBEAT_S = 0.5
+LIMITS = RequestLimits()
+SLOTS = 4
+
+
+class ServerMode(enum.Enum):
+    """Say how a server treats requests."""
+
+    WORKING = "working"
+    # Fails four in five with 500.
+    GRAY = "gray"
+    RESETTING = "resetting"
+    HANGING = "hanging"
+    SHEDDING = "shedding"
+
+
+class HeartbeatAnswer(AnswerHandler):
+    """Tell whether a call was acknowledged."""
+
+    def __init__(self, on_done: Callable[[bool], None]) -> None:
+        self._on_done = on_done
+        self._status = 0
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        self._status = status
+
+    def on_answer_part(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def on_answer_end(self) -> None:
+        self._on_done(self._status == 200)
+
+    def on_answer_failed(self, reason: str, sent: bool) -> None:
+        self._on_done(False)
+
+
+class PlatformServer(CallerWatcher):
+    """Run requests, announce itself and record what reached it."""
+
+    def __init__(
+        self,
+        poller: Poller,
+        timers: Timers,
+        clock: Clock,
+        rng: random.Random,
+        service: str,
+        address: Address,
+        control: Address,
+    ) -> None:
+        self.mode = ServerMode.WORKING
+        self.instance = ""
+        self.draining = False
+        self.drained_at: float | None = None
+        # Each run as request id, instance and time.
+        self.runs: list[tuple[str, str, float]] = []
+        self._poller = poller
+        self._timers = timers
+        self._clock = clock
+        self._rng = rng
+        self._service = service
+        self._control = control
+        self._sequence = 0
+        self._born = 0
+        self._running = 0
+        self._server = HttpServer(
+            poller, timers, clock, address, lambda: LIMITS, self._take
+        )
+        self.address = self._server.address
+        self.restart()
+        timers.call_every(HEARTBEAT_S, self._send_heartbeat)
+
+    def restart(self) -> None:
+        """Start anew under another id."""
+        self.instance = f"i-{self._rng.getrandbits(32):08x}"
+        self.draining = False
+        self.drained_at = None
+        self._sequence = 0
+        self._born = max(self._born + 1, time.time_ns() // 1_000_000)
+        self._send_heartbeat()
+
+    def drain(self) -> None:
+        """Announce that this start ends."""
+        self.draining = True
+        self._send_heartbeat()
+
+    def on_caller_left(self) -> None:
+        """React to a connection that closed; the work goes on."""
+
+    def _send_heartbeat(self) -> None:
+        self._sequence += 1
+        host, port = self.address
+        body = {
+            "born": self._born,
+            "address": f"{host}:{port}",
+            "info": {
+                "service": self._service,
+                "version": "v1",
+                "zone": "a",
+                "slots": SLOTS,
+            },
+            "status": {
+                "state": "draining" if self.draining else "ready",
+                "sequence": self._sequence,
+                "warmup-remaining-s": 0,
+            },
+        }
+        data = json.dumps(body).encode()
+        head = (
+            f"POST /flamingobank/instances/{self.instance}/heartbeat HTTP/1.1\r\n"
+            f"Host: control\r\nContent-Length: {len(data)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        instance, draining = self.instance, self.draining
+
+        def note(acknowledged: bool) -> None:
+            if acknowledged and draining and self.instance == instance:
+                self.drained_at = self.drained_at or self._clock.now()
+
+        connection = HttpClientConnection(self._poller, self._control)
+        connection.send(head.encode() + data, HeartbeatAnswer(note))
+
+    def _take(self, request: CallerRequest) -> None:
+        expected = request.get_header(b"expected-instance")
+        if expected and expected != self.instance:
+            headers = [(b"instance-id", self.instance.encode())]
+            request.answer(421, headers, b"")
+            return
+        if self._running >= SLOTS or self.mode is ServerMode.SHEDDING:
+            request.answer(503, [(b"not-executed", b"1")], b"")
+            return
+        request_id = request.get_header(b"request-id")
+        self.runs.append((request_id, self.instance, self._clock.now()))
+        self._running += 1
+        work_s = self._rng.uniform(0.01, 0.06)
+        self._timers.call_at(
+            self._clock.now() + work_s, lambda: self._finish(request, request_id)
+        )
+
+    def _finish(self, request: CallerRequest, request_id: str) -> None:
+        self._running -= 1
+        if self.mode is ServerMode.HANGING:
+            return
+        if self.mode is ServerMode.RESETTING and self._rng.random() < 0.5:
+            request.abort()
+            return
+        failed = self.mode is ServerMode.GRAY and self._rng.random() < 0.8
+        headers = [
+            (b"request-id", request_id.encode()),
+            (b"server-seal", f"{self.instance}.{request_id}".encode()),
+        ]
+        request.answer(500 if failed else 200, headers, request_id.encode())
--- /dev/null
+++ b/src/flamingobank_standins/platform/store.py
@@ -0,0 +1,173 @@
+"""Serve the platform's object store: revisions, watches and history."""
+
+import enum
+import json
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+from flamingobank.core import Clock
+from flamingobank.loop import Address, Poller, Timers
+from flamingobank.sidecar.caller_request import CallerRequest
+from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.routes import RequestLimits
+
+PREFIX = "/flamingobank/objects/"
+MAX_HISTORY = 200
+LIMITS = RequestLimits()
+
+
+class StoreMode(enum.Enum):
+    """Say how the store treats calls."""
+
+    SERVING = "serving"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESETTING = "resetting"
+    # Writes are done and not answered.
+    LOSING = "losing"
+
+
+@dataclass(slots=True)
+class Watch:
+    """Hold a call that waits for a change."""
+
+    request: CallerRequest
+    kind: str
+    revision: int
+
+
+class PlatformStore:
+    """Keep objects by kind and name, and answer as the platform's pages say."""
+
+    def __init__(
+        self, poller: Poller, timers: Timers, clock: Clock, address: Address
+    ) -> None:
+        self.mode = StoreMode.SERVING
+        self.calls = 0
+        self._clock = clock
+        self._timers = timers
+        self._revision = 1
+        self._objects: dict[tuple[str, str], dict] = {}
+        self._events: list[tuple[int, str, dict]] = []
+        self._forgotten_to = 0
+        self._watches: list[Watch] = []
+        self._server = HttpServer(
+            poller, timers, clock, address, lambda: LIMITS, self._take
+        )
+        self.address = self._server.address
+
+    def put(self, kind: str, name: str, specification: object) -> None:
+        """Write an object as the operator does."""
+        self._write(kind, name, specification)
+
+    def forget_history(self) -> None:
+        """Drop the history; watches of older revisions get 410."""
+        self._events.clear()
+        self._forgotten_to = self._revision
+        for watch in self._watches:
+            watch.request.answer(410, [], b"{}")
+        self._watches.clear()
+
+    def _take(self, request: CallerRequest) -> None:
+        self.calls += 1
+        if self.mode is StoreMode.SILENT:
+            return
+        if self.mode is StoreMode.RESETTING:
+            request.abort()
+            return
+        if self.mode is StoreMode.BUSY:
+            request.answer(503, [], b"{}")
+            return
+        path, _, query = request.target.decode().partition("?")
+        kind, _, name = path.removeprefix(PREFIX).partition("/")
+        if request.method == "GET":
+            self._read(request, kind, unquote(name), parse_qs(query))
+            return
+        status, body = self._change(request, kind, unquote(name))
+        if self.mode is StoreMode.LOSING:
+            request.abort()
+            return
+        request.answer(status, [], json.dumps(body).encode())
+
+    def _change(self, request: CallerRequest, kind: str, name: str) -> tuple[int, dict]:
+        document = json.loads(request.body) if request.body else {}
+        if request.method == "POST":
+            name = document["metadata"]["name"]
+            if (kind, name) in self._objects:
+                return 409, self._objects[kind, name]
+            return 200, self._write(kind, name, document.get("specification"))
+        known = self._objects.get((kind, name))
+        if known is None:
+            return 404, {}
+        if request.method == "DELETE":
+            del self._objects[kind, name]
+            self._note(kind, known, deleted=True)
+            return 200, known
+        return 200, self._write(kind, name, document.get("specification"))
+
+    def _write(self, kind: str, name: str, specification: object) -> dict:
+        known = self._objects.get((kind, name))
+        if known is not None and known["specification"] == specification:
+            return known
+        self._revision += 1
+        written = {
+            "metadata": {"name": name, "revision": self._revision},
+            "specification": specification,
+            "status": None,
+        }
+        self._objects[kind, name] = written
+        self._note(kind, written, deleted=False)
+        return written
+
+    def _note(self, kind: str, changed: dict, deleted: bool) -> None:
+        event = {"object": changed, "deleted": deleted}
+        self._events.append((self._revision, kind, event))
+        del self._events[:-MAX_HISTORY]
+        for watch in [watch for watch in self._watches if watch.kind == kind]:
+            self._watches.remove(watch)
+            self._answer_watch(watch)
+
+    def _read(self, request: CallerRequest, kind: str, name: str, query: dict) -> None:
+        if "watch" in query:
+            self._start_watch(request, kind, query)
+            return
+        if name:
+            found = self._objects.get((kind, name))
+            status = 200 if found else 404
+            request.answer(status, [], json.dumps(found or {}).encode())
+            return
+        items = [item for (known, _), item in self._objects.items() if known == kind]
+        body = {"items": items, "has-more": False, "current-rev": self._revision}
+        request.answer(200, [], json.dumps(body).encode())
+
+    def _start_watch(self, request: CallerRequest, kind: str, query: dict) -> None:
+        revision = int(query["watch"][0])
+        if revision < self._forgotten_to:
+            request.answer(410, [], b"{}")
+            return
+        watch = Watch(request, kind, revision)
+        if self._find_events(watch):
+            self._answer_watch(watch)
+            return
+        self._watches.append(watch)
+        wait_s = int(query["wait-ms"][0]) / 1000
+        self._timers.call_at(self._clock.now() + wait_s, lambda: self._end(watch))
+
+    def _end(self, watch: Watch) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            self._answer_watch(watch)
+
+    def _find_events(self, watch: Watch) -> list[dict]:
+        return [
+            event
+            for revision, kind, event in self._events
+            if kind == watch.kind and revision > watch.revision
+        ]
+
+    def _answer_watch(self, watch: Watch) -> None:
+        if self.mode is not StoreMode.SERVING:
+            return
+        events = self._find_events(watch)
+        body = {"events": events, "current-rev": self._revision}
+        watch.request.answer(200, [], json.dumps(body).encode())
