List the peers again after writing the own record, and join split groups

A process now reads the records again once its own is written: of any two, the later writer finds the other. Watchers read them every 10 s, which joins groups that never heard of each other. Both have a test that failed before.

--- a/features/sidecar_fleet.feature
+++ b/features/sidecar_fleet.feature
@@ -36,3 +36,13 @@
     Given a store that holds the record of the former process
     When the process starts
     Then it lists the records before it writes its own
+
+  Scenario: Processes that start at the same moment find one another by the store
+    Given 8 processes that start within 2 milliseconds and share a store
+    When they gossip for 3 seconds
+    Then all hold the same records
+
+  Scenario: Two groups that never heard of each other are joined by the watchers
+    Given 2 groups of 4 processes that each know only their own group
+    When they gossip for 15 seconds
+    Then all hold the same records
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -122,6 +122,7 @@
 
     def __init__(self, loop):
         self.loop = loop
+        self.records = {}
         self.calls = []
         self.away = False
         self.forgotten = False
@@ -143,12 +144,17 @@
         self._answer("watch", Ok(TableReading(None, revision)), callback, wait_s)
 
     def list_peers(self, callback):
-        """Return no peers."""
-        self._answer("list", Ok([]), callback)
+        """Return the records as they are when the call arrives."""
+        self._answer("list", Ok(list(self.records.values())), callback)
 
     def save_peer(self, record, timeout_s, callback):
-        """Take a record."""
-        self._answer("save", Ok(None), callback)
+        """Take a record, which is there when the call is answered."""
+
+        def store(result):
+            self.records[record.node] = record
+            callback(result)
+
+        self._answer("save", Ok(None), store)
 
     def remove_peer(self, record, callback):
         """Drop a record."""
@@ -303,3 +309,52 @@
 def _advance(context, seconds):
     for _ in range(int(seconds / 0.05)):
         context.loop.advance(0.05)
+
+
+def _start_synced(context, names, store, groups=()):
+    loop = context.loop
+    context.nodes = []
+    for number, name in enumerate(names):
+        node = GossipingNode(loop, name)
+        node.sync = StoreSync(
+            loop.clock,
+            loop.timers,
+            random.Random(name),
+            Journal(name),
+            Metrics({"node": name}),
+            store,
+            node.table,
+        )
+        node.sync.on_peers = node.gossip.learn
+        node.gossip.read_age = lambda sync=node.sync: sync.age_s
+        node.gossip.on_news = lambda peer, version, age_s, sync=node.sync: (
+            sync.note_age(age_s)
+        )
+        context.nodes.append(node)
+        loop.timers.call_at(100.0 + number * 0.00025, node.sync.start)
+
+
+@given("{count:d} processes that start within 2 milliseconds and share a store")
+def step_start_together(context, count):
+    context.loop = TestLoop(VirtualClock(99.9))
+    store = ScriptedStore(context.loop)
+    _start_synced(context, [f"n{i}" for i in range(count)], store)
+    for _ in range(200):
+        context.loop.advance(0.001, turns=1)
+
+
+@given("2 groups of 4 processes that each know only their own group")
+def step_groups(context):
+    context.loop = TestLoop(VirtualClock(99.9))
+    store = ScriptedStore(context.loop)
+    _start_synced(context, [f"n{i}" for i in range(8)], store)
+    # Each has read the store before the other group wrote to it.
+    list_peers = store.list_peers
+    store.list_peers = lambda callback: store._answer("list", Ok([]), callback)
+    for group in (context.nodes[:4], context.nodes[4:]):
+        for node in group:
+            for other in group:
+                node.table.merge(other.table.own, 99.9)
+    for _ in range(200):
+        context.loop.advance(0.001, turns=1)
+    store.list_peers = list_peers
--- a/src/flamingobank/sidecar/store_sync.py
+++ b/src/flamingobank/sidecar/store_sync.py
@@ -28,6 +28,8 @@
 WATCH_WAIT_S = 1.2
 # A reading this old means that the watchers do not reach the store.
 TAKE_OVER_AGE_S = 2.2
+# Watchers look for sidecars that gossip does not reach.
+LIST_INTERVAL_S = 10.0
 CHECK_INTERVAL_S = 0.5
 FIRST_RETRY_S = 0.25
 MAX_RETRY_S = 2.0
@@ -64,6 +66,7 @@
         self._retry_s = FIRST_RETRY_S
         self._retry_at = 0.0
         self._listed = False
+        self._list_at = 0.0
         self._was_read = False
         self._saved = False
         self._saving = False
@@ -115,7 +118,7 @@
         now = self._clock.now()
         if self.stopping or now < self._retry_at:
             return
-        if not self._listed:
+        if not self._listed or (now >= self._list_at and self.is_watcher()):
             self._list_peers()
         elif self._was_read and not self._saved and not self._saving:
             self._save()
@@ -173,6 +176,7 @@
 
     def _list_peers(self) -> None:
         self._listed = True
+        self._list_at = self._clock.now() + LIST_INTERVAL_S
         self._count("list")
         self._store.list_peers(self._on_peers)
 
@@ -182,8 +186,10 @@
             self._listed = False
             return
         self._was_read = True
+        self._list_at = self._clock.now() + LIST_INTERVAL_S
         self.on_peers(result.ok)
-        self._save()
+        if not self._saved:
+            self._save()
 
     def _save(self) -> None:
         self._saving = True
@@ -195,6 +201,10 @@
         self._saved = result.is_ok()
         if result.is_error():
             self._count_error(result.error)
+            return
+        # Processes that start together read before the others have written. Of any
+        # two, the one that wrote later finds the other when it reads once more.
+        self._list_peers()
 
     def _count(self, operation: str) -> None:
         self._metrics.count("store_calls_total", operation=operation, outcome="sent")
