Collect news before it is passed on, and compare with few peers at the start

News now waits 80 ms and leaves once; a start compares with three peers, rounds do the rest.

Downloads also weigh the distance more, as their bytes are most of what is left.

--- a/features/sidecar_fleet.feature
+++ b/features/sidecar_fleet.feature
@@ -46,3 +46,9 @@
     Given 2 groups of 4 processes that each know only their own group
     When they gossip for 15 seconds
     Then all hold the same records
+
+  Scenario: A fleet that starts together keeps to its bytes for control
+    Given 30 processes that start within 2 milliseconds and share a store
+    When they gossip for 3 seconds
+    Then all hold the same records
+    And no process has sent more than 17 KB a second
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -45,11 +45,16 @@
         self.table.change_own()
         self.recalled = []
         self.gossip.on_former_record = self.recalled.append
-        send = self.gossip._endpoint.send
-        if loss:
-            self.gossip._endpoint.send = lambda data, to: (
-                None if self.rng.random() < loss else send(data, to)
-            )
+        self.sent_bytes = 0
+        self.loss = loss
+        self.send = self.gossip._endpoint.send
+        self.gossip._endpoint.send = self.send_counted
+
+    def send_counted(self, data, address):
+        """Count a datagram, and lose a share of them."""
+        self.sent_bytes += len(data)
+        if self.rng.random() >= self.loss:
+            self.send(data, address)
 
 
 def _gossip(context, seconds):
@@ -358,3 +363,10 @@
     for _ in range(200):
         context.loop.advance(0.001, turns=1)
     store.list_peers = list_peers
+
+
+@then("no process has sent more than {limit:d} KB a second")
+def step_bytes(context, limit):
+    # The time that the scenario ran, with the moment of the start.
+    most = max(node.sent_bytes for node in context.nodes)
+    assert most <= limit * 1000 * 3.3, most
--- a/src/flamingobank/sidecar/gossip.py
+++ b/src/flamingobank/sidecar/gossip.py
@@ -20,9 +20,13 @@
 
 INTERVAL_S = 0.4
 FANOUT = 2
-# News goes to this many peers at once and in as many later rounds.
-NEWS_FANOUT = 4
+# News is collected for a moment, goes to this many peers, and is repeated in later
+# rounds; passing each record on by itself costs bytes with the square of the fleet.
+NEWS_DELAY_S = 0.08
+NEWS_FANOUT = 3
 NEWS_ROUNDS = 4
+# A process that starts compares its table with this many peers; rounds do the rest.
+FIRST_COMPARISONS = 3
 # Keeps a datagram within one packet on common links.
 MAX_DATAGRAM_BYTES = 1200
 COMPARE_SPACING_S = 0.3
@@ -68,10 +72,12 @@
         # Age in seconds of the newest reading of the store that is known of.
         self.read_age: Callable[[], float] = lambda: MAX_AGE_S
         self.version = 0
+        self._timers = timers
         self._clock = clock
         self._rng = rng
         self._journal = journal
         self._news: deque[list] = deque()
+        self._news_queued = False
         self._compared_at = -1.0
         self._endpoint = DatagramEndpoint(poller, address, self._receive)
         timers.call_every(INTERVAL_S, self._run_round)
@@ -91,8 +97,8 @@
     def learn(self, records: list[PeerRecord]) -> None:
         """Take records from another source and introduce this process."""
         for record in records:
-            self._merge(record)
-        for peer in self.table.list_peers():
+            self._merge(record, spread=False)
+        for peer in self._pick(FIRST_COMPARISONS):
             self._send(peer.address, DatagramKind.COMPARE, self.table.list_hashes())
 
     def spread_crash(
@@ -127,9 +133,15 @@
             entry for entry in self._news if entry[0].node != record.node
         )
         self._news.append([record, NEWS_ROUNDS])
+        if self._news_queued:
+            return
+        self._news_queued = True
+        self._timers.call_at(self._clock.now() + NEWS_DELAY_S, self._send_news)
+
+    def _send_news(self) -> None:
+        self._news_queued = False
         for peer in self._pick(NEWS_FANOUT):
-            if peer.node != record.node:
-                self._send_digest(peer)
+            self._send_digest(peer)
 
     def _send_digest(self, peer: PeerRecord) -> None:
         records = []
@@ -181,7 +193,7 @@
         for values in records:
             self._merge(unpack_record(values))
 
-    def _merge(self, record: PeerRecord) -> None:
+    def _merge(self, record: PeerRecord, spread: bool = True) -> None:
         if record.node == self.table.own.node:
             self._take_own(record)
             return
@@ -197,7 +209,8 @@
             revision=record.revision,
         )
         self.on_record(record)
-        self._spread(record)
+        if spread:
+            self._spread(record)
 
     def _take_own(self, record: PeerRecord) -> None:
         if record.incarnation == self.table.own.incarnation:
--- a/src/flamingobank/sidecar/selection.py
+++ b/src/flamingobank/sidecar/selection.py
@@ -18,7 +18,7 @@
 CAREFUL_FAILURE_COST = 16.0
 FAILURE_COST = 1.5
 # Bytes between failure domains have a price, which large answers feel most.
-DISTANCE_COST = {RouteKind.UNSAFE: 0.04, RouteKind.SAFE: 0.04, RouteKind.DOWNLOAD: 0.3}
+DISTANCE_COST = {RouteKind.UNSAFE: 0.04, RouteKind.SAFE: 0.04, RouteKind.DOWNLOAD: 0.5}
 FULL_COST = 1.0
 JITTER = 0.15
 UNHEARD_BONUS_PER_S = 0.4
