--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,7 +16,6 @@
 from tempfile import TemporaryDirectory
 
 from circuits import Component
-from circuits.core.events import generate_events
 
 from flamingobank.core import MonotonicClock
 from flamingobank.loop import (
@@ -30,6 +29,7 @@
 from flamingobank_standins.platform.server import PlatformServer, ServerMode
 from flamingobank_standins.platform.store import PlatformStore, StoreMode
 
+TURN_S = 0.02
 DRAIN_S = 2.0
 WARMUP_S = 3.0
 FAULT_GAP_S = (0.3, 1.5)
@@ -82,7 +82,8 @@
     def run_until(self, deadline: float) -> None:
         """Turn the loop until a time."""
         while self.clock.now() < deadline:
-            self.fire(generate_events(self._lock, 0.01), "*")
+            left_s = self.timers.run_due()
+            self.poller.wait(TURN_S if left_s is None else min(TURN_S, left_s))
             while len(self):
                 self.flush()
 
