Hold back repeated runs whose calls the called service's budget cannot bear

A repeat at franchise-desk was paid from that service's share only; the calls that its run made again were charged to the called service afterwards, and nothing held them back.

The calls of a repeated run begin on the machine of the server that runs it, so that machine's entry pays for them: its home now takes a repeated run only while the share covers the calls that such runs usually make.

--- a/features/sidecar_decisions.feature
+++ b/features/sidecar_decisions.feature
@@ -116,3 +116,8 @@
     Given a home that learned from peers that "a" started at 100 has left
     When "a" started at 100 announces 6 as ready
     Then the home denies work to "a"
+
+  Scenario: Repeats of a service that calls another keep to the budget of the called one
+    When 12 machines repeat a third of their runs, each of which makes two calls
+    Then no window of 10 seconds has more repeats at the called service than allowed
+    And repeats go on while the called service's budget lasts
--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -113,3 +113,8 @@
     Given a home with a server that closes without an answer
     When an entry offers and commits a request
     Then no crash is reported
+
+  Scenario: A home takes no repeated run whose calls it cannot pay for
+    Given a home with a server that answers "ok"
+    When its entry has no retry left for the calls of a repeated run
+    Then a repeated request is turned down and a first one is taken
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -18,7 +18,7 @@
 from flamingobank.sidecar.messages import HomeReport
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
 from flamingobank.sidecar.refusals import RETURN_TIMES_S, choose_return
-from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.routes import (
     RequestLimits,
     Route,
@@ -251,13 +251,15 @@
 @given("an entry that may send 3 retries")
 def step_small_share(context):
     context.share = RetryShare(0.0, 3.6, 10.0)
+    context.calls = RepeatedCalls(context.share, lambda: 1)
+    context.calls.start_run()
     assert context.share.measure_allowance(ORDERS, 1, 0.0) > 3
 
 
 @when("3 calls of repeated runs are counted")
 def step_count_repeats(context):
     for _ in range(3):
-        context.share.count_repeat(ORDERS, 0.0)
+        context.calls.note_request(ORDERS, 0.0)
 
 
 @then("no retry may be sent")
@@ -265,6 +267,58 @@
     assert not context.share.spend(ORDERS, 1, 0.1)
 
 
+class CallingMachine:
+    """Hold one machine's share and the calls of its repeated runs."""
+
+    def __init__(self):
+        self.share = RetryShare(0.2, 60, 10.0)
+        self.calls = RepeatedCalls(self.share, lambda: 12)
+
+
+@when("12 machines repeat a third of their runs, each of which makes two calls")
+def step_repeat_runs(context):
+    rng = random.Random(4)
+    machines = [CallingMachine() for _ in range(12)]
+    called = ServiceName("called")
+    context.requests, context.retries, context.denied = [], [], 0
+    now = 0.0
+    while now < 60:
+        now += rng.expovariate(40)
+        machine = rng.choice(machines)
+        repeated = rng.random() < 0.34
+        for _ in range(2 if not repeated else 0):
+            machine.share.count_request(called, now)
+            context.requests.append(now)
+        if not repeated:
+            continue
+        # The repeat runs on another machine, whose entry makes its calls.
+        home = rng.choice(machines)
+        if not home.calls.can_pay(now):
+            context.denied += 1
+            continue
+        home.calls.start_run()
+        for _ in range(2):
+            home.share.count_request(called, now)
+            home.calls.note_request(called, now)
+            context.requests.append(now)
+            context.retries.append(now)
+        home.calls.end_run()
+
+
+@then("no window of 10 seconds has more repeats at the called service than allowed")
+def step_called_budget(context):
+    for end in context.retries:
+        retries = sum(1 for time in context.retries if end - 10 < time <= end)
+        requests = sum(1 for time in context.requests if end - 10 < time <= end)
+        assert retries <= 0.2 * requests + 60, (end, retries, requests)
+
+
+@then("repeats go on while the called service's budget lasts")
+def step_repeats_go_on(context):
+    assert context.denied > 0
+    assert len(context.retries) > 500, len(context.retries)
+
+
 @when("1000 callers are refused for each cause")
 def step_refuse(context):
     rng = random.Random(5)
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -329,6 +329,23 @@
     desk.loop.run_until(lambda: desk.server.connections[0].closed, "close")
 
 
+@when("its entry has no retry left for the calls of a repeated run")
+def step_calls_spent(context):
+    calls = context.home.home.calls
+    calls.start_run()
+    for _ in range(100):
+        calls.note_request("patterns", 100.0)
+    context.home.offer(1, repeated=True)
+    context.home.offer(2)
+
+
+@then("a repeated request is turned down and a first one is taken")
+def step_repeat_refused(context):
+    (refused,) = context.home.channel.list_kind(Refused)
+    assert (refused.stream, refused.reason) == (1, "calls-spent")
+    assert [told.stream for told in context.home.channel.list_kind(Granted)] == [2]
+
+
 @given("homes with servers that crash on each request")
 def step_crashing(context):
     context.homes = [HomeDesk("crashes"), HomeDesk("crashes")]
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -11,6 +11,7 @@
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import Commit, Offer
 from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.server_client import ServerClient
 from flamingobank.sidecar.server_state import Announcement, Lifecycle
 
@@ -104,6 +105,7 @@
             Metrics({"node": "home"}),
             list,
             CrashReports(clock, Journal("home")),
+            RepeatedCalls(RetryShare(0.0, 100.0, 10.0), lambda: 1),
         )
         if acts == "refuses the connection":
             with socket.socket() as unused:
@@ -136,18 +138,18 @@
         self.home.server.take(announcement, self.loop.clock.now())
         self.home.on_server_changed()
 
-    def offer(self, stream, idempotent=True, forced=False):
+    def offer(self, stream, idempotent=True, forced=False, repeated=False):
         """Offer a request."""
         careful = not idempotent
-        offer = Offer(stream, "orders", idempotent, careful, 1, 2.0, 1.0, forced)
+        offer = Offer(
+            stream, "orders", idempotent, careful, 1, 2.0, 1.0, forced, repeated
+        )
         self.home.receive(self.channel, offer)
 
     def commit(self, stream, channel=None):
         """Send an offered request."""
         headers = [(b"host", b"x.example"), (b"request-id", b"r1")]
-        message = Commit(
-            stream, "r1", "GET", b"/a/x", headers, b"", 1.5, "patterns", False
-        )
+        message = Commit(stream, "r1", "GET", b"/a/x", headers, b"", 1.5, "patterns")
         self.home.receive(channel or self.channel, message)
 
     def run_until_told(self, kind):
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -21,7 +21,7 @@
 )
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peers import PeerTable
-from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.routes import RequestLimits, RouteKind, RoutingTable
 
 REPORT = HomeReport("orders", 0.05, 0, 0, 4, True)
@@ -157,6 +157,7 @@
             node = f"h{number}"
             peers.merge(make_record(node, host=f"10.0.1.{number}"), 0.0)
             self.homes[node] = ScriptedHome(self, node, script)
+        share = RetryShare(0.0, retries, 10.0)
         self.entry = Entry(
             self.loop.clock,
             self.loop.timers,
@@ -165,7 +166,8 @@
             Journal("own"),
             Metrics({"node": "own"}),
             peers,
-            RetryShare(0.0, retries, 10.0),
+            share,
+            RepeatedCalls(share, lambda: 1),
             CrashReports(self.loop.clock, Journal("own")),
             ServiceName("orders"),
         )
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -35,7 +35,7 @@
 )
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.routes import (
     RequestLimits,
     RoutingTable,
@@ -132,6 +132,12 @@
             traffic,
         )
         self.crashes = CrashReports(self.clock, journal)
+        retries = RetryShare(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_extra,
+            settings.bounds.retry_window_s,
+        )
+        calls = RepeatedCalls(retries, lambda: len(self.peers) + 1)
         client = ServerClient(self.poller, self.timers, self.clock, dialect)
         self.home = Home(
             self.clock,
@@ -142,6 +148,7 @@
             self.metrics,
             self._list_channels,
             self.crashes,
+            calls,
         )
         self.home.serves_from = self._started_at + RECALL_WAIT_S
         self.entry = Entry(
@@ -152,11 +159,8 @@
             journal,
             self.metrics,
             self.peers,
-            RetryShare(
-                settings.bounds.retry_ratio,
-                settings.bounds.retry_extra,
-                settings.bounds.retry_window_s,
-            ),
+            retries,
+            calls,
             self.crashes,
             settings.service,
         )
@@ -165,7 +169,6 @@
         )
         self.entry.get_link = self._get_link
         self.entry.on_call_failed = self._note_call_failure
-        self.entry.has_repeated_runs = lambda: self.home.repeated_runs > 0
         self.gossip = Gossip(
             self.poller,
             self.timers,
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -15,7 +15,7 @@
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
 from flamingobank.sidecar.refusals import RefusalCause, choose_return
-from flamingobank.sidecar.retry_share import RetryShare
+from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.routes import RouteKind, RoutingTable, choose_target
 from flamingobank.sidecar.selection import HomeView, rank_homes
 
@@ -33,9 +33,11 @@
         metrics: Metrics,
         peers: PeerTable,
         retries: RetryShare,
+        calls: RepeatedCalls,
         crashes: CrashReports,
         calling_service: ServiceName,
     ) -> None:
+        self._calls = calls
         self._crashes = crashes
         self.clock = clock
         self.timers = timers
@@ -44,7 +46,6 @@
         self.table: RoutingTable | None = None
         self.exchanges: set[Exchange] = set()
         self.get_link: Callable[[NodeId], object] = lambda node: None
-        self.has_repeated_runs: Callable[[], bool] = lambda: False
         self.on_call_failed: Callable[[], None] = lambda: None
         self._rng = rng
         self._dialect = dialect
@@ -74,9 +75,8 @@
             return
         service = choose_target(route, self._rng.random())
         self._retries.count_request(service, now)
-        if service != self.calling_service and self.has_repeated_runs():
-            # Probably a call of a repeated run, which counts as a repeat itself.
-            self._retries.count_repeat(service, now)
+        if service != self.calling_service:
+            self._calls.note_request(service, now)
         deadline = request.read_at + route.timeout_s
         if facts.left_s is not None:
             deadline = min(deadline, request.read_at + facts.left_s - RETURN_MARGIN_S)
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -226,6 +226,7 @@
                 self.deadline - now,
                 self.request.read_at + self.route.target_latency_s - now,
                 forced,
+                self._is_repeat(),
             )
         )
 
@@ -236,13 +237,17 @@
         self._send_cancel(attempt)
         self.on_refused(attempt, RefusalReason.SERVER_DOWN)
 
+    def _is_repeat(self) -> bool:
+        """Tell whether an earlier send has reached a server, or may have."""
+        return self.arrivals > 0 or any(
+            other.state is AttemptState.COMMITTED for other in self.attempts
+        )
+
     def _commit(self, attempt: Attempt, now: float) -> None:
         self._cancel_timer(attempt)
         if attempt.state not in (AttemptState.OFFERED, AttemptState.QUEUED):
             return
-        extra = self.arrivals > 0 or any(
-            other.state is AttemptState.COMMITTED for other in self.attempts
-        )
+        extra = self._is_repeat()
         if extra and not self._entry.spend_retry(self.service, now):
             self._send_cancel(attempt)
             self._close(attempt)
@@ -278,7 +283,6 @@
                 request.body,
                 left_s,
                 self._entry.calling_service,
-                extra,
             )
         )
         if self.idempotent and self.route.max_attempts > self.runs + 1:
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -40,6 +40,7 @@
     Resume,
 )
 from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.retry_share import RepeatedCalls
 from flamingobank.sidecar.server_client import (
     RunFailure,
     RunOutcome,
@@ -74,6 +75,7 @@
         metrics: Metrics,
         list_channels: Callable[[], list],
         crashes: CrashReports,
+        calls: RepeatedCalls,
     ) -> None:
         self.crashes = crashes
         self.clock = clock
@@ -84,8 +86,7 @@
         self.leaving = False
         self.works: dict[tuple[str, int], Work] = {}
         self.call_failed_at = -1e9
-        # Runs that repeat an earlier one; the calls that they make are repeats too.
-        self.repeated_runs = 0
+        self.calls = calls
         self._journal = journal
         self._metrics = metrics
         self._list_channels = list_channels
@@ -271,6 +272,9 @@
         if self.judge.is_down(now):
             self._refuse(channel, offer.stream, RefusalReason.SERVER_DOWN)
             return
+        if offer.repeated and not self.calls.can_pay(now):
+            self._refuse(channel, offer.stream, RefusalReason.CALLS_SPENT)
+            return
         state = GateState(
             self.judge.read_failing(now),
             self._busy,
@@ -336,8 +340,9 @@
             return
         work.state = WorkState.RUNNING
         work.state_since = now
-        work.repeated = message.repeated
-        self.repeated_runs += message.repeated
+        if work.offer.repeated:
+            work.repeated = True
+            self.calls.start_run()
         self._metrics.count("server_requests_total")
 
         def encode(instance: InstanceId) -> bytes:
@@ -399,7 +404,8 @@
             self._waiting = [entry for entry in self._waiting if entry[2] is not work]
         else:
             self._busy -= 1
-            self.repeated_runs -= work.repeated
+            if work.repeated:
+                self.calls.end_run()
         work.state = WorkState.DONE
         work.commit = None
         work.state_since = self.clock.now()
--- a/src/flamingobank/sidecar/messages.py
+++ b/src/flamingobank/sidecar/messages.py
@@ -19,6 +19,8 @@
     SUSPECT = "suspect"
     BUSY = "busy"
     NEVER_RECEIVED = "never-received"
+    # The calls of a repeated run would exceed the called service's retry budget.
+    CALLS_SPENT = "calls-spent"
     EXPIRED = "expired"
 
 
@@ -59,6 +61,8 @@
     objective_left_s: float
     # Queue when busy, and accept a suspect server.
     forced: bool
+    # An earlier send of this request has reached a server, or may have.
+    repeated: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,8 +100,6 @@
     body: bytes
     left_s: float
     calling_service: str
-    # An earlier send of this request has reached a server.
-    repeated: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/flamingobank/sidecar/retry_share.py
+++ b/src/flamingobank/sidecar/retry_share.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 
 from flamingobank.core import ServiceName
 
@@ -60,3 +61,49 @@
         while times and times[0] < now - self._window_s:
             times.popleft()
         return len(times)
+
+
+class RepeatedCalls:
+    """Hold back repeated runs whose calls the called service's budget cannot bear.
+
+    A run that repeats an earlier one makes its calls again, and these are repeats at
+    the service that is called. They begin on the machine of the server that runs it,
+    so the entry there pays for them, and its home asks it before it takes such a run.
+    """
+
+    def __init__(self, share: RetryShare, count_entries: Callable[[], int]) -> None:
+        self.open_runs = 0
+        self._share = share
+        self._count_entries = count_entries
+        self._runs = 0
+        self._calls: dict[ServiceName, int] = {}
+
+    def start_run(self) -> None:
+        """Count a repeated run that starts on this machine."""
+        self.open_runs += 1
+        self._runs += 1
+
+    def end_run(self) -> None:
+        """Count the end of a repeated run."""
+        self.open_runs -= 1
+
+    def note_request(self, service: ServiceName, now: float) -> None:
+        """Charge a request to another service that begins on this machine.
+
+        A call does not name its parent, so any that begins while a repeated run is
+        under way is taken for one of its calls.
+        """
+        if not self.open_runs:
+            return
+        self._calls[service] = self._calls.get(service, 0) + 1
+        self._share.count_repeat(service, now)
+
+    def can_pay(self, now: float) -> bool:
+        """Tell whether one more repeated run may start beside those under way."""
+        entries = self._count_entries()
+        for service, calls in self._calls.items():
+            usual = calls / max(1, self._runs)
+            needed = usual * (self.open_runs + 1)
+            if self._share.measure_allowance(service, entries, now) < needed:
+                return False
+        return True
