--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -352,7 +352,7 @@
     context.reports = []
     for number, desk in enumerate(context.homes):
         desk.announce_as(f"i-{number}")
-        desk.home.crashes.spread = lambda *report: context.reports.append(report)
+        desk.crashes.spread = lambda *report: context.reports.append(report)
 
 
 @when("one request crashes two of them")
@@ -376,6 +376,5 @@
 
 @then("no crash is reported")
 def step_no_crash(context):
-    (told,) = context.home.channel.list_kind(Failed)
-    assert not told.crashed
-    assert not context.home.home.crashes.is_quarantined("GET", b"/a/x", b"")
+    assert len(context.home.channel.list_kind(Failed)) == 1
+    assert not context.home.crashes.has_reports
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -96,6 +96,7 @@
         clock, timers = self.loop.clock, self.loop.timers
         client = ServerClient(self.loop.poller, timers, clock, dialect)
         self.channel = RecordedChannel()
+        self.crashes = CrashReports(clock, Journal("home"))
         self.home = Home(
             clock,
             timers,
@@ -104,7 +105,7 @@
             Journal("home"),
             Metrics({"node": "home"}),
             list,
-            CrashReports(clock, Journal("home")),
+            self.crashes,
             RepeatedCalls(RetryShare(0.0, 100.0, 10.0), lambda: 1),
         )
         if acts == "refuses the connection":
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -92,9 +92,9 @@
         if isinstance(reaction, int):
             self.reply(Answer(stream, reaction, SEALED, b"ok", True, REPORT))
         elif reaction == "not-run":
-            self.reply(Failed(stream, True, True, False, "shed", REPORT))
+            self.reply(Failed(stream, True, True, "shed", REPORT))
         elif reaction == "unknown":
-            self.reply(Failed(stream, False, True, False, "reset", REPORT))
+            self.reply(Failed(stream, False, True, "reset", REPORT))
         elif reaction == "restarted":
             self.later(lambda: self.handlers[stream].on_home_restarted())
         elif reaction == "lost":
--- a/src/flamingobank/sidecar/crash_reports.py
+++ b/src/flamingobank/sidecar/crash_reports.py
@@ -20,6 +20,11 @@
         self._journal = journal
         self._ledger = CrashLedger()
 
+    @property
+    def has_reports(self) -> bool:
+        """Tell whether any crash is on record."""
+        return len(self._ledger) > 0
+
     def report(
         self, method: str, target: bytes, body: bytes, instance: InstanceId, start: int
     ) -> None:
@@ -43,13 +48,13 @@
 
     def clear(self, method: str, target: bytes, body: bytes) -> None:
         """Forget the crashes of a request that has completed here."""
-        if len(self._ledger):
+        if self.has_reports:
             fingerprint = _identify(method, target, body)
             self._ledger.record_completion(fingerprint, self._clock.now())
 
     def is_quarantined(self, method: str, target: bytes, body: bytes) -> bool:
         """Tell whether a request must be refused as not run."""
-        if not len(self._ledger):
+        if not self.has_reports:
             return False
         fingerprint = _identify(method, target, body)
         return self._ledger.is_quarantined(fingerprint, self._clock.now())
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -13,7 +13,6 @@
 from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
 from flamingobank.loop import Address, LoopComponent, Poller, Timers
 from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.channels import MessageChannel, PeerObserver
 from flamingobank.sidecar.control import CallDecoder, Control
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
@@ -23,34 +22,20 @@
 from flamingobank.sidecar.home import Home
 from flamingobank.sidecar.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal, LineOutput
-from flamingobank.sidecar.links import Link, LinkObserver, Links
+from flamingobank.sidecar.links import Link, Links
 from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.messages import (
-    PROTOCOL_VERSION,
-    Hello,
-    Message,
-    ReportPush,
-    TablePull,
-    TableUpdate,
-)
+from flamingobank.sidecar.messages import PROTOCOL_VERSION, Hello
 from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.peer_traffic import PeerTraffic
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
 from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.routes import (
-    RequestLimits,
-    RoutingTable,
-    pack_table,
-    unpack_table,
-)
+from flamingobank.sidecar.routes import RequestLimits
 from flamingobank.sidecar.server_client import ServerClient
 from flamingobank.sidecar.settings import SidecarSettings
+from flamingobank.sidecar.shutdown import Shutdown
 from flamingobank.sidecar.store_sync import StoreSync
+from flamingobank.sidecar.table_exchange import TableExchange
 
-# Callers are told twice, a second apart, that this process leaves.
-READINESS_NOTICE_S = 2.3
-# What is still under way this long before the end of the grace is cut.
-STOP_MARGIN_S = 0.4
-STOP_CHECK_S = 0.05
 # A process that knows its configuration takes callers also without having found peers
 # for this long, as it may be the only one.
 PEERS_WAIT_S = 1.5
@@ -59,7 +44,6 @@
 PEERS_ANSWER_S = 0.2
 MAX_DEPARTURES = 8
 SETTINGS_CHECK_S = 1.0
-PULL_SPACING_S = 0.3
 EXIT_INVARIANT = 70
 # Calls of servers are small.
 CONTROL_LIMITS = RequestLimits(max_body_bytes=262_144, idle_timeout_s=30.0)
@@ -68,23 +52,6 @@
 StoreFactory = Callable[["Sidecar"], FleetStore]
 
 
-class PeerTraffic(LinkObserver, PeerObserver):
-    """Give a sidecar the messages that belong to no request of its own."""
-
-    def __init__(self, sidecar: "Sidecar") -> None:
-        self._sidecar = sidecar
-
-    def on_link_message(self, link: Link | LocalLink, message: Message) -> None:
-        self._sidecar.receive_from_home(link, message)
-
-    def on_peer_message(self, link: MessageChannel, message: Message) -> None:
-        self._sidecar.receive_from_entry(link, message)
-
-    def on_channel_closed(self, link: MessageChannel) -> None:
-        self._sidecar.links.forget(link)
-        self._sidecar.home.on_channel_closed(link)
-
-
 class Sidecar(LoopComponent):
     """Run one process beside one server."""
 
@@ -112,16 +79,11 @@
         self.poller = poller.register(self)
         self.timers = Timers(self.clock).register(self)
         self.metrics = Metrics({"node": settings.node_id})
-        self.stopping = False
-        self._stop_at = 0.0
-        self._exit_at = 0.0
         self._started_at = self.clock.now()
         self._load_settings = load_settings
-        self._pulled_at = -1.0
         self._addresses: dict[NodeId, Address] = {}
         rng = random.Random(seed)
         self.peers = PeerTable(self._describe_own())
-        traffic = PeerTraffic(self)
         self.links = Links(
             self.poller,
             self.timers,
@@ -129,7 +91,6 @@
             rng,
             journal,
             Hello(PROTOCOL_VERSION, settings.node_id, self.boot),
-            traffic,
         )
         self.crashes = CrashReports(self.clock, journal)
         retries = RetryShare(
@@ -164,11 +125,22 @@
             self.crashes,
             settings.service,
         )
+        self.tables = TableExchange(
+            self.clock,
+            journal,
+            self.links,
+            self.entry,
+            lambda version: self.gossip.set_version(version),
+        )
+        traffic = PeerTraffic(
+            self.entry, self.home, self.tables, self._find_node, self.links.forget
+        )
+        self.links.observer = traffic
         self.local_link = LocalLink(
-            self.timers, self.boot, self.home.receive, self.receive_from_home
+            self.timers, self.boot, self.home.receive, traffic.on_link_message
         )
         self.entry.get_link = self._get_link
-        self.entry.on_call_failed = self._note_call_failure
+        self.entry.on_call_failed = self.home.health.note_call_failure
         self.gossip = Gossip(
             self.poller,
             self.timers,
@@ -192,7 +164,7 @@
             make_store(self),
             self.peers,
         )
-        self.store.on_table = self._apply_table
+        self.store.on_table = self.tables.apply
         self.store.on_peers = self._on_peers
         self.gossip.read_age = lambda: self.store.age_s
         self.control = Control(
@@ -203,55 +175,37 @@
         self.control.keep_departure = self._keep_departure
         self.links.listen(settings.peers, traffic)
         self.callers = self._serve(settings.callers, self.entry.take, self._get_limits)
+        self.shutdown = Shutdown(
+            self.clock,
+            self.timers,
+            journal,
+            self.entry,
+            self.home,
+            self.callers,
+            lambda: self.root.stop(),
+        )
         self._serve(settings.control, self.control.take)
         self._serve(settings.readiness, self._answer_readiness)
         self._serve(settings.metrics, self._answer_metrics)
         self.store.start()
-        self.timers.call_every(SETTINGS_CHECK_S, self._check_settings)
+        self.timers.call_every(SETTINGS_CHECK_S, self.reload)
 
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should come here."""
-        if self.stopping or self.entry.table is None:
+        if self.shutdown.begun or self.entry.table is None:
             return False
         waited_s = self.clock.now() - self._started_at
         return len(self.peers) > 0 or waited_s > PEERS_WAIT_S
 
-    def receive_from_home(self, link: Link | LocalLink, message: Message) -> None:
-        """React to a message of a home that belongs to no request."""
-        if isinstance(message, ReportPush):
-            node = self._find_node(link)
-            if node is not None:
-                self.entry.note_report(node, message.report)
-        elif isinstance(message, TableUpdate):
-            self._take_table_update(message)
-
-    def receive_from_entry(self, link: MessageChannel, message: Message) -> None:
-        """React to a message of an entry."""
-        if self.home.receive(link, message):
-            return
-        if isinstance(message, TablePull) and self.entry.table is not None:
-            link.send(TableUpdate(pack_table(self.entry.table)))
-
     def begin_stop(self) -> None:
         """Send callers elsewhere, finish what is under way, then end."""
-        if self.stopping:
+        if self.shutdown.begun:
             return
-        now = self.clock.now()
-        self.stopping = True
-        self._stop_at = now + READINESS_NOTICE_S
-        self._exit_at = now + self.settings.bounds.grace_s - STOP_MARGIN_S
-        self.journal.event(
-            "sidecar:stopping",
-            open_requests=len(self.entry.exchanges),
-            running=len(self.home.works),
-        )
         self.store.stopping = True
-        self.home.leave()
+        self.shutdown.begin(self.settings.bounds.grace_s)
         self.gossip.leave()
         self.store.end_own()
-        self.callers.drain()
-        self.timers.call_every(STOP_CHECK_S, self._check_stopped)
 
     def reload(self) -> None:
         """Read the settings again."""
@@ -344,34 +298,9 @@
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         request.answer(200, headers, self.metrics.render())
 
-    def _note_call_failure(self) -> None:
-        self.home.call_failed_at = self.clock.now()
-
-    def _apply_table(self, table: RoutingTable) -> None:
-        current = self.entry.table
-        if current is not None and table.version <= current.version:
-            return
-        self.entry.table = table
-        self.journal.event(
-            "configuration:applied", version=table.version, routes=len(table.routes)
-        )
-        self.gossip.set_version(table.version)
-
-    def _take_table_update(self, message: TableUpdate) -> None:
-        try:
-            table = unpack_table(message.table)
-        except (ValueError, TypeError) as error:
-            self.journal.warn("configuration:malformed", error=str(error))
-            return
-        self._apply_table(table)
-
     def _on_news(self, peer: PeerRecord, version: int, age_s: float) -> None:
         self.store.note_age(age_s)
-        now = self.clock.now()
-        if version <= self.gossip.version or now < self._pulled_at + PULL_SPACING_S:
-            return
-        self._pulled_at = now
-        self.links.get(peer.address).send(TablePull())
+        self.tables.note_version(peer.address, version)
 
     def _on_peers(self, records: list[PeerRecord]) -> None:
         self.gossip.learn(records)
@@ -392,7 +321,7 @@
         departures = tuple(sorted(server.list_departures()))[-MAX_DEPARTURES:]
         service = current.service if current is not None else self.settings.service
         own = self.peers.own
-        serving = server.accepts_work and not self.stopping
+        serving = server.accepts_work and not self.shutdown.begun
         if (own.serving, own.service, own.departures) == (serving, service, departures):
             return
         self.gossip.publish(serving=serving, service=service, departures=departures)
@@ -400,28 +329,6 @@
     def _keep_departure(self, on_kept: Callable[[], None]) -> None:
         self.store.save_departure(on_kept)
 
-    def _check_settings(self) -> None:
-        self.reload()
-
-    def _check_stopped(self) -> None:
-        now = self.clock.now()
-        if now < self._stop_at:
-            return
-        self.callers.close()
-        idle = (
-            not self.entry.exchanges
-            and self.home.is_idle
-            and not self.callers.connections
-        )
-        if not idle and now < self._exit_at:
-            return
-        self.journal.event(
-            "sidecar:stopped",
-            cut=len(self.entry.exchanges),
-            connections=len(self.callers.connections),
-        )
-        self.root.stop()
-
 
 def handle_hangup(sidecar: Sidecar) -> None:
     """Read the settings again on SIGHUP."""
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -4,21 +4,25 @@
 import random
 from collections.abc import Callable
 
-from flamingobank.core import Clock, NodeId, ServiceName
+from flamingobank.core import Clock, NodeId, RequestId, ServiceName
 from flamingobank.loop import Timers
 from flamingobank.sidecar.caller_request import CallerRequest
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.exchange import RETURN_MARGIN_S, Exchange
+from flamingobank.sidecar.exchange import Exchange
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.messages import HomeReport
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.refusals import RefusalCause, choose_return
+from flamingobank.sidecar.refusals import RefusalCause
+from flamingobank.sidecar.reply import Reply
 from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.routes import RouteKind, RoutingTable, choose_target
 from flamingobank.sidecar.selection import HomeView, rank_homes
 
+# The answer travels to the caller within this part of its time.
+RETURN_MARGIN_S = 0.03
+
 
 class Entry:
     """Serve the callers of one machine."""
@@ -60,18 +64,16 @@
         now = self.clock.now()
         facts = self._dialect.read_caller(request.headers)
         if self.table is None:
-            self._refuse_early(
-                request, facts.request_id, 503, RefusalCause.NO_CONFIGURATION
-            )
+            self._refuse_early(request, facts.request_id, RefusalCause.NO_CONFIGURATION)
             return
         host = request.get_header(b"host").partition(":")[0].lower()
         path = request.target.decode("latin-1").partition("?")[0]
         route = self.table.find(host, path)
         if route is None:
-            self._refuse_early(request, facts.request_id, 404, None)
+            self._refuse_early(request, facts.request_id, None)
             return
         if self.is_quarantined(request):
-            self._refuse_early(request, facts.request_id, 503, RefusalCause.QUARANTINED)
+            self._refuse_early(request, facts.request_id, RefusalCause.QUARANTINED)
             return
         service = choose_target(route, self._rng.random())
         self._retries.count_request(service, now)
@@ -154,16 +156,9 @@
         """Return how many more retries may be sent to a service."""
         return self._retries.measure_allowance(service, len(self._peers) + 1, now)
 
-    def refuse(self, exchange: Exchange, cause: RefusalCause) -> None:
-        """Tell a caller that its request has not run and when to come back."""
-        retry_after_s = choose_return(cause, self._rng)
-        headers = self._dialect.list_refusal_headers(exchange.request_id, retry_after_s)
-        exchange.request.answer(503, headers, b"")
-
-    def answer_error(self, exchange: Exchange, status: int, why: str) -> None:
-        """Tell a caller that the outcome of its request is unknown."""
-        headers = self._dialect.list_refusal_headers(exchange.request_id, None)
-        exchange.request.answer(status, headers, b"")
+    def open_reply(self, request: CallerRequest, request_id: RequestId) -> Reply:
+        """Return what answers a caller."""
+        return Reply(request, request_id, self._dialect, self._rng)
 
     def on_ended(self, exchange: Exchange, outcome: str) -> None:
         """Count a request that got its final answer."""
@@ -175,8 +170,8 @@
             exchange.request_id,
             outcome=outcome,
             took_ms=round(took_s * 1000),
-            runs=exchange.runs,
-            arrivals=exchange.arrivals,
+            runs=exchange.repeats.runs,
+            arrivals=exchange.repeats.arrivals,
         )
         kind = exchange.route.kind.value
         self._metrics.count("requests_total", kind=kind, outcome=outcome)
@@ -202,17 +197,18 @@
     def _refuse_early(
         self,
         request: CallerRequest,
-        request_id: str,
-        status: int,
+        request_id: RequestId,
         cause: RefusalCause | None,
     ) -> None:
-        retry_after_s = None if cause is None else choose_return(cause, self._rng)
+        """Answer a request that no home is asked about; no cause means no route."""
         self.journal.request(
             "entry:refused",
             request_id,
-            status=status,
             cause=cause.value if cause else "no-route",
             version=self.table.version if self.table else None,
         )
-        headers = self._dialect.list_refusal_headers(request_id, retry_after_s)
-        request.answer(status, headers, b"")
+        reply = self.open_reply(request, request_id)
+        if cause is None:
+            reply.answer_not_found()
+            return
+        reply.refuse(cause)
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -9,46 +9,37 @@
 from typing import TYPE_CHECKING
 
 from flamingobank.core import Invariant, RequestId, ServiceName, check_invariant
-from flamingobank.loop import Headers
-from flamingobank.sidecar.attempts import Attempt, AttemptState
+from flamingobank.sidecar.attempts import (
+    Attempt,
+    AttemptObserver,
+    Attempts,
+    AttemptState,
+)
 from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
 from flamingobank.sidecar.home_search import HomeSearch, NextStep
 from flamingobank.sidecar.messages import (
     Answer,
     AnswerPart,
-    Cancel,
     Commit,
     Failed,
-    Granted,
-    Message,
     Offer,
-    Queued,
     RefusalReason,
-    Refused,
 )
 from flamingobank.sidecar.refusals import RefusalCause
+from flamingobank.sidecar.repeats import Repeats
 from flamingobank.sidecar.routes import Route
 from flamingobank.sidecar.selection import HomeView
 
 if TYPE_CHECKING:
     from flamingobank.sidecar.entry import Entry
 
-# The answer travels to the caller within this part of its time.
-RETURN_MARGIN_S = 0.03
-# Less time than this is not worth an attempt.
-MIN_LEFT_S = 0.03
-# A second attempt starts when the first has used this share of the latency objective.
-HEDGE_SHARE = 0.55
-# Hedges leave this many retries to requests that have failed.
-HEDGE_RESERVE = 3.0
 # Work that waits for a server to recover asks all homes again after this time.
 PATIENCE_STEP_S = 0.1
-MAX_ARRIVALS = 5
-# With fewer retries left than this, the first attempt may be the last.
-CAREFUL_BELOW = 2.0
+OUTCOME_UNKNOWN_STATUS = 502
+DEADLINE_STATUS = 504
 
 
-class Exchange(CallerWatcher):
+class Exchange(CallerWatcher, AttemptObserver):
     """Hold one request until its final answer."""
 
     def __init__(
@@ -65,32 +56,16 @@
         self.route = route
         self.service = service
         self.deadline = deadline
-        self.attempts: list[Attempt] = []
-        # Servers that ran the request, or may have.
-        self.runs = 0
-        # Sends that reached a server, run or not.
-        self.arrivals = 0
+        self.repeats = Repeats(
+            route, deadline, lambda now: entry.measure_retries(service, now)
+        )
         self.done = False
         self._entry = entry
+        self._attempts = Attempts()
         self._search = HomeSearch()
-        self._failure: Answer | None = None
-        self._unknown = False
-        self._budget_denied = False
+        self._reply = entry.open_reply(request, request_id)
+        self._retry_denied = False
         self._timers = []
-        self._started = False
-
-    @property
-    def idempotent(self) -> bool:
-        """Tell whether the request may run more than once."""
-        return self.route.kind.is_idempotent
-
-    @property
-    def careful(self) -> bool:
-        """Tell whether a failure of the next attempt would be final."""
-        if not self.idempotent or self.runs + 1 >= self.route.max_attempts:
-            return True
-        now = self._entry.clock.now()
-        return self._entry.measure_retries(self.service, now) < CAREFUL_BELOW
 
     def start(self) -> None:
         """Begin to look for a home."""
@@ -102,29 +77,7 @@
         self._log("exchange:caller-left")
         self._end("caller-left")
 
-    def on_message(self, attempt: Attempt, message: Message) -> None:
-        """React to what a home says of an attempt."""
-        now = self._entry.clock.now()
-        if isinstance(message, Refused | Answer | Failed):
-            attempt.home.take_report(message.report, now)
-        if self.done or attempt.state is AttemptState.ENDED:
-            return
-        if isinstance(message, Granted):
-            self._commit(attempt, now)
-        elif isinstance(message, Queued):
-            attempt.state = AttemptState.QUEUED
-            self._cancel_timer(attempt)
-        elif isinstance(message, Refused):
-            self.on_refused(attempt, RefusalReason(message.reason))
-        elif isinstance(message, Answer):
-            self._take_answer(attempt, message)
-        elif isinstance(message, AnswerPart):
-            self._take_part(attempt, message)
-        elif isinstance(message, Failed):
-            self._take_failure(attempt, message)
-
     def on_refused(self, attempt: Attempt, reason: RefusalReason) -> None:
-        """Go on to another home; nothing has run at this one."""
         self._log(
             "exchange:refused",
             home=attempt.home.node,
@@ -132,7 +85,7 @@
             forced=attempt.forced,
             failing=round(attempt.home.estimate_failing(self._entry.clock.now()), 3),
         )
-        self._close(attempt)
+        self._attempts.close(attempt)
         self._search.note_refusal(attempt.home, reason, attempt.forced)
         self._ask_next()
 
@@ -140,65 +93,46 @@
         """Send repeatable work elsewhere; other work waits for the path."""
         self._log("exchange:path-lost", home=attempt.home.node)
         if attempt.streaming:
-            self.request.abort()
+            self._reply.abort()
             self._end("path-lost")
             return
-        if self.idempotent and self._may_run_again():
-            self.arrivals += 1
-            self.on_unknown(attempt, "path lost")
+        if self.repeats.may_run_again(self._entry.clock.now()):
+            self.repeats.arrivals += 1
+            self._take_unknown(attempt, "path lost")
 
     def on_home_restarted(self, attempt: Attempt) -> None:
         """Handle a home that forgot the request; it may have run."""
-        if attempt.state is AttemptState.COMMITTED:
-            self.arrivals += 1
-            self.on_unknown(attempt, "home restarted")
-
-    def on_unknown(self, attempt: Attempt, reason: str) -> None:
-        """Handle a request that may have run without an answer."""
-        self._close(attempt)
-        if self.done:
-            return
-        if attempt.streaming:
-            self.request.abort()
-            self._end("broken-midway")
-            return
-        self.runs += 1
-        self._search.ran_at.add(attempt.home.node)
-        self._unknown = True
-        self._log("exchange:unknown", home=attempt.home.node, reason=reason)
-        if self.idempotent:
-            self._retry()
-            return
-        self._give_up("outcome-unknown")
+        self.repeats.arrivals += 1
+        self._take_unknown(attempt, "home restarted")
 
     def _ask_next(self) -> None:
-        if self.done or self.attempts:
+        if self.done or self._attempts:
             return
         now = self._entry.clock.now()
-        if self.deadline - now < MIN_LEFT_S:
+        if not self.repeats.has_time(now):
             self._give_up("no-time-left")
             return
-        if self.arrivals and self._entry.is_quarantined(self.request):
+        if self.repeats.arrivals and self._entry.is_quarantined(self.request):
             self._give_up("quarantined")
             return
-        home = self._pick_home(now)
+        careful = self.repeats.is_careful(now)
+        home = self._pick_home(careful, self._search.excluded, now)
         if home is None:
-            self._ask_full_homes(now)
+            self._ask_full_homes(careful, now)
             return
         self._offer(home, forced=False)
 
-    def _pick_home(self, now: float) -> HomeView | None:
+    def _pick_home(
+        self, careful: bool, excluded: set[str], now: float
+    ) -> HomeView | None:
         return self._entry.pick_home(
-            self.service, self.route.kind, self.careful, self._search.excluded, now
+            self.service, self.route.kind, careful, excluded, now
         )
 
-    def _ask_full_homes(self, now: float) -> None:
+    def _ask_full_homes(self, careful: bool, now: float) -> None:
         """Queue at a home that was full, wait for one, or give the request up."""
         move = self._search.decide_next(
-            self.careful,
-            now - self.request.read_at,
-            self.route.target_latency_s,
-            now,
+            careful, now - self.request.read_at, self.route.target_latency_s, now
         )
         if move.step is NextStep.GIVE_UP:
             self._give_up("no-home")
@@ -209,24 +143,26 @@
 
     def _offer(self, home: HomeView, forced: bool) -> None:
         now = self._entry.clock.now()
-        attempt = Attempt(self, home, self._entry.new_stream(), forced)
-        self.attempts.append(attempt)
         link = self._entry.get_link(home.node)
-        link.open_stream(attempt.stream, attempt)
+        attempt = Attempt(
+            self, self._entry.clock, home, link, self._entry.new_stream(), forced
+        )
+        repeated = self._is_repeat()
+        self._attempts.add(attempt)
         attempt.timer = self._call_at(
-            now + link.patience_s, lambda: self._on_offer_timeout(attempt)
+            now + attempt.patience_s, lambda: self._on_offer_timeout(attempt)
         )
-        link.send(
+        attempt.offer(
             Offer(
                 attempt.stream,
                 self.service,
-                self.idempotent,
-                self.careful,
+                self.repeats.allowed_by_route,
+                self.repeats.is_careful(now),
                 self.route.priority,
                 self.deadline - now,
                 self.request.read_at + self.route.target_latency_s - now,
                 forced,
-                self._is_repeat(),
+                repeated,
             )
         )
 
@@ -234,35 +170,28 @@
         if self.done or attempt.state is not AttemptState.OFFERED:
             return
         self._entry.note_silence(attempt.home)
-        self._send_cancel(attempt)
+        self._attempts.withdraw(attempt)
         self.on_refused(attempt, RefusalReason.SERVER_DOWN)
 
     def _is_repeat(self) -> bool:
         """Tell whether an earlier send has reached a server, or may have."""
-        return self.arrivals > 0 or any(
-            other.state is AttemptState.COMMITTED for other in self.attempts
-        )
+        return self.repeats.arrivals > 0 or self._attempts.any_committed
 
-    def _commit(self, attempt: Attempt, now: float) -> None:
-        self._cancel_timer(attempt)
-        if attempt.state not in (AttemptState.OFFERED, AttemptState.QUEUED):
-            return
+    def on_granted(self, attempt: Attempt) -> None:
+        now = self._entry.clock.now()
         extra = self._is_repeat()
         if extra and not self._entry.spend_retry(self.service, now):
-            self._send_cancel(attempt)
-            self._close(attempt)
-            self._budget_denied = True
-            if not self.attempts:
+            self._attempts.withdraw(attempt)
+            self._retry_denied = True
+            if not self._attempts:
                 self._give_up("retries-spent")
             return
         check_invariant(
             Invariant.AT_MOST_ONCE,
-            self.idempotent or self.runs == 0,
+            self.repeats.allowed_by_route or self.repeats.runs == 0,
             request=self.request_id,
-            runs=self.runs,
+            runs=self.repeats.runs,
         )
-        attempt.state = AttemptState.COMMITTED
-        attempt.home.own_running += 1
         left_s = self.deadline - now
         self._log(
             "exchange:sent",
@@ -273,7 +202,7 @@
             report_age_ms=round((now - attempt.home.reported_at) * 1000),
         )
         request = self.request
-        self._entry.get_link(attempt.home.node).send(
+        attempt.commit(
             Commit(
                 attempt.stream,
                 self.request_id,
@@ -285,39 +214,33 @@
                 self._entry.calling_service,
             )
         )
-        if self.idempotent and self.route.max_attempts > self.runs + 1:
-            hedge_at = now + HEDGE_SHARE * self.route.target_latency_s
-            if hedge_at < self.deadline - MIN_LEFT_S:
-                self._call_at(hedge_at, lambda: self._hedge(attempt))
+        hedge_at = self.repeats.choose_hedge_at(now)
+        if hedge_at is not None:
+            self._call_at(hedge_at, lambda: self._hedge(attempt))
 
     def _hedge(self, attempt: Attempt) -> None:
-        if self.done or attempt.state is not AttemptState.COMMITTED:
-            return
-        if attempt.streaming or len(self.attempts) > 1:
-            return
-        if self.runs + 2 > self.route.max_attempts:
+        if self.done or not attempt.is_committed:
             return
         now = self._entry.clock.now()
-        if self._entry.measure_retries(self.service, now) < HEDGE_RESERVE:
+        if attempt.streaming or len(self._attempts) > 1:
+            return
+        if not self.repeats.may_hedge(now):
             return
         excluded = self._search.ran_at | {attempt.home.node}
-        home = self._entry.pick_home(self.service, self.route.kind, True, excluded, now)
+        home = self._pick_home(True, excluded, now)
         if home is not None:
             self._log("exchange:hedged", slow_home=attempt.home.node, home=home.node)
             self._offer(home, forced=False)
 
-    def _take_answer(self, attempt: Attempt, answer: Answer) -> None:
-        self.arrivals += 1
-        self.runs += 1
+    def on_answer(self, attempt: Attempt, answer: Answer) -> None:
+        self.repeats.arrivals += 1
+        self.repeats.runs += 1
         self._search.ran_at.add(attempt.home.node)
         if answer.status >= 500 and answer.complete:
-            self._close(attempt)
-            self._failure = answer
+            self._attempts.close(attempt)
+            self._reply.note_failure(answer)
             self._log("exchange:failed", home=attempt.home.node, status=answer.status)
-            if self.idempotent:
-                self._retry()
-                return
-            self._deliver_failure()
+            self._retry("attempts-spent")
             return
         self._log(
             "exchange:answered",
@@ -325,143 +248,96 @@
             status=answer.status,
             took_ms=round((self._entry.clock.now() - self.request.read_at) * 1000),
         )
+        self._reply.pass_answer(answer)
         if answer.complete:
-            self._close(attempt)
-            self.request.answer(answer.status, answer.headers, answer.body)
+            self._attempts.close(attempt)
             self._end(str(answer.status))
             return
         attempt.streaming = True
-        self._started = True
-        for other in list(self.attempts):
-            if other is not attempt:
-                self._send_cancel(other)
-                self._close(other)
-        self.request.start(answer.status, answer.headers, _find_length(answer.headers))
-        self.request.write(answer.body)
-
-    def _take_part(self, attempt: Attempt, part: AnswerPart) -> None:
-        self.request.write(part.body)
+        self._attempts.withdraw_others(attempt)
+
+    def on_part(self, attempt: Attempt, part: AnswerPart) -> None:
+        self._reply.pass_part(part)
         if part.complete:
-            self._close(attempt)
-            self.request.finish()
+            self._attempts.close(attempt)
             self._end("streamed")
 
-    def _take_failure(self, attempt: Attempt, failure: Failed) -> None:
+    def on_failed(self, attempt: Attempt, failure: Failed) -> None:
         self._log(
             "exchange:no-answer",
             home=attempt.home.node,
             not_run=failure.not_run,
             reason=failure.reason,
         )
-        self.arrivals += failure.arrived
+        self.repeats.arrivals += failure.arrived
         if not failure.not_run:
-            self.on_unknown(attempt, failure.reason)
+            self._take_unknown(attempt, failure.reason)
             return
-        self._close(attempt)
+        self._attempts.close(attempt)
         self._search.note_refusal(attempt.home, RefusalReason.SERVER_DOWN, True)
-        if self.arrivals >= MAX_ARRIVALS:
+        if not self.repeats.has_arrivals_left:
+            self._retry_denied = True
             self._give_up("retries-spent")
             return
         self._ask_next()
 
-    def _retry(self) -> None:
-        """Try another server for work that may run again."""
-        if self.attempts:
+    def _take_unknown(self, attempt: Attempt, reason: str) -> None:
+        """Handle a request that may have run without an answer."""
+        self._attempts.close(attempt)
+        if attempt.streaming:
+            self._reply.abort()
+            self._end("broken-midway")
+            return
+        self.repeats.runs += 1
+        self._search.ran_at.add(attempt.home.node)
+        self._reply.note_unknown()
+        self._log("exchange:unknown", home=attempt.home.node, reason=reason)
+        self._retry("outcome-unknown")
+
+    def _retry(self, why_not: str) -> None:
+        """Try another server for work that may run again, unless one has it."""
+        if self._attempts:
             return
-        if not self._may_run_again():
-            self._give_up("attempts-spent")
+        if not self.repeats.may_run_again(self._entry.clock.now()):
+            self._give_up(why_not)
             return
         self._ask_next()
 
-    def _may_run_again(self) -> bool:
-        now = self._entry.clock.now()
-        return (
-            self.runs < self.route.max_attempts
-            and self.deadline - now > MIN_LEFT_S
-            and self._entry.measure_retries(self.service, now) >= 1.0
-        )
-
     def _on_deadline(self) -> None:
         if self.done:
             return
-        if self._started:
-            self.request.abort()
+        if self._reply.started:
+            self._reply.abort()
             self._end("deadline-midway")
             return
-        committed = any(
-            attempt.state is AttemptState.COMMITTED for attempt in self.attempts
-        )
-        if self._failure is not None:
-            self._deliver_failure()
-        elif committed or self._unknown:
-            self._entry.answer_error(self, 504, "deadline")
-            self._end("deadline")
-        else:
-            self._refuse(RefusalCause.DEADLINE)
+        self._end_without_answer(DEADLINE_STATUS, "deadline", RefusalCause.DEADLINE)
 
     def _give_up(self, why: str) -> None:
-        """Give the final answer at once."""
-        if self.done or any(
-            attempt.state is AttemptState.COMMITTED for attempt in self.attempts
-        ):
-            return
-        if self._failure is not None:
-            self._deliver_failure()
+        """Give the final answer at once, unless a server still has the request."""
+        if self.done or self._attempts.any_committed:
             return
-        if self._unknown or self.runs:
-            self._entry.answer_error(self, 502, why)
-            self._end(why)
-            return
-        if self._budget_denied or why == "retries-spent":
-            self._refuse(RefusalCause.RETRIES_SPENT)
-            return
-        self._refuse(
-            RefusalCause.BUSY if self._search.has_asked else RefusalCause.NO_HOME
-        )
+        cause = RefusalCause.BUSY if self._search.has_asked else RefusalCause.NO_HOME
+        if self._retry_denied:
+            cause = RefusalCause.RETRIES_SPENT
+        self._end_without_answer(OUTCOME_UNKNOWN_STATUS, why, cause)
 
-    def _deliver_failure(self) -> None:
-        answer = self._failure
-        self.request.answer(answer.status, answer.headers, answer.body)
-        self._end(str(answer.status))
-
-    def _refuse(self, cause: RefusalCause) -> None:
-        check_invariant(
-            Invariant.NOT_RUN,
-            not self.runs and not self._unknown,
-            request=self.request_id,
-            runs=self.runs,
+    def _end_without_answer(
+        self, unknown_status: int, why: str, cause: RefusalCause
+    ) -> None:
+        outcome = self._reply.end_without_answer(
+            self._attempts.any_committed, unknown_status, why, cause
         )
-        self._entry.refuse(self, cause)
-        self._end(cause.value)
+        self._end(outcome)
 
     def _end(self, outcome: str) -> None:
         if self.done:
             return
         self.done = True
-        for attempt in list(self.attempts):
-            self._send_cancel(attempt)
-            self._close(attempt)
+        self._attempts.withdraw_others(None)
         for timer in self._timers:
             timer.cancel()
         self._entry.on_ended(self, outcome)
 
-    def _send_cancel(self, attempt: Attempt) -> None:
-        self._entry.get_link(attempt.home.node).send_if_up(Cancel(attempt.stream))
-
-    def _close(self, attempt: Attempt) -> None:
-        self._cancel_timer(attempt)
-        if attempt.state is AttemptState.COMMITTED:
-            attempt.home.own_running -= 1
-        attempt.state = AttemptState.ENDED
-        if attempt in self.attempts:
-            self.attempts.remove(attempt)
-        self._entry.get_link(attempt.home.node).close_stream(attempt.stream)
-
-    def _cancel_timer(self, attempt: Attempt) -> None:
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-            attempt.timer = None
-
     def _call_at(self, deadline: float, callback):
         timer = self._entry.timers.call_at(deadline, callback)
         self._timers.append(timer)
@@ -469,10 +345,3 @@
 
     def _log(self, kind: str, **fields: object) -> None:
         self._entry.journal.request(kind, self.request_id, **fields)
-
-
-def _find_length(headers: Headers) -> int | None:
-    for name, value in headers:
-        if name == b"content-length":
-            return int(value)
-    return None
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -4,27 +4,14 @@
 outcomes of requests for a while, so that an entry whose link broke can still ask.
 """
 
-import itertools
 from collections.abc import Callable
 
-from flamingobank.core import (
-    Clock,
-    InstanceId,
-    Invariant,
-    RequestId,
-    check_invariant,
-)
+from flamingobank.core import Clock, Invariant, RequestId, check_invariant
 from flamingobank.loop import Timers
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.gate import (
-    SUSPECT_LIMIT,
-    GateState,
-    Verdict,
-    decide_offer,
-)
+from flamingobank.sidecar.gate import SUSPECT_LIMIT, GateState, Verdict, decide_offer
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.judge import ServerJudge
 from flamingobank.sidecar.messages import (
     Cancel,
     Commit,
@@ -41,25 +28,15 @@
 )
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.retry_share import RepeatedCalls
-from flamingobank.sidecar.server_client import (
-    RunFailure,
-    RunOutcome,
-    ServerClient,
-)
+from flamingobank.sidecar.server_client import RunFailure, RunOutcome, ServerClient
+from flamingobank.sidecar.server_health import ServerHealth
 from flamingobank.sidecar.server_state import DEFAULT_SLOTS, AnnouncedServer
+from flamingobank.sidecar.waiting_works import WaitingWorks
 from flamingobank.sidecar.works import Work, WorkState
 
-# The request follows a grant within one round trip.
-GRANT_TIMEOUT_S = 0.6
 # Entries ask for the outcome as soon as their link is back.
 RETAIN_S = 6.0
-# A repeatable request runs on this long for an entry whose link broke; the entry
-# sends it elsewhere meanwhile.
-ORPHAN_S = 0.4
 SWEEP_INTERVAL_S = 0.2
-# A failure that follows a failed call of the server's own within this time is put
-# down to the call.
-CALL_FAILURE_S = 0.3
 
 
 class Home:
@@ -77,7 +54,6 @@
         crashes: CrashReports,
         calls: RepeatedCalls,
     ) -> None:
-        self.crashes = crashes
         self.clock = clock
         self.timers = timers
         self.client = client
@@ -85,16 +61,23 @@
         self.server = AnnouncedServer()
         self.leaving = False
         self.works: dict[tuple[str, int], Work] = {}
-        self.call_failed_at = -1e9
         self.calls = calls
         self._journal = journal
         self._metrics = metrics
         self._list_channels = list_channels
-        self.judge = ServerJudge(clock.now())
+        self.health = ServerHealth(
+            clock,
+            client,
+            self.server,
+            crashes,
+            journal,
+            metrics,
+            self._push_report,
+        )
+        self.judge = self.health.judge
         # Departures that an earlier process acknowledged may still have to be learned.
         self.serves_from = clock.now()
-        self._waiting: list[tuple[int, int, Work]] = []
-        self._order = itertools.count()
+        self._waiting = WaitingWorks()
         self._busy = 0
         self._probed_at = 0.0
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
@@ -120,9 +103,7 @@
             self._busy,
             len(self._waiting),
             self.slots,
-            self.server.accepts_work
-            and not self.leaving
-            and not self.judge.is_down(now),
+            self._accepts_work(now),
         )
 
     def _accepts_work(self, now: float) -> bool:
@@ -179,50 +160,15 @@
                 work.orphaned_at = now
 
     def on_answered(self, work: Work, status: int) -> None:
-        """Learn from a complete answer."""
-        now = self.clock.now()
-        took_s = now - work.state_since
-        failed = status >= 500
-        self.judge.note_answer(took_s, not failed)
-        by_call = (
-            failed
-            and work.offer.idempotent
-            and now < self.call_failed_at + CALL_FAILURE_S
-        )
-        if work.commit is not None:
-            self.crashes.clear(work.commit.method, work.commit.target, work.commit.body)
-        # At the deadline a server answers 504; that says nothing about the server.
-        if status != 504 and not by_call:
-            self._observe(failed, work, str(status))
-        self._journal.request(
-            "home:answered",
-            work.request_id,
-            status=status,
-            took_ms=round(took_s * 1000, 1),
-            failing=round(self.judge.read_failing(now), 3),
-            blamed_on_call=by_call,
-        )
+        """Learn from a complete answer and free its slot."""
+        self.health.note_answer(work, status)
         self._finish(work)
 
-    def judge_failure(self, work: Work, failure: RunFailure) -> None:
+    def on_run_failed(self, work: Work, failure: RunFailure) -> None:
         """Find out whether the server is still there, then report the failure."""
-        now = self.clock.now()
-        if failure.unreachable:
-            self._mark_down(now, failure.reason)
-        elif failure.misdirected:
-            # The expected instance is gone; its successor announces itself.
-            self._mark_down(now, "another instance answers")
-        elif failure.outcome is RunOutcome.UNKNOWN and failure.broken:
-            self._observe(True, work, failure.reason)
-            self.client.check_alive(
-                lambda alive: self._on_checked(work, failure, alive)
-            )
-            return
-        elif failure.outcome is RunOutcome.UNKNOWN or work.deadline - now > 0.05:
-            self._observe(True, work, failure.reason)
-        self.on_failed(work, failure, crashed=False)
+        self.health.judge_failure(work, failure, self.on_failed)
 
-    def on_failed(self, work: Work, failure: RunFailure, crashed: bool) -> None:
+    def on_failed(self, work: Work, failure: RunFailure) -> None:
         """Report a request without an answer."""
         if work.state is WorkState.DONE:
             return
@@ -238,27 +184,12 @@
                 work.offer.stream,
                 failure.outcome is RunOutcome.NOT_RUN,
                 failure.arrived,
-                crashed,
                 failure.reason,
                 self.describe(),
             )
         )
         self._finish(work)
 
-    def _on_checked(self, work: Work, failure: RunFailure, alive: bool) -> None:
-        if not alive:
-            self._mark_down(self.clock.now(), "crashed")
-            current = self.server.current
-            commit = work.commit
-            self.crashes.report(
-                commit.method,
-                commit.target,
-                commit.body,
-                current.instance,
-                current.started_ms,
-            )
-        self.on_failed(work, failure, crashed=not alive)
-
     def _take_offer(self, channel, offer: Offer) -> None:
         now = self.clock.now()
         current = self.server.current
@@ -279,7 +210,7 @@
             self.judge.read_failing(now),
             self._busy,
             len(self._waiting),
-            sum(1 for entry in self._waiting if entry[0] <= offer.priority),
+            self._waiting.count_before(offer.priority),
             self.slots,
             self.judge.mean_work_s,
             self._probed_at,
@@ -298,8 +229,7 @@
         work = Work(self, channel, offer, now)
         self.works[work.key] = work
         if decision.verdict is Verdict.QUEUE:
-            self._waiting.append((offer.priority, next(self._order), work))
-            self._waiting.sort(key=lambda entry: entry[:2])
+            self._waiting.add(work)
             channel.send(Queued(offer.stream))
             self._grant_waiting()
             return
@@ -318,7 +248,7 @@
         while self._waiting and self._busy < self.slots:
             if not self.server.accepts_work or self.leaving:
                 return
-            _, _, work = self._waiting.pop(0)
+            work = self._waiting.pop()
             if self._waiting and self.clock.now() > work.latest_start:
                 # Another one can still be in time; this one may be at another home.
                 self._refuse_work(work, RefusalReason.BUSY)
@@ -338,25 +268,11 @@
             # The server began to leave between the grant and the request.
             self._refuse_work(work, RefusalReason.NO_SERVER)
             return
-        work.state = WorkState.RUNNING
-        work.state_since = now
         if work.offer.repeated:
             work.repeated = True
             self.calls.start_run()
         self._metrics.count("server_requests_total")
-
-        def encode(instance: InstanceId) -> bytes:
-            return self.dialect.encode_request(
-                message.method,
-                message.target,
-                [(name, value) for name, value in message.headers],
-                message.body,
-                instance,
-                message.left_s,
-                message.calling_service,
-            )
-
-        work.run = self.client.run(work.request_id, encode, work.offer.idempotent, work)
+        work.start(message, now)
 
     def _resume(self, channel, work: Work | None, stream: int) -> None:
         if work is not None and work.state in (WorkState.WAITING, WorkState.GRANTED):
@@ -385,9 +301,7 @@
         self._finish(work)
 
     def _refuse_waiting(self) -> None:
-        waiting = self._waiting
-        self._waiting = []
-        for _, _, work in waiting:
+        for work in self._waiting.pop_all():
             self._refuse_work(work, RefusalReason.LEAVING)
 
     def _cancel(self, work: Work, why: str) -> None:
@@ -401,7 +315,7 @@
         if work.state is WorkState.DONE:
             return
         if work.state is WorkState.WAITING:
-            self._waiting = [entry for entry in self._waiting if entry[2] is not work]
+            self._waiting.remove(work)
         else:
             self._busy -= 1
             if work.repeated:
@@ -412,26 +326,6 @@
         check_invariant(Invariant.SLOTS, self._busy >= 0, busy=self._busy)
         self._grant_waiting()
 
-    def _observe(self, failed: bool, work: Work, detail: str) -> None:
-        now = self.clock.now()
-        self._metrics.count("server_outcomes_total", failed=str(failed).lower())
-        if not self.judge.observe(failed, now):
-            return
-        self._journal.event(
-            "home:judged",
-            trusted=self.judge.trusted,
-            failing=round(self.judge.read_failing(now), 3),
-            request=work.request_id,
-            detail=detail,
-        )
-        self._push_report()
-
-    def _mark_down(self, now: float, reason: str) -> None:
-        self.judge.mark_down(now)
-        self.client.close_idle()
-        self._journal.event("home:server-down", reason=reason)
-        self._push_report()
-
     def _push_report(self) -> None:
         push = ReportPush(self.describe())
         for channel in self._list_channels():
@@ -444,16 +338,10 @@
                 if now > work.state_since + RETAIN_S:
                     del self.works[key]
                 continue
-            if work.state is WorkState.GRANTED:
-                if now > work.state_since + GRANT_TIMEOUT_S:
-                    self._cancel(work, "request did not follow the grant")
-                continue
             if work.state is WorkState.WAITING:
                 if now > work.deadline:
                     self._refuse_work(work, RefusalReason.EXPIRED)
                 continue
-            orphaned = work.orphaned_at is not None and work.offer.idempotent
-            if orphaned and now > work.orphaned_at + ORPHAN_S:
-                self._cancel(work, "entry did not come back")
-            elif now > work.deadline + 1.0:
-                self._cancel(work, "deadline passed")
+            overdue = work.find_overdue(now)
+            if overdue is not None:
+                self._cancel(work, overdue)
--- a/src/flamingobank/sidecar/links.py
+++ b/src/flamingobank/sidecar/links.py
@@ -281,14 +281,14 @@
         rng: random.Random,
         journal: Journal,
         greeting: Hello,
-        observer: LinkObserver,
     ) -> None:
         self.poller = poller
         self.clock = clock
         self.rng = rng
         self.journal = journal
         self.greeting = greeting
-        self.observer = observer
+        # Takes what peers send that belongs to no request.
+        self.observer: LinkObserver | None = None
         self._links: dict[Address, Link] = {}
         self.accepted: set[AcceptedChannel] = set()
         self._accept_observer: PeerObserver | None = None
--- a/src/flamingobank/sidecar/messages.py
+++ b/src/flamingobank/sidecar/messages.py
@@ -132,8 +132,6 @@
     not_run: bool
     # Bytes reached the server, so the attempt counts as an arrival.
     arrived: bool
-    # The server seems to have crashed on the request.
-    crashed: bool
     reason: str
     report: HomeReport
 
--- /dev/null
+++ b/src/flamingobank/sidecar/peer_traffic.py
@@ -0,0 +1,53 @@
+"""Hand the messages that belong to no request of this entry to where they belong."""
+
+from collections.abc import Callable
+
+from flamingobank.core import NodeId
+from flamingobank.sidecar.channels import MessageChannel, PeerObserver
+from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.links import Link, LinkObserver
+from flamingobank.sidecar.local_link import LocalLink
+from flamingobank.sidecar.messages import (
+    Message,
+    ReportPush,
+    TablePull,
+    TableUpdate,
+)
+from flamingobank.sidecar.table_exchange import TableExchange
+
+
+class PeerTraffic(LinkObserver, PeerObserver):
+    """Receive what peers send."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        home: Home,
+        tables: TableExchange,
+        find_node: Callable[[Link | LocalLink], NodeId | None],
+        forget_channel: Callable[[MessageChannel], None],
+    ) -> None:
+        self._entry = entry
+        self._home = home
+        self._tables = tables
+        self._find_node = find_node
+        self._forget_channel = forget_channel
+
+    def on_link_message(self, link: Link | LocalLink, message: Message) -> None:
+        if isinstance(message, ReportPush):
+            node = self._find_node(link)
+            if node is not None:
+                self._entry.note_report(node, message.report)
+        elif isinstance(message, TableUpdate):
+            self._tables.take(message)
+
+    def on_peer_message(self, link: MessageChannel, message: Message) -> None:
+        if self._home.receive(link, message):
+            return
+        if isinstance(message, TablePull):
+            self._tables.answer_pull(link)
+
+    def on_channel_closed(self, link: MessageChannel) -> None:
+        self._forget_channel(link)
+        self._home.on_channel_closed(link)
--- /dev/null
+++ b/src/flamingobank/sidecar/server_health.py
@@ -0,0 +1,139 @@
+"""Judge one server by the outcomes of its work.
+
+A failure counts against the server only where it says something about the server: not
+when a call of the server's own failed just before, and not at the request's deadline.
+"""
+
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.sidecar.crash_reports import CrashReports
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.judge import ServerJudge
+from flamingobank.sidecar.metrics import Metrics
+from flamingobank.sidecar.server_client import RunFailure, RunOutcome, ServerClient
+from flamingobank.sidecar.server_state import AnnouncedServer
+from flamingobank.sidecar.works import Work
+
+# A failure that follows a failed call of the server's own within this time is put
+# down to the call.
+CALL_FAILURE_S = 0.3
+# A failure this close to the deadline is the deadline's.
+DEADLINE_MARGIN_S = 0.05
+# What a server answers when the deadline of its work has passed.
+DEADLINE_STATUS = 504
+
+
+class ServerHealth:
+    """Learn from outcomes, and tell when the judgement changes."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: ServerClient,
+        server: AnnouncedServer,
+        crashes: CrashReports,
+        journal: Journal,
+        metrics: Metrics,
+        on_changed: Callable[[], None],
+    ) -> None:
+        self.judge = ServerJudge(clock.now())
+        self._clock = clock
+        self._client = client
+        self._server = server
+        self._crashes = crashes
+        self._journal = journal
+        self._metrics = metrics
+        self._on_changed = on_changed
+        self._call_failed_at = float("-inf")
+
+    def note_call_failure(self) -> None:
+        """Note that a call which the server made has failed."""
+        self._call_failed_at = self._clock.now()
+
+    def note_answer(self, work: Work, status: int) -> None:
+        """Learn from a complete answer."""
+        now = self._clock.now()
+        took_s = now - work.state_since
+        failed = status >= 500
+        self.judge.note_answer(took_s, not failed)
+        commit = work.commit
+        if commit is not None:
+            self._crashes.clear(commit.method, commit.target, commit.body)
+        by_call = (
+            failed
+            and work.offer.idempotent
+            and now < self._call_failed_at + CALL_FAILURE_S
+        )
+        if status != DEADLINE_STATUS and not by_call:
+            self._observe(failed, work, str(status))
+        self._journal.request(
+            "home:answered",
+            work.request_id,
+            status=status,
+            took_ms=round(took_s * 1000, 1),
+            failing=round(self.judge.read_failing(now), 3),
+            blamed_on_call=by_call,
+        )
+
+    def judge_failure(
+        self,
+        work: Work,
+        failure: RunFailure,
+        on_judged: Callable[[Work, RunFailure], None],
+    ) -> None:
+        """Learn from a request without an answer, then pass the failure on."""
+        now = self._clock.now()
+        if failure.unreachable:
+            self._mark_down(now, failure.reason)
+        elif failure.misdirected:
+            # The expected instance is gone; its successor announces itself.
+            self._mark_down(now, "another instance answers")
+        elif failure.outcome is RunOutcome.UNKNOWN and failure.broken:
+            self._observe(True, work, failure.reason)
+
+            def on_checked(alive: bool) -> None:
+                if not alive:
+                    self._report_crash(work)
+                on_judged(work, failure)
+
+            self._client.check_alive(on_checked)
+            return
+        elif (
+            failure.outcome is RunOutcome.UNKNOWN
+            or work.deadline - now > DEADLINE_MARGIN_S
+        ):
+            self._observe(True, work, failure.reason)
+        on_judged(work, failure)
+
+    def _report_crash(self, work: Work) -> None:
+        self._mark_down(self._clock.now(), "crashed")
+        current = self._server.current
+        commit = work.commit
+        self._crashes.report(
+            commit.method,
+            commit.target,
+            commit.body,
+            current.instance,
+            current.started_ms,
+        )
+
+    def _observe(self, failed: bool, work: Work, detail: str) -> None:
+        now = self._clock.now()
+        self._metrics.count("server_outcomes_total", failed=str(failed).lower())
+        if not self.judge.observe(failed, now):
+            return
+        self._journal.event(
+            "home:judged",
+            trusted=self.judge.trusted,
+            failing=round(self.judge.read_failing(now), 3),
+            request=work.request_id,
+            detail=detail,
+        )
+        self._on_changed()
+
+    def _mark_down(self, now: float, reason: str) -> None:
+        self.judge.mark_down(now)
+        self._client.close_idle()
+        self._journal.event("home:server-down", reason=reason)
+        self._on_changed()
--- /dev/null
+++ b/src/flamingobank/sidecar/shutdown.py
@@ -0,0 +1,75 @@
+"""Let a process leave without cutting what is under way."""
+
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.loop import Timers
+from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.journal import Journal
+
+# Callers are told twice, a second apart, that this process leaves.
+READINESS_NOTICE_S = 2.3
+# What is still under way this long before the end of the grace is cut.
+STOP_MARGIN_S = 0.4
+STOP_CHECK_S = 0.05
+
+
+class Shutdown:
+    """Send callers elsewhere, finish what is under way, then end the process."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        journal: Journal,
+        entry: Entry,
+        home: Home,
+        callers: HttpServer,
+        end_process: Callable[[], None],
+    ) -> None:
+        self.begun = False
+        self._clock = clock
+        self._timers = timers
+        self._journal = journal
+        self._entry = entry
+        self._home = home
+        self._callers = callers
+        self._end_process = end_process
+        self._close_at = 0.0
+        self._exit_at = 0.0
+
+    def begin(self, grace_s: float) -> None:
+        """Take no new work, and end within the grace."""
+        now = self._clock.now()
+        self.begun = True
+        self._close_at = now + READINESS_NOTICE_S
+        self._exit_at = now + grace_s - STOP_MARGIN_S
+        self._journal.event(
+            "sidecar:stopping",
+            open_requests=len(self._entry.exchanges),
+            running=len(self._home.works),
+        )
+        self._home.leave()
+        self._callers.drain()
+        self._timers.call_every(STOP_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        now = self._clock.now()
+        if now < self._close_at:
+            return
+        self._callers.close()
+        idle = (
+            not self._entry.exchanges
+            and self._home.is_idle
+            and not self._callers.connections
+        )
+        if not idle and now < self._exit_at:
+            return
+        self._journal.event(
+            "sidecar:stopped",
+            cut=len(self._entry.exchanges),
+            connections=len(self._callers.connections),
+        )
+        self._end_process()
--- /dev/null
+++ b/src/flamingobank/sidecar/table_exchange.py
@@ -0,0 +1,72 @@
+"""Take routing tables from the store and from peers, and never go back to an older."""
+
+from collections.abc import Callable
+
+from flamingobank.core import Clock
+from flamingobank.loop import Address
+from flamingobank.sidecar.channels import MessageChannel
+from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.links import Links
+from flamingobank.sidecar.messages import TablePull, TableUpdate
+from flamingobank.sidecar.routes import RoutingTable, pack_table, unpack_table
+
+# Many peers tell of a new version at once; one of them is asked for it at a time.
+PULL_SPACING_S = 0.3
+
+
+class TableExchange:
+    """Keep the entry's routing table at the newest version that any peer has."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        journal: Journal,
+        links: Links,
+        entry: Entry,
+        on_applied: Callable[[int], None],
+    ) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._links = links
+        self._entry = entry
+        self._on_applied = on_applied
+        self._pulled_at = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        table = self._entry.table
+        return table.version if table is not None else 0
+
+    def apply(self, table: RoutingTable) -> None:
+        """Put a table in force unless it is old."""
+        if self._entry.table is not None and table.version <= self.version:
+            return
+        self._entry.table = table
+        self._journal.event(
+            "configuration:applied", version=table.version, routes=len(table.routes)
+        )
+        self._on_applied(table.version)
+
+    def note_version(self, address: Address, version: int) -> None:
+        """Ask a peer for its table when it is newer."""
+        now = self._clock.now()
+        if version <= self.version or now < self._pulled_at + PULL_SPACING_S:
+            return
+        self._pulled_at = now
+        self._links.get(address).send(TablePull())
+
+    def answer_pull(self, channel: MessageChannel) -> None:
+        """Send a peer the table in force."""
+        if self._entry.table is not None:
+            channel.send(TableUpdate(pack_table(self._entry.table)))
+
+    def take(self, message: TableUpdate) -> None:
+        """Take a table that a peer sent."""
+        try:
+            table = unpack_table(message.table)
+        except (ValueError, TypeError) as error:
+            self._journal.warn("configuration:malformed", error=str(error))
+            return
+        self.apply(table)
--- a/src/flamingobank/sidecar/works.py
+++ b/src/flamingobank/sidecar/works.py
@@ -3,7 +3,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-from flamingobank.core import RequestId
+from flamingobank.core import InstanceId, RequestId
 from flamingobank.loop import Headers
 from flamingobank.sidecar.gate import NEEDED_WORK_SHARE, compute_queue_limit
 from flamingobank.sidecar.messages import (
@@ -23,6 +23,14 @@
 if TYPE_CHECKING:
     from flamingobank.sidecar.home import Home
 
+# The request follows a grant within one round trip.
+GRANT_TIMEOUT_S = 0.6
+# A repeatable request runs on this long for an entry whose link broke; the entry
+# sends it elsewhere meanwhile.
+ORPHAN_S = 0.4
+# A server ends its work at the deadline by itself; its answer needs a moment.
+DEADLINE_SLACK_S = 1.0
+
 
 class WorkState(enum.Enum):
     """Say how far a request at its home has come."""
@@ -60,6 +68,38 @@
         """Identify the request among those of all entries."""
         return (self.channel.peer_boot, self.offer.stream)
 
+    def start(self, commit: Commit, now: float) -> None:
+        """Send the request to the server."""
+        self.state = WorkState.RUNNING
+        self.state_since = now
+        home = self.home
+
+        def encode(instance: InstanceId) -> bytes:
+            return home.dialect.encode_request(
+                commit.method,
+                commit.target,
+                list(commit.headers),
+                commit.body,
+                instance,
+                commit.left_s,
+                commit.calling_service,
+            )
+
+        self.run = home.client.run(self.request_id, encode, self.offer.idempotent, self)
+
+    def find_overdue(self, now: float) -> str | None:
+        """Return why a granted or running request is not waited for any more."""
+        if self.state is WorkState.GRANTED:
+            if now > self.state_since + GRANT_TIMEOUT_S:
+                return "request did not follow the grant"
+            return None
+        orphaned = self.orphaned_at is not None and self.offer.idempotent
+        if orphaned and now > self.orphaned_at + ORPHAN_S:
+            return "entry did not come back"
+        if now > self.deadline + DEADLINE_SLACK_S:
+            return "deadline passed"
+        return None
+
     def report(self, message: Message) -> None:
         """Send a part of the outcome and keep it for a resumed link."""
         self.outcome.append(message)
@@ -79,9 +119,9 @@
             self.home.on_answered(self, 200)
         elif not body:
             failure = RunFailure(RunOutcome.UNKNOWN, True, False, "broke midway")
-            self.home.on_failed(self, failure, crashed=False)
+            self.home.on_failed(self, failure)
             return
         self.report(AnswerPart(self.offer.stream, body, complete))
 
     def on_run_failed(self, failure: RunFailure) -> None:
-        self.home.judge_failure(self, failure)
+        self.home.on_run_failed(self, failure)
