Count a crash although its request was given up meanwhile

Cause: whether a server's process is gone is known only when a new connection to it has been tried. When the entry cancelled the request in between, the request was gone from the home, reading it raised AttributeError, and the crash was neither spread nor kept against the request. A server announced meanwhile would have been blamed in its place. Found while reading; a scenario with the same order of events fails without the change. Ruled out: keeping the request until the check has ended; it would hold its body.

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -109,6 +109,11 @@
     When one request crashes two of them
     Then it is refused everywhere, and another request is not
 
+  Scenario: A crash counts although the entry gave the request up meanwhile
+    Given a home with a server that crashes
+    When the entry cancels the request while the home looks for the server
+    Then the crash is reported
+
   Scenario: A server that resets connections has not crashed
     Given a home with a server that closes without an answer
     When an entry offers and commits a request
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -374,6 +374,23 @@
     assert not crashes.is_quarantined("GET", b"/a/y", b"")
 
 
+@when("the entry cancels the request while the home looks for the server")
+def step_cancel_while_checked(context):
+    desk = context.home
+    checks = []
+    desk.home.client.check_alive = checks.append
+    desk.offer(1)
+    desk.commit(1)
+    desk.loop.run_until(lambda: checks, "check of the server")
+    desk.home.receive(desk.channel, Cancel(1))
+    checks[0](False)
+
+
+@then("the crash is reported")
+def step_crash_reported(context):
+    assert context.home.crashes.has_reports
+
+
 @then("no crash is reported")
 def step_no_crash(context):
     assert len(context.home.channel.list_kind(Failed)) == 1
--- a/src/flamingobank/sidecar/server_health.py
+++ b/src/flamingobank/sidecar/server_health.py
@@ -10,9 +10,10 @@
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.judge import ServerJudge
+from flamingobank.sidecar.messages import Commit
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.server_client import RunFailure, RunOutcome, ServerClient
-from flamingobank.sidecar.server_state import AnnouncedServer
+from flamingobank.sidecar.server_state import AnnouncedServer, Announcement
 from flamingobank.sidecar.works import Work
 
 # A failure that follows a failed call of the server's own within this time is put
@@ -91,10 +92,14 @@
             self._mark_down(now, "another instance answers")
         elif failure.outcome is RunOutcome.UNKNOWN and failure.broken:
             self._observe(True, work, failure.reason)
+            # The entry may give the request up, or another server may be announced,
+            # before it is known whether this one is alive.
+            commit = work.commit
+            server = self._server.current
 
             def on_checked(alive: bool) -> None:
                 if not alive:
-                    self._report_crash(work)
+                    self._report_crash(commit, server)
                 on_judged(work, failure)
 
             self._client.check_alive(on_checked)
@@ -106,16 +111,19 @@
             self._observe(True, work, failure.reason)
         on_judged(work, failure)
 
-    def _report_crash(self, work: Work) -> None:
-        self._mark_down(self._clock.now(), "crashed")
+    def _report_crash(self, commit: Commit, server: Announcement) -> None:
         current = self._server.current
-        commit = work.commit
+        if (current.instance, current.started_ms) == (
+            server.instance,
+            server.started_ms,
+        ):
+            self._mark_down(self._clock.now(), "crashed")
         self._crashes.report(
             commit.method,
             commit.target,
             commit.body,
-            current.instance,
-            current.started_ms,
+            server.instance,
+            server.started_ms,
         )
 
     def _observe(self, failed: bool, work: Work, detail: str) -> None:
