Break the import circles of the sidecar with abstract owners

Cause: an exchange and its entry, a request at a home and the home, a connection and its server imported one another for their types, so none could be read or moved alone. Change: the lower module says in an abstract base class what it needs of its owner (ExchangeOwner, WorkOwner, ConnectionOwner, AnswerConnection). The end of an exchange is reported as a value, EndedRequest.

--- a/src/flamingobank/sidecar/attempts.py
+++ b/src/flamingobank/sidecar/attempts.py
@@ -3,7 +3,8 @@
 import abc
 import enum
 
-from flamingobank.core import Clock
+from flamingobank.core import Clock, RequestId, ServiceName
+from flamingobank.sidecar.caller_request import CallerRequest
 from flamingobank.sidecar.links import Link, StreamHandler
 from flamingobank.sidecar.local_link import LocalLink
 from flamingobank.sidecar.messages import (
@@ -101,11 +102,28 @@
         self._link.open_stream(self.stream, self)
         self._link.send(offer)
 
-    def commit(self, commit: Commit) -> None:
+    def commit(
+        self,
+        request: CallerRequest,
+        request_id: RequestId,
+        left_s: float,
+        calling_service: ServiceName,
+    ) -> None:
         """Send the request into the slot that was granted."""
         self.state = AttemptState.COMMITTED
         self.home.own_running += 1
-        self._link.send(commit)
+        self._link.send(
+            Commit(
+                self.stream,
+                request_id,
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                left_s,
+                calling_service,
+            )
+        )
 
     def withdraw(self) -> None:
         """Tell the home that the outcome is not wanted any more."""
--- a/src/flamingobank/sidecar/caller_connection.py
+++ b/src/flamingobank/sidecar/caller_connection.py
@@ -1,16 +1,16 @@
 """Read the requests of one connection and send their answers in order."""
 
+import abc
 import socket
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import httptools
 
-from flamingobank.loop import Connection, ConnectionHandler
-from flamingobank.sidecar.caller_request import CallerRequest
-
-if TYPE_CHECKING:
-    from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.core import Clock
+from flamingobank.loop import Connection, ConnectionHandler, Poller, Timers
+from flamingobank.sidecar.caller_request import AnswerConnection, CallerRequest
+from flamingobank.sidecar.routes import RequestLimits
 
 # Further requests of a pipeline wait in the socket.
 MAX_PIPELINED = 32
@@ -21,10 +21,27 @@
 LINGER_S = 2.0
 
 
-class CallerConnection(ConnectionHandler):
+class ConnectionOwner(abc.ABC):
+    """Hold what the connections of one listening address have in common."""
+
+    poller: Poller
+    timers: Timers
+    clock: Clock
+    # Connections end after their present answers.
+    draining: bool
+    limits: Callable[[], RequestLimits]
+    on_request: Callable[[CallerRequest], None]
+    log_malformed: Callable[[str], None]
+
+    @abc.abstractmethod
+    def forget(self, connection: "CallerConnection") -> None:
+        """Drop a closed connection."""
+
+
+class CallerConnection(ConnectionHandler, AnswerConnection):
     """Read the requests of one connection and order their answers."""
 
-    def __init__(self, server: "HttpServer", sock: socket.socket) -> None:
+    def __init__(self, server: ConnectionOwner, sock: socket.socket) -> None:
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[CallerRequest] = deque()
@@ -48,7 +65,6 @@
         return not self._waiting and self._current is None and not self._closing
 
     def describe_persistence(self, request: CallerRequest) -> list[bytes]:
-        """Return the headers that tell whether the connection stays open."""
         last = len(self._waiting) == 1 and self._current is None
         if not request.keep_alive or (self._server.draining and last):
             request.keep_alive = False
@@ -57,15 +73,12 @@
         return [b"Keep-Alive: timeout=%d" % max(1, int(self._promised_idle_s))]
 
     def is_next(self, request: CallerRequest) -> bool:
-        """Tell whether a request's answer may be sent now."""
         return bool(self._waiting) and self._waiting[0] is request
 
     def send(self, data: bytes) -> None:
-        """Send bytes of the answer that is due."""
         self.connection.write(data)
 
     def on_answered(self) -> None:
-        """Go on to the answers that follow."""
         while self._waiting and self._waiting[0].finished:
             done = self._waiting.popleft()
             if not done.keep_alive:
@@ -96,7 +109,6 @@
         )
 
     def abort(self) -> None:
-        """Reset the connection."""
         self.connection.reset("answer broken off")
 
     def sweep(self, now: float) -> None:
--- a/src/flamingobank/sidecar/caller_request.py
+++ b/src/flamingobank/sidecar/caller_request.py
@@ -1,13 +1,9 @@
 """Hold one request of a caller and write its answer."""
 
 import abc
-from typing import TYPE_CHECKING
 
 from flamingobank.loop import Headers
 
-if TYPE_CHECKING:
-    from flamingobank.sidecar.caller_connection import CallerConnection
-
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -32,6 +28,30 @@
         """React to the end of the caller's connection."""
 
 
+class AnswerConnection(abc.ABC):
+    """Carry the answers of one connection in the order of their requests."""
+
+    @abc.abstractmethod
+    def describe_persistence(self, request: "CallerRequest") -> list[bytes]:
+        """Return the headers that tell whether the connection stays open."""
+
+    @abc.abstractmethod
+    def is_next(self, request: "CallerRequest") -> bool:
+        """Tell whether a request's answer may be sent now."""
+
+    @abc.abstractmethod
+    def send(self, data: bytes) -> None:
+        """Send a piece of the answer that is next."""
+
+    @abc.abstractmethod
+    def on_answered(self) -> None:
+        """React to the end of an answer."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """End the connection at once."""
+
+
 class CallerRequest:
     """Hold one request and write its answer."""
 
@@ -51,7 +71,7 @@
         "watcher",
     )
 
-    def __init__(self, connection: "CallerConnection") -> None:
+    def __init__(self, connection: AnswerConnection) -> None:
         self.connection = connection
         self.method = ""
         self.target = b""
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/entry.py
@@ -10,7 +10,10 @@
 from flamingobank.sidecar.crash_reports import CrashReports
 from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.exchange import Exchange
+from flamingobank.sidecar.exchange_owner import EndedRequest, ExchangeOwner
 from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.links import Link
+from flamingobank.sidecar.local_link import LocalLink
 from flamingobank.sidecar.messages import HomeReport
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peers import PeerRecord, PeerTable
@@ -24,7 +27,7 @@
 RETURN_MARGIN_S = 0.03
 
 
-class Entry:
+class Entry(ExchangeOwner):
     """Serve the callers of one machine."""
 
     def __init__(
@@ -48,8 +51,8 @@
         self.journal = journal
         self.calling_service = calling_service
         self.table: RoutingTable | None = None
-        self.exchanges: set[Exchange] = set()
-        self.get_link: Callable[[NodeId], object] = lambda node: None
+        self.exchanges: dict[CallerRequest, Exchange] = {}
+        self.get_link: Callable[[NodeId], Link | LocalLink] | None = None
         self.on_call_failed: Callable[[], None] = lambda: None
         self._rng = rng
         self._dialect = dialect
@@ -83,7 +86,7 @@
         if facts.left_s is not None:
             deadline = min(deadline, request.read_at + facts.left_s - RETURN_MARGIN_S)
         exchange = Exchange(self, request, facts.request_id, route, service, deadline)
-        self.exchanges.add(exchange)
+        self.exchanges[request] = exchange
         self.journal.request(
             "exchange:taken",
             facts.request_id,
@@ -96,13 +99,11 @@
         exchange.start()
 
     def is_quarantined(self, request: CallerRequest) -> bool:
-        """Tell whether a request has crashed too many servers."""
         return self._crashes.is_quarantined(
             request.method, request.target, request.body
         )
 
     def new_stream(self) -> int:
-        """Return the number of a new request on a link."""
         return next(self._streams)
 
     def pick_home(
@@ -110,10 +111,9 @@
         service: ServiceName,
         kind: RouteKind,
         careful: bool,
-        excluded: set[str],
+        excluded: set[NodeId],
         now: float,
     ) -> HomeView | None:
-        """Return the best home of a service that may be asked."""
         views = []
         silent = []
         for record in self._list_homes(service):
@@ -137,7 +137,6 @@
             view.take_report(report, self.clock.now())
 
     def note_silence(self, home: HomeView) -> None:
-        """Avoid a home that did not answer an offer."""
         self.journal.event("entry:home-silent", home=home.node)
         self.get_link(home.node).suspect()
 
@@ -146,37 +145,32 @@
         self._views.pop(node, None)
 
     def spend_retry(self, service: ServiceName, now: float) -> bool:
-        """Take a retry from this entry's share of the fleet's budget."""
         if self._retries.spend(service, len(self._peers) + 1, now):
             return True
         self._metrics.count("retries_denied_total")
         return False
 
     def measure_retries(self, service: ServiceName, now: float) -> float:
-        """Return how many more retries may be sent to a service."""
         return self._retries.measure_allowance(service, len(self._peers) + 1, now)
 
     def open_reply(self, request: CallerRequest, request_id: RequestId) -> Reply:
-        """Return what answers a caller."""
         return Reply(request, request_id, self._dialect, self._rng)
 
-    def on_ended(self, exchange: Exchange, outcome: str) -> None:
-        """Count a request that got its final answer."""
-        self.exchanges.discard(exchange)
-        now = self.clock.now()
-        took_s = now - exchange.request.read_at
+    def on_ended(self, ended: EndedRequest) -> None:
+        del self.exchanges[ended.request]
+        took_s = self.clock.now() - ended.request.read_at
         self.journal.request(
             "exchange:ended",
-            exchange.request_id,
-            outcome=outcome,
+            ended.request_id,
+            outcome=ended.outcome,
             took_ms=round(took_s * 1000),
-            runs=exchange.repeats.runs,
-            arrivals=exchange.repeats.arrivals,
+            runs=ended.runs,
+            arrivals=ended.arrivals,
         )
-        kind = exchange.route.kind.value
-        self._metrics.count("requests_total", kind=kind, outcome=outcome)
+        kind = ended.kind.value
+        self._metrics.count("requests_total", kind=kind, outcome=ended.outcome)
         self._metrics.observe_latency(took_s, kind)
-        if not outcome.startswith("2"):
+        if not ended.outcome.startswith("2"):
             self.on_call_failed()
 
     def _list_homes(self, service: ServiceName) -> list[PeerRecord]:
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/exchange.py
@@ -6,9 +6,13 @@
 only once is sent again only when a home states that it has not run.
 """
 
-from typing import TYPE_CHECKING
-
-from flamingobank.core import Invariant, RequestId, ServiceName, check_invariant
+from flamingobank.core import (
+    Invariant,
+    NodeId,
+    RequestId,
+    ServiceName,
+    check_invariant,
+)
 from flamingobank.sidecar.attempts import (
     Attempt,
     AttemptObserver,
@@ -16,11 +20,11 @@
     AttemptState,
 )
 from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
+from flamingobank.sidecar.exchange_owner import EndedRequest, ExchangeOwner
 from flamingobank.sidecar.home_search import HomeSearch, NextStep
 from flamingobank.sidecar.messages import (
     Answer,
     AnswerPart,
-    Commit,
     Failed,
     Offer,
     RefusalReason,
@@ -30,9 +34,6 @@
 from flamingobank.sidecar.routes import Route
 from flamingobank.sidecar.selection import HomeView
 
-if TYPE_CHECKING:
-    from flamingobank.sidecar.entry import Entry
-
 # Work that waits for a server to recover asks all homes again after this time.
 PATIENCE_STEP_S = 0.1
 OUTCOME_UNKNOWN_STATUS = 502
@@ -44,7 +45,7 @@
 
     def __init__(
         self,
-        entry: "Entry",
+        entry: ExchangeOwner,
         request: CallerRequest,
         request_id: RequestId,
         route: Route,
@@ -123,7 +124,7 @@
         self._offer(home, forced=False)
 
     def _pick_home(
-        self, careful: bool, excluded: set[str], now: float
+        self, careful: bool, excluded: set[NodeId], now: float
     ) -> HomeView | None:
         return self._entry.pick_home(
             self.service, self.route.kind, careful, excluded, now
@@ -201,18 +202,8 @@
             failing=round(attempt.home.estimate_failing(now), 3),
             report_age_ms=round((now - attempt.home.reported_at) * 1000),
         )
-        request = self.request
         attempt.commit(
-            Commit(
-                attempt.stream,
-                self.request_id,
-                request.method,
-                request.target,
-                request.headers,
-                request.body,
-                left_s,
-                self._entry.calling_service,
-            )
+            self.request, self.request_id, left_s, self._entry.calling_service
         )
         hedge_at = self.repeats.choose_hedge_at(now)
         if hedge_at is not None:
@@ -336,7 +327,16 @@
         self._attempts.withdraw_others(None)
         for timer in self._timers:
             timer.cancel()
-        self._entry.on_ended(self, outcome)
+        self._entry.on_ended(
+            EndedRequest(
+                self.request,
+                self.request_id,
+                self.route.kind,
+                outcome,
+                self.repeats.runs,
+                self.repeats.arrivals,
+            )
+        )
 
     def _call_at(self, deadline: float, callback):
         timer = self._entry.timers.call_at(deadline, callback)
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/home.py
@@ -32,14 +32,14 @@
 from flamingobank.sidecar.server_health import ServerHealth
 from flamingobank.sidecar.server_state import DEFAULT_SLOTS, AnnouncedServer
 from flamingobank.sidecar.waiting_works import WaitingWorks
-from flamingobank.sidecar.works import Work, WorkState
+from flamingobank.sidecar.works import Work, WorkOwner, WorkState
 
 # Entries ask for the outcome as soon as their link is back.
 RETAIN_S = 6.0
 SWEEP_INTERVAL_S = 0.2
 
 
-class Home:
+class Home(WorkOwner):
     """Serve offers of entries with the server of this machine."""
 
     def __init__(
@@ -94,7 +94,6 @@
         return not self._busy and not self._waiting
 
     def describe(self) -> HomeReport:
-        """Return what entries are told of this home."""
         now = self.clock.now()
         current = self.server.current
         return HomeReport(
@@ -160,16 +159,13 @@
                 work.orphaned_at = now
 
     def on_answered(self, work: Work, status: int) -> None:
-        """Learn from a complete answer and free its slot."""
         self.health.note_answer(work, status)
         self._finish(work)
 
     def on_run_failed(self, work: Work, failure: RunFailure) -> None:
-        """Find out whether the server is still there, then report the failure."""
         self.health.judge_failure(work, failure, self.on_failed)
 
     def on_failed(self, work: Work, failure: RunFailure) -> None:
-        """Report a request without an answer."""
         if work.state is WorkState.DONE:
             return
         self._journal.request(
--- a/src/flamingobank/sidecar/http_server.py
+++ b/src/flamingobank/sidecar/http_server.py
@@ -5,14 +5,14 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Address, Listener, Poller, Timers
-from flamingobank.sidecar.caller_connection import CallerConnection
+from flamingobank.sidecar.caller_connection import CallerConnection, ConnectionOwner
 from flamingobank.sidecar.caller_request import CallerRequest
 from flamingobank.sidecar.routes import RequestLimits
 
 SWEEP_INTERVAL_S = 0.5
 
 
-class HttpServer:
+class HttpServer(ConnectionOwner):
     """Accept connections and hand requests over."""
 
     def __init__(
@@ -38,7 +38,6 @@
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
 
     def forget(self, connection: CallerConnection) -> None:
-        """Drop a closed connection."""
         self.connections.discard(connection)
 
     def drain(self) -> None:
--- a/src/flamingobank/sidecar/works.py
+++ b/src/flamingobank/sidecar/works.py
@@ -1,15 +1,18 @@
 """Follow one request at its home from its offer to its outcome."""
 
+import abc
 import enum
-from typing import TYPE_CHECKING
 
 from flamingobank.core import InstanceId, RequestId
 from flamingobank.loop import Headers
+from flamingobank.sidecar.dialect import Dialect
 from flamingobank.sidecar.gate import NEEDED_WORK_SHARE, compute_queue_limit
+from flamingobank.sidecar.judge import ServerJudge
 from flamingobank.sidecar.messages import (
     Answer,
     AnswerPart,
     Commit,
+    HomeReport,
     Message,
     Offer,
 )
@@ -17,12 +20,10 @@
     RunFailure,
     RunHandler,
     RunOutcome,
+    ServerClient,
     ServerRun,
 )
 
-if TYPE_CHECKING:
-    from flamingobank.sidecar.home import Home
-
 # The request follows a grant within one round trip.
 GRANT_TIMEOUT_S = 0.6
 # A repeatable request runs on this long for an entry whose link broke; the entry
@@ -41,10 +42,34 @@
     DONE = "done"
 
 
+class WorkOwner(abc.ABC):
+    """Hold the server that runs requests, and learn of their outcomes."""
+
+    client: ServerClient
+    dialect: Dialect
+    judge: ServerJudge
+
+    @abc.abstractmethod
+    def describe(self) -> HomeReport:
+        """Return what entries are told of this home."""
+
+    @abc.abstractmethod
+    def on_answered(self, work: "Work", status: int) -> None:
+        """Learn from a complete answer and free its slot."""
+
+    @abc.abstractmethod
+    def on_run_failed(self, work: "Work", failure: RunFailure) -> None:
+        """Find out whether the server is still there, then report the failure."""
+
+    @abc.abstractmethod
+    def on_failed(self, work: "Work", failure: RunFailure) -> None:
+        """Report a request without an answer."""
+
+
 class Work(RunHandler):
     """Follow one request from its offer to its outcome."""
 
-    def __init__(self, home: "Home", channel, offer: Offer, now: float) -> None:
+    def __init__(self, home: WorkOwner, channel, offer: Offer, now: float) -> None:
         self.home = home
         self.channel = channel
         self.offer = offer
