--- a/benchmarks/capacity_model.py
+++ b/benchmarks/capacity_model.py
@@ -5,9 +5,9 @@
 
 from flamingobank.configuration.claims import RENEW_INTERVAL_S
 from flamingobank.configuration.election import WATCH_TIMEOUT_S
-from flamingobank.node.announcements import RENEW_MS
-from flamingobank.node.directory_sync import BROADCAST_EXTRA, COMPARE_S
-from flamingobank.node.links import IDLE_TIMEOUT_S
+from flamingobank.node.knowledge.directory_sync import BROADCAST_EXTRA, COMPARE_S
+from flamingobank.node.links.links import IDLE_TIMEOUT_S
+from flamingobank.node.servers.announcements import RENEW_MS
 
 DAY_S = 86_400.0
 TARGET = {
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -9,7 +9,7 @@
     work_out_store,
     work_out_traffic,
 )
-from flamingobank.node.links import IDLE_TIMEOUT_S
+from flamingobank.node.links.links import IDLE_TIMEOUT_S
 
 KEYED_SHARE = 0.01
 KEY_LIFE_S = 86_400.0
--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -19,7 +19,7 @@
 from flamingobank.configuration.shards import MAX_KEY
 from flamingobank.directory import DirectoryTable
 from flamingobank.membership.table import MemberTable
-from flamingobank.node.configuration_wire import pack_peer_message
+from flamingobank.node.knowledge.configuration_wire import pack_peer_message
 from flamingobank.wire import FrameEncoder, Handshake, Message, pack_message
 from flamingobank_standins.local_fleet import LocalFleet
 
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -8,9 +8,9 @@
 from features.support.loop import TestLoop
 from flamingobank.core import VirtualClock
 from flamingobank.directory import DirectoryTable
-from flamingobank.node.announcements import ANNOUNCE_PATH, Announcements
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.ejections import Ejections
+from flamingobank.node.servers.announcements import ANNOUNCE_PATH, Announcements
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.ejections import Ejections
 from flamingobank.objects import Service, parse_selector
 from flamingobank.wire import DirectoryUpdate
 
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -9,8 +9,8 @@
 from features.support.callers import CallerDesk, answer_ok, get
 from features.support.loop import TestLoop
 from flamingobank.loop.poller import READABLE
-from flamingobank.node.exchange import AnswerSink
-from flamingobank.node.servers import Server
+from flamingobank.node.links.exchange import AnswerSink
+from flamingobank.node.servers.servers import Server
 from flamingobank.wire import OpenRequest
 
 KINDS = ("complete", "shed", "broken", "cut", "silent", "leave", "long")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,8 +13,8 @@
 from flamingobank.platform.configuration import decode_configuration
 from flamingobank.platform.headers import PlatformDialect
 from flamingobank.platform.settings import load_platform_settings
-from flamingobank.sidecar.routes import RouteKind, RoutingTable
-from flamingobank.sidecar.server_state import Announcement, Departure, Lifecycle
+from flamingobank.sidecar.fleet.routes import RouteKind, RoutingTable
+from flamingobank.sidecar.fleet.server_state import Announcement, Departure, Lifecycle
 
 RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=300)
 SETTINGS = """
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -13,13 +13,18 @@
     RouteName,
     ServiceName,
 )
-from flamingobank.sidecar.belief import LONG_RUN_PROBABILITY, FailureBelief
-from flamingobank.sidecar.gate import CAREFUL_LIMIT, GateState, Verdict, decide_offer
-from flamingobank.sidecar.messages import HomeReport
-from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.refusals import RETURN_TIMES_S, choose_return
-from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.routes import (
+from flamingobank.sidecar.decisions.belief import LONG_RUN_PROBABILITY, FailureBelief
+from flamingobank.sidecar.decisions.gate import (
+    CAREFUL_LIMIT,
+    GateState,
+    Verdict,
+    decide_offer,
+)
+from flamingobank.sidecar.decisions.refusals import RETURN_TIMES_S, choose_return
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls, RetryShare
+from flamingobank.sidecar.decisions.selection import HomeView, rank_homes
+from flamingobank.sidecar.fleet.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.fleet.routes import (
     RequestLimits,
     Route,
     RouteKind,
@@ -29,13 +34,13 @@
     pack_table,
     unpack_table,
 )
-from flamingobank.sidecar.selection import HomeView, rank_homes
-from flamingobank.sidecar.server_state import (
+from flamingobank.sidecar.fleet.server_state import (
     AnnouncedServer,
     Announcement,
     Departure,
     Lifecycle,
 )
+from flamingobank.sidecar.links.messages import HomeReport
 
 RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=100)
 ORDERS = ServiceName("orders")
--- a/features/steps/sidecar_exchange_steps.py
+++ b/features/steps/sidecar_exchange_steps.py
@@ -4,7 +4,7 @@
 from hypothesis import given as for_all, settings, strategies as st
 
 from features.support.sidecar import ExchangeDesk
-from flamingobank.sidecar.routes import RouteKind
+from flamingobank.sidecar.fleet.routes import RouteKind
 
 RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=60)
 OFFER_REACTIONS = ("grant", "busy", "suspect", "silent", "server-down", "no-server")
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -9,17 +9,17 @@
 from features.steps.sidecar_decisions_steps import make_record, make_route
 from features.support.loop import LOCAL, TestLoop
 from flamingobank.core import InstanceId, ServiceName, VirtualClock
-from flamingobank.sidecar.fleet_store import (
+from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
     FleetStoreError,
     TableReading,
 )
-from flamingobank.sidecar.gossip import Gossip
+from flamingobank.sidecar.fleet.gossip import Gossip
+from flamingobank.sidecar.fleet.peers import PeerTable
+from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
+from flamingobank.sidecar.fleet.store_sync import StoreSync
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.peers import PeerTable
-from flamingobank.sidecar.routes import RequestLimits, RoutingTable
-from flamingobank.sidecar.store_sync import StoreSync
 
 DEPARTURE = (InstanceId("i-1"), 100)
 
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -5,11 +5,13 @@
 from features.support.home import HomeDesk, RecordedChannel
 from features.support.loop import LOCAL, RawPeer, TestLoop
 from flamingobank.core import VirtualClock
-from flamingobank.sidecar.caller_request import CallerWatcher
-from flamingobank.sidecar.crash_reports import CrashReports
-from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.fleet.server_state import Lifecycle
+from flamingobank.sidecar.http.caller_request import CallerWatcher
+from flamingobank.sidecar.http.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.links.messages import (
     Answer,
     Cancel,
     Failed,
@@ -18,8 +20,6 @@
     Refused,
     Resume,
 )
-from flamingobank.sidecar.routes import RequestLimits
-from flamingobank.sidecar.server_state import Lifecycle
 
 LIMITS = RequestLimits(16_384, 1000, 5.0, 15.0)
 GET = b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -9,9 +9,9 @@
 from hypothesis import given as given_data, settings, strategies as st
 
 from features.support.loop import LOCAL, RawPeer, TestLoop
-from flamingobank.node.exchange import AnswerSink
-from flamingobank.node.links import CONTROL_STREAM, Link, LinkObserver, Links
-from flamingobank.node.remote import RemoteRequest, ServedStream
+from flamingobank.node.links.exchange import AnswerSink
+from flamingobank.node.links.links import CONTROL_STREAM, Link, LinkObserver, Links
+from flamingobank.node.links.remote import RemoteRequest, ServedStream
 from flamingobank.wire import (
     AnswerHead,
     AnswerPart,
--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -6,12 +6,12 @@
 from flamingobank.core import VirtualClock
 from flamingobank.directory import DirectoryTable
 from flamingobank.loop import Connection, ConnectionHandler, Listener
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge import EdgeServer
-from flamingobank.node.entry import Entry
-from flamingobank.node.links import LinkObserver, Links
-from flamingobank.node.remote import ServedStream
-from flamingobank.node.servers import Server
+from flamingobank.node.callers.entry import Entry
+from flamingobank.node.http.edge import EdgeServer
+from flamingobank.node.links.links import LinkObserver, Links
+from flamingobank.node.links.remote import ServedStream
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.servers import Server
 from flamingobank.objects import Route, Selector, Service
 from flamingobank.settings import CallerLimits
 from flamingobank.wire import DirectoryUpdate, OpenRequest
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -6,14 +6,14 @@
 from features.support.loop import TestLoop
 from flamingobank.core import InstanceId, ServiceName, VirtualClock
 from flamingobank.platform.headers import PlatformDialect
-from flamingobank.sidecar.crash_reports import CrashReports
-from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls, RetryShare
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.server_state import Announcement, Lifecycle
+from flamingobank.sidecar.homes.home import Home
+from flamingobank.sidecar.homes.server_client import ServerClient
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import Commit, Offer
+from flamingobank.sidecar.links.messages import Commit, Offer
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.server_client import ServerClient
-from flamingobank.sidecar.server_state import Announcement, Lifecycle
 
 SEALED = (
     b"HTTP/1.1 %d X\r\nServer-Seal: s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -6,10 +6,13 @@
 from features.support.loop import TestLoop
 from flamingobank.core import ServiceName, VirtualClock
 from flamingobank.platform.headers import PlatformDialect
-from flamingobank.sidecar.crash_reports import CrashReports
-from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.callers.entry import Entry
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls, RetryShare
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.peers import PeerTable
+from flamingobank.sidecar.fleet.routes import RequestLimits, RouteKind, RoutingTable
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.links.messages import (
     Answer,
     Commit,
     Failed,
@@ -20,9 +23,6 @@
     Refused,
 )
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.peers import PeerTable
-from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.routes import RequestLimits, RouteKind, RoutingTable
 
 REPORT = HomeReport("orders", 0.05, 0, 0, 4, True)
 SEALED = [(b"server-seal", b"s"), (b"content-length", b"2")]
--- /dev/null
+++ b/src/flamingobank/node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Bring callers' requests to a home and their answers back."""
--- a/src/flamingobank/node/caller_exchange.py
+++ b/src/flamingobank/node/callers/caller_exchange.py
@@ -1,9 +1,11 @@
 """Carry one caller's request through its attempts to its one answer."""
 
+from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from flamingobank.core import (
+    Clock,
     Disposition,
     Invariant,
     NodeId,
@@ -12,34 +14,73 @@
     check_invariant,
 )
 from flamingobank.directory import HomeEntry
-from flamingobank.loop import TimerHandle
-from flamingobank.node.edge_connection import ConnectionWatcher, EdgeConnection
-from flamingobank.node.exchange import (
+from flamingobank.loop import TimerHandle, Timers
+from flamingobank.node.callers.home_loads import HomeLoads
+from flamingobank.node.callers.refusals import render_refusal
+from flamingobank.node.http.edge_connection import ConnectionWatcher, EdgeConnection
+from flamingobank.node.links.exchange import (
     WINDOW_BYTES,
     AnswerSink,
     AnswerStart,
     Load,
     RunningRequest,
 )
-from flamingobank.node.refusals import render_refusal
 from flamingobank.retries import RetryDecision, merge_dispositions
 from flamingobank.wire import AnswerState, OpenRequest
 
-if TYPE_CHECKING:
-    from flamingobank.node.entry import Entry
-
 # Time beyond the deadline in which the home's own refusal may still arrive.
 DEADLINE_GRACE_S = 0.1
 REASON_PHRASES = {200: b"OK", 206: b"Partial Content", 404: b"Not Found"}
 NO_BODY_STATUSES = (204, 304)
 
 
+class ChosenServer(Protocol):
+    """Serve requests whose keys their callers chose."""
+
+    def serve(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Bring a request to the store's record of its key."""
+
+
+class ExchangeOwner(Protocol):
+    """Give the exchanges of one entry what they need, and learn of their end.
+
+    A circuits component cannot derive from an abstract base class.
+    """
+
+    clock: Clock
+    timers: Timers
+    loads: HomeLoads
+    chosen: ChosenServer | None
+    is_quarantined: Callable[[OpenRequest, bytes], bool]
+
+    def choose_home(self, service: str, tried: set[NodeId]) -> HomeEntry | None:
+        """Return a home that was not tried yet, or one that was."""
+
+    def send(
+        self, home: HomeEntry, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Run a request at a home node, which may be this one."""
+
+    def decide_retry(
+        self, exchange: "CallerExchange", known: Disposition
+    ) -> RetryDecision:
+        """Decide about another attempt; a RETRY has spent its budget."""
+
+    def count(self, name: str) -> None:
+        """Count an event for the metrics."""
+
+    def on_finished(self, exchange: "CallerExchange", result: str) -> None:
+        """Forget a finished request and tell the observers."""
+
+
 class CallerExchange(AnswerSink, ConnectionWatcher):
     """Carry one caller's request through its attempts to its one answer."""
 
     def __init__(
         self,
-        entry: "Entry",
+        entry: ExchangeOwner,
         connection: EdgeConnection,
         message: OpenRequest,
         body: bytes,
--- a/src/flamingobank/node/chosen_requests.py
+++ b/src/flamingobank/node/callers/chosen_requests.py
@@ -27,15 +27,18 @@
     name_chosen_key,
 )
 from flamingobank.loop import Timers
-from flamingobank.node.exchange import AnswerSink, RunningRequest
-from flamingobank.node.keeper_requests import (
+from flamingobank.node.callers.keeper_requests import (
     KeeperRequest,
     RunRecorder,
     SendRequest,
     make_replay,
 )
-from flamingobank.node.keyed_requests import compute_key_fingerprint, describe_decision
-from flamingobank.node.members import Members
+from flamingobank.node.callers.keyed_requests import (
+    compute_key_fingerprint,
+    describe_decision,
+)
+from flamingobank.node.knowledge.members import Members
+from flamingobank.node.links.exchange import AnswerSink, RunningRequest
 from flamingobank.store import GroupBudget, StoreClient, StoredObject
 from flamingobank.wire import OpenRequest
 
--- a/src/flamingobank/node/entry.py
+++ b/src/flamingobank/node/callers/entry.py
@@ -3,7 +3,6 @@
 import json
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 from urllib.parse import parse_qsl
 
@@ -12,9 +11,7 @@
 from flamingobank.admission import Work
 from flamingobank.balancing import (
     HomeCandidate,
-    HomeLoad,
     choose_home,
-    read_home_load,
 )
 from flamingobank.core import (
     Clock,
@@ -30,18 +27,21 @@
 from flamingobank.directory import DirectoryTable, HomeEntry
 from flamingobank.idempotency import is_issued
 from flamingobank.loop import Address, Timers
-from flamingobank.node.caller_exchange import CallerExchange, ChosenCallerExchange
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
-from flamingobank.node.exchange import (
+from flamingobank.node.callers.caller_exchange import (
+    CallerExchange,
+    ChosenCallerExchange,
+)
+from flamingobank.node.callers.home_loads import HomeLoads
+from flamingobank.node.callers.refusals import render_refusal
+from flamingobank.node.http.edge_messages import EdgeRequest, EdgeResponse
+from flamingobank.node.links.exchange import (
     AnswerSink,
-    Load,
     RunningRequest,
 )
-from flamingobank.node.links import Links
-from flamingobank.node.refusals import render_refusal
-from flamingobank.node.remote import RemoteRequest
-from flamingobank.node.upstream import HOP_BY_HOP
+from flamingobank.node.links.links import Links
+from flamingobank.node.links.remote import RemoteRequest
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.upstream import HOP_BY_HOP
 from flamingobank.objects import Route, TrafficClass
 from flamingobank.retries import (
     RetryBudget,
@@ -51,8 +51,8 @@
 from flamingobank.wire import OpenRequest
 
 if TYPE_CHECKING:
-    from flamingobank.node.chosen_requests import ChosenRequests
-    from flamingobank.node.keyed_requests import KeyedRequests
+    from flamingobank.node.callers.chosen_requests import ChosenRequests
+    from flamingobank.node.callers.keyed_requests import KeyedRequests
 
 MAX_DEADLINE_DIGITS = 12
 WORKSPACE_HEADER = b"flamingobank-workspace"
@@ -88,35 +88,6 @@
         """Return the service that a route's target selects."""
 
 
-class HomeLoads:
-    """Remember the load that homes reported with their answers."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._loads: dict[tuple[str, NodeId], HomeLoad] = {}
-
-    def record(self, service: str, node: NodeId, load: Load) -> None:
-        """Keep a reported load; nonsense is ignored."""
-        found = read_home_load(
-            load.queue_delay_ms / 1000, load.free_slots, self._clock.now()
-        )
-        if isinstance(found, HomeLoad):
-            self._loads[service, node] = found
-
-    def note_sent(self, service: str, node: NodeId) -> None:
-        """Count a request as a slot in use until the home's next report.
-
-        Without it, all requests between two reports go to the same home.
-        """
-        load = self._loads.get((service, node))
-        if load is not None and load.free_slots:
-            self._loads[service, node] = replace(load, free_slots=load.free_slots - 1)
-
-    def get(self, service: str, node: NodeId) -> HomeLoad | None:
-        """Return the newest load; whoever uses it checks its age."""
-        return self._loads.get((service, node))
-
-
 class Entry(BaseComponent):
     """Take the requests of callers."""
 
--- a/src/flamingobank/node/keeper_requests.py
+++ b/src/flamingobank/node/callers/keeper_requests.py
@@ -10,7 +10,12 @@
 from flamingobank.directory import HomeEntry
 from flamingobank.idempotency import ChosenRun, Run
 from flamingobank.loop import TimerHandle, Timers
-from flamingobank.node.exchange import AnswerSink, AnswerStart, Load, RunningRequest
+from flamingobank.node.links.exchange import (
+    AnswerSink,
+    AnswerStart,
+    Load,
+    RunningRequest,
+)
 from flamingobank.wire import AnswerState, KeyedMode, OpenRequest
 
 MAX_ATTEMPTS = 3
--- a/src/flamingobank/node/keyed_entry.py
+++ b/src/flamingobank/node/callers/keyed_entry.py
@@ -2,10 +2,10 @@
 
 from flamingobank.core import Disposition, NodeId, Reason, Refusal
 from flamingobank.idempotency import IssuedKey
-from flamingobank.node.caller_exchange import CallerExchange
-from flamingobank.node.exchange import Load
-from flamingobank.node.keyed_requests import KeyedRequests
-from flamingobank.node.remote import RemoteRequest
+from flamingobank.node.callers.caller_exchange import CallerExchange
+from flamingobank.node.callers.keyed_requests import KeyedRequests
+from flamingobank.node.links.exchange import Load
+from flamingobank.node.links.remote import RemoteRequest
 from flamingobank.wire import KeyedMode
 
 # Redirects, reopened generations and replicas together.
--- a/src/flamingobank/node/keyed_requests.py
+++ b/src/flamingobank/node/callers/keyed_requests.py
@@ -44,15 +44,15 @@
 )
 from flamingobank.loop import Timers
 from flamingobank.membership import Member
-from flamingobank.node.exchange import AnswerSink, RunningRequest
-from flamingobank.node.keeper_requests import (
+from flamingobank.node.callers.keeper_requests import (
     KeeperRequest,
     RunRecorder,
     SendRequest,
     make_replay,
 )
-from flamingobank.node.key_wire import KeyMessage, pack_key_message
-from flamingobank.node.members import Members
+from flamingobank.node.callers.key_wire import KeyMessage, pack_key_message
+from flamingobank.node.knowledge.members import Members
+from flamingobank.node.links.exchange import AnswerSink, RunningRequest
 from flamingobank.quarantine import compute_fingerprint
 from flamingobank.wire import Message, OpenRequest
 
--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -14,47 +14,40 @@
 from flamingobank.directory import DirectoryTable
 from flamingobank.health import FloorMessage
 from flamingobank.loop import LoopComponent, Poller, Timers
-from flamingobank.node.announcements import Announcements
-from flamingobank.node.chosen_requests import ChosenRequests
-from flamingobank.node.configuration_sync import ConfigurationSync
-from flamingobank.node.configuration_wire import unpack_peer_message
-from flamingobank.node.crashes import Crashes
-from flamingobank.node.directory_sync import DirectorySync
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge import EdgeServer
-from flamingobank.node.ejections import Ejections
-from flamingobank.node.entry import Entry
-from flamingobank.node.exchange import AnswerSink, RunningRequest
-from flamingobank.node.floor_wire import pack_floor_message, unpack_floor_message
-from flamingobank.node.key_wire import unpack_key_message
-from flamingobank.node.keyed_entry import KeyedCallerExchange
-from flamingobank.node.keyed_requests import KeyedRequests
-from flamingobank.node.links import CONTROL_STREAM, Link, Links
-from flamingobank.node.members import Members
+from flamingobank.node.callers.chosen_requests import ChosenRequests
+from flamingobank.node.callers.entry import Entry
+from flamingobank.node.callers.keyed_entry import KeyedCallerExchange
+from flamingobank.node.callers.keyed_requests import KeyedRequests
+from flamingobank.node.http.edge import EdgeServer
+from flamingobank.node.knowledge.configuration_sync import ConfigurationSync
+from flamingobank.node.knowledge.directory_sync import DirectorySync
+from flamingobank.node.knowledge.members import Members
+from flamingobank.node.knowledge.store_watch import StoreWatch
+from flamingobank.node.links.exchange import AnswerSink, RunningRequest
+from flamingobank.node.links.links import CONTROL_STREAM, Links
 from flamingobank.node.metrics import NodeMetrics
 from flamingobank.node.observers import (
     NodeDispatchObserver,
     NodeLinkObserver,
     NodeMemberObserver,
 )
+from flamingobank.node.servers.announcements import Announcements
+from flamingobank.node.servers.crashes import Crashes
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.ejections import Ejections
+from flamingobank.node.servers.floor_wire import (
+    pack_floor_message,
+)
 from flamingobank.node.status import StatusPages, describe_node
 from flamingobank.node.store_parts import (
     audit_decisions,
     connect_store,
     watch_store,
 )
-from flamingobank.node.store_watch import StoreWatch
 from flamingobank.objects import AnyObject
 from flamingobank.settings import CallerLimits, NodeSettings
 from flamingobank.wire import (
-    CrashClearance,
-    CrashNotice,
-    DirectoryDigest,
-    DirectorySummary,
-    DirectoryUpdate,
-    FloorNotice,
     KeyedMode,
-    KeyNotice,
     Message,
     OpenRequest,
 )
@@ -219,30 +212,6 @@
         self.members.survey()
         return describe_node(self)
 
-    def receive(self, link: Link, message: Message) -> None:
-        """React to a message of another node that belongs to no stream."""
-        if isinstance(message, DirectoryUpdate):
-            self.sync.receive(message)
-        elif isinstance(message, FloorNotice):
-            floor_message = unpack_floor_message(message)
-            if floor_message is not None:
-                self.ejections.receive(floor_message)
-        elif isinstance(message, DirectoryDigest):
-            self.sync.answer_digest(link, message)
-        elif isinstance(message, DirectorySummary):
-            self.sync.answer_summary(link, message)
-        elif isinstance(message, CrashNotice | CrashClearance):
-            if self._is_new_crash_message(message):
-                self.sync.broadcast(message)
-        elif isinstance(message, KeyNotice):
-            key_message = unpack_key_message(message)
-            if key_message is not None:
-                self.keyed.receive(NodeId(link.peer), key_message)
-        else:
-            peer_message = unpack_peer_message(message)
-            if peer_message is not None:
-                self.configuration.receive(NodeId(link.peer), peer_message)
-
     def serve(
         self, message: OpenRequest, body: bytes, sink: AnswerSink
     ) -> RunningRequest:
@@ -293,13 +262,6 @@
             # A broken promise must not be served on; the instance is replaced.
             os._exit(70)
 
-    def _is_new_crash_message(self, message: Message) -> bool:
-        if isinstance(message, CrashNotice):
-            return self.crashes.receive_report(message)
-        if isinstance(message, CrashClearance):
-            return self.crashes.receive_clearance(message)
-        return False
-
     def _apply_services(self) -> None:
         self.dispatcher.update_services()
         self.sync.announce_change()
--- /dev/null
+++ b/src/flamingobank/node/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve HTTP to callers, servers and operators."""
--- a/src/flamingobank/node/edge.py
+++ b/src/flamingobank/node/http/edge.py
@@ -20,8 +20,8 @@
     Poller,
     Timers,
 )
-from flamingobank.node.edge_connection import EdgeConnection
-from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
+from flamingobank.node.http.edge_connection import EdgeConnection
+from flamingobank.node.http.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.settings import CallerLimits
 
 CHECK_INTERVAL_S = 0.5
--- a/src/flamingobank/node/edge_connection.py
+++ b/src/flamingobank/node/http/edge_connection.py
@@ -2,18 +2,15 @@
 
 import abc
 import socket
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import eliot
 import httptools
 
-from flamingobank.loop import (
-    Connection,
-    ConnectionHandler,
-)
-
-if TYPE_CHECKING:
-    from flamingobank.node.edge import EdgeServer
+from flamingobank.core import Clock
+from flamingobank.loop import Connection, ConnectionHandler, Poller
+from flamingobank.node.http.edge_messages import RequestSource
+from flamingobank.settings import CallerLimits
 
 # The next request waits while more of the earlier answers is unread; a caller that
 # only sends would otherwise fill the memory.
@@ -45,10 +42,37 @@
         """React to all queued output having been sent."""
 
 
-class EdgeConnection(ConnectionHandler):
+class ConnectionOwner(Protocol):
+    """Hold what the connections of one address have in common.
+
+    A circuits component cannot derive from an abstract base class.
+    """
+
+    poller: Poller
+    clock: Clock
+    limits: CallerLimits
+    draining: bool
+
+    def hand_over(self, connection: "EdgeConnection") -> None:
+        """Pass on a request that has been read."""
+
+    def forget(self, connection: "EdgeConnection") -> None:
+        """Drop a closed connection."""
+
+    def take_stream(self, caller: str) -> bool:
+        """Count a request in flight of a caller, unless it has too many."""
+
+    def give_stream(self, caller: str) -> None:
+        """Note that a request of a caller has ended."""
+
+    def count_refusal(self, status: int) -> None:
+        """Count a request that was refused before it was handed on."""
+
+
+class EdgeConnection(ConnectionHandler, RequestSource):
     """Read requests from one connection, one at a time."""
 
-    def __init__(self, server: "EdgeServer", sock: socket.socket) -> None:
+    def __init__(self, server: ConnectionOwner, sock: socket.socket) -> None:
         self.server = server
         self.method = ""
         self.target = b""
--- a/src/flamingobank/node/edge_messages.py
+++ b/src/flamingobank/node/http/edge_messages.py
@@ -1,19 +1,30 @@
 """Hold requests and the fleet's own answers as circuits.web has them."""
 
-from typing import TYPE_CHECKING
+import abc
 
+from circuits import BaseComponent
 from circuits.web.headers import Headers
 from circuits.web.wrappers import Request, Response
 
-if TYPE_CHECKING:
-    from flamingobank.node.edge import EdgeServer
-    from flamingobank.node.edge_connection import EdgeConnection
+
+class RequestSource(abc.ABC):
+    """Hold the request that a connection has read."""
+
+    method: str
+    target: bytes
+    protocol: tuple[int, int]
+    headers: list[tuple[bytes, bytes]]
+    keep_alive: bool
+
+    @abc.abstractmethod
+    def take_body(self) -> bytes:
+        """Return the body that was read, and keep it no longer."""
 
 
 class EdgeRequest(Request):
     """Hold a request that has been read whole and checked."""
 
-    def __init__(self, connection: "EdgeConnection", server: "EdgeServer") -> None:
+    def __init__(self, connection: RequestSource, server: BaseComponent) -> None:
         # The constructor of the base class parses URLs and cookies that no
         # handler here uses; it would double the cost of a request.
         self.sock = connection
--- /dev/null
+++ b/src/flamingobank/node/knowledge/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what a node knows of the fleet and of its configuration."""
--- a/src/flamingobank/node/configuration_sync.py
+++ b/src/flamingobank/node/knowledge/configuration_sync.py
@@ -21,8 +21,8 @@
 )
 from flamingobank.core import Clock, FailureDomain, NodeId, Revision
 from flamingobank.loop import Timers
-from flamingobank.node.configuration_wire import pack_peer_message
-from flamingobank.node.dispatcher import select_service
+from flamingobank.node.knowledge.configuration_wire import pack_peer_message
+from flamingobank.node.servers.dispatcher import select_service
 from flamingobank.objects import (
     AnyObject,
     Kind,
--- a/src/flamingobank/node/directory_sync.py
+++ b/src/flamingobank/node/knowledge/directory_sync.py
@@ -6,9 +6,9 @@
 from flamingobank.core import Clock, FailureDomain, NodeId
 from flamingobank.directory import DirectoryTable
 from flamingobank.loop import Address, Timers
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.links import CONTROL_STREAM, Link, Links
-from flamingobank.node.members import Members
+from flamingobank.node.knowledge.members import Members
+from flamingobank.node.links.links import CONTROL_STREAM, Link, Links
+from flamingobank.node.servers.dispatcher import Dispatcher
 from flamingobank.settings import NodeSettings
 from flamingobank.wire import (
     DirectoryDigest,
--- a/src/flamingobank/node/store_watch.py
+++ b/src/flamingobank/node/knowledge/store_watch.py
@@ -31,7 +31,7 @@
 )
 from flamingobank.core import BootId, Clock, FailureDomain, NodeId, Revision
 from flamingobank.loop import Timers
-from flamingobank.node.configuration_sync import ConfigurationSync
+from flamingobank.node.knowledge.configuration_sync import ConfigurationSync
 from flamingobank.objects import Kind
 from flamingobank.store import (
     Listing,
--- /dev/null
+++ b/src/flamingobank/node/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests and their answers between nodes."""
--- a/src/flamingobank/node/remote.py
+++ b/src/flamingobank/node/links/remote.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from flamingobank.core import Disposition, Reason, Refusal
-from flamingobank.node.exchange import (
+from flamingobank.node.links.exchange import (
     AnswerSink,
     AnswerStart,
     Load,
     RunningRequest,
 )
-from flamingobank.node.links import CONTROL_STREAM, Link, StreamHandler
+from flamingobank.node.links.links import CONTROL_STREAM, Link, StreamHandler
 from flamingobank.wire import (
     AnswerHead,
     AnswerPart,
--- a/src/flamingobank/node/observers.py
+++ b/src/flamingobank/node/observers.py
@@ -4,35 +4,65 @@
 different metaclasses; these adapters stand between.
 """
 
-from typing import TYPE_CHECKING
-
 import eliot
 
 from flamingobank.core import NodeId, Revision
 from flamingobank.health import Outcome
 from flamingobank.membership import Member
-from flamingobank.node.crashes import Crashes
-from flamingobank.node.dispatcher import DispatchObserver
-from flamingobank.node.ejections import Ejections
-from flamingobank.node.links import Link, LinkObserver
-from flamingobank.node.members import MemberObserver
-from flamingobank.node.remote import ServedStream
-from flamingobank.node.requests import HomeRequest
-from flamingobank.node.servers import Server
-from flamingobank.wire import Message, OpenRequest
-
-if TYPE_CHECKING:
-    from flamingobank.node.daemon import Node
+from flamingobank.node.callers.key_wire import unpack_key_message
+from flamingobank.node.knowledge.configuration_wire import unpack_peer_message
+from flamingobank.node.knowledge.members import MemberObserver
+from flamingobank.node.links.links import Link, LinkObserver
+from flamingobank.node.links.remote import ServedStream
+from flamingobank.node.parts import NodeParts
+from flamingobank.node.servers.crashes import Crashes
+from flamingobank.node.servers.dispatcher import DispatchObserver
+from flamingobank.node.servers.ejections import Ejections
+from flamingobank.node.servers.floor_wire import unpack_floor_message
+from flamingobank.node.servers.requests import HomeRequest
+from flamingobank.node.servers.servers import Server
+from flamingobank.wire import (
+    CrashClearance,
+    CrashNotice,
+    DirectoryDigest,
+    DirectorySummary,
+    DirectoryUpdate,
+    FloorNotice,
+    KeyNotice,
+    Message,
+    OpenRequest,
+)
 
 
 class NodeLinkObserver(LinkObserver):
     """Pass what happens on links to the parts of a node."""
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: NodeParts) -> None:
         self._node = node
 
     def on_control_message(self, link: Link, message: Message) -> None:
-        self._node.receive(link, message)
+        node = self._node
+        if isinstance(message, DirectoryUpdate):
+            node.sync.receive(message)
+        elif isinstance(message, FloorNotice):
+            floor_message = unpack_floor_message(message)
+            if floor_message is not None:
+                node.ejections.receive(floor_message)
+        elif isinstance(message, DirectoryDigest):
+            node.sync.answer_digest(link, message)
+        elif isinstance(message, DirectorySummary):
+            node.sync.answer_summary(link, message)
+        elif isinstance(message, CrashNotice | CrashClearance):
+            if self._is_new_crash_message(message):
+                node.sync.broadcast(message)
+        elif isinstance(message, KeyNotice):
+            key_message = unpack_key_message(message)
+            if key_message is not None:
+                node.keyed.receive(NodeId(link.peer), key_message)
+        else:
+            peer_message = unpack_peer_message(message)
+            if peer_message is not None:
+                node.configuration.receive(NodeId(link.peer), peer_message)
 
     def on_stream_message(self, link: Link, stream: int, message: Message) -> None:
         # Messages of streams that have ended here are discarded.
@@ -44,11 +74,18 @@
         refused[reason] = refused.get(reason, 0) + 1
         eliot.log_message(message_type="links:refused", peer=peer, why=reason)
 
+    def _is_new_crash_message(self, message: Message) -> bool:
+        if isinstance(message, CrashNotice):
+            return self._node.crashes.receive_report(message)
+        if isinstance(message, CrashClearance):
+            return self._node.crashes.receive_clearance(message)
+        return False
+
 
 class NodeMemberObserver(MemberObserver):
     """Pass changes in the fleet to the parts of a node."""
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: NodeParts) -> None:
         self._node = node
 
     def on_joined(self) -> None:
--- /dev/null
+++ b/src/flamingobank/node/parts.py
@@ -0,0 +1,49 @@
+"""Say which parts of a node its observers and its status read."""
+
+from typing import Protocol
+
+from flamingobank.core import BootId, Clock
+from flamingobank.directory import DirectoryTable
+from flamingobank.loop import Poller, Timers
+from flamingobank.node.callers.entry import Entry
+from flamingobank.node.callers.keyed_requests import KeyedRequests
+from flamingobank.node.knowledge.configuration_sync import ConfigurationSync
+from flamingobank.node.knowledge.directory_sync import DirectorySync
+from flamingobank.node.knowledge.members import Members
+from flamingobank.node.knowledge.store_watch import StoreWatch
+from flamingobank.node.links.exchange import AnswerSink, RunningRequest
+from flamingobank.node.servers.crashes import Crashes
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.ejections import Ejections
+from flamingobank.settings import NodeSettings
+from flamingobank.wire import OpenRequest
+
+
+class NodeParts(Protocol):
+    """Hold the parts of one node.
+
+    A circuits component cannot derive from an abstract base class.
+    """
+
+    settings: NodeSettings
+    boot: BootId
+    clock: Clock
+    timers: Timers
+    poller: Poller
+    configuration: ConfigurationSync
+    members: Members
+    directory: DirectoryTable
+    sync: DirectorySync
+    store_watch: StoreWatch | None
+    dispatcher: Dispatcher
+    ejections: Ejections
+    crashes: Crashes
+    entry: Entry
+    keyed: KeyedRequests
+    # Refused links by reason.
+    refused_links: dict[str, int]
+
+    def serve(
+        self, message: OpenRequest, body: bytes, sink: AnswerSink
+    ) -> RunningRequest:
+        """Run a request of another node here."""
--- /dev/null
+++ b/src/flamingobank/node/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Run requests on the servers whose home this node is, and judge them."""
--- a/src/flamingobank/node/announcements.py
+++ b/src/flamingobank/node/servers/announcements.py
@@ -18,10 +18,10 @@
     rank_by_rendezvous,
 )
 from flamingobank.loop import Address, Timers
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
-from flamingobank.node.ejections import Ejections
-from flamingobank.node.servers import CONNECT_BACKOFF_S, Server
+from flamingobank.node.http.edge_messages import EdgeRequest, EdgeResponse
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.ejections import Ejections
+from flamingobank.node.servers.servers import CONNECT_BACKOFF_S, Server
 
 ANNOUNCE_PATH = "/.flamingobank/announce"
 RENEW_MS = 1000
--- a/src/flamingobank/node/crashes.py
+++ b/src/flamingobank/node/servers/crashes.py
@@ -5,8 +5,8 @@
 import eliot
 
 from flamingobank.core import Clock, Fingerprint, InstanceId, RouteName
-from flamingobank.node.requests import HomeRequest
-from flamingobank.node.servers import Server
+from flamingobank.node.servers.requests import HomeRequest
+from flamingobank.node.servers.servers import Server
 from flamingobank.quarantine import Clearance, CrashId, CrashLedger, compute_fingerprint
 from flamingobank.wire import CrashClearance, CrashNotice, Message, OpenRequest
 
--- a/src/flamingobank/node/dispatcher.py
+++ b/src/flamingobank/node/servers/dispatcher.py
@@ -13,12 +13,12 @@
 )
 from flamingobank.health import SLOW_FACTOR, Outcome
 from flamingobank.loop import Poller, Timers
-from flamingobank.node.exchange import AnswerSink, Load, RunningRequest
-from flamingobank.node.pool import ServicePool
-from flamingobank.node.process_check import ProcessCheck
-from flamingobank.node.requests import HomeRequest
-from flamingobank.node.servers import Server
-from flamingobank.node.upstream import Attempt, AttemptResult
+from flamingobank.node.links.exchange import AnswerSink, Load, RunningRequest
+from flamingobank.node.servers.pool import ServicePool
+from flamingobank.node.servers.process_check import ProcessCheck
+from flamingobank.node.servers.requests import HomeRequest, PoolOwner
+from flamingobank.node.servers.servers import Server
+from flamingobank.node.servers.upstream import Attempt, AttemptResult
 from flamingobank.objects import Service
 from flamingobank.wire import OpenRequest
 
@@ -60,7 +60,7 @@
         return False
 
 
-class Dispatcher:
+class Dispatcher(PoolOwner):
     """Give each request to the pool of its service."""
 
     def __init__(
--- a/src/flamingobank/node/ejections.py
+++ b/src/flamingobank/node/servers/ejections.py
@@ -24,8 +24,8 @@
     judge_outlier,
 )
 from flamingobank.loop import Timers
-from flamingobank.node.dispatcher import Dispatcher
-from flamingobank.node.servers import Server
+from flamingobank.node.servers.dispatcher import Dispatcher
+from flamingobank.node.servers.servers import Server
 
 # Half of the detection time of slow work is waiting for the next assessment when
 # that comes each 50 ms.
--- a/src/flamingobank/node/pool.py
+++ b/src/flamingobank/node/servers/pool.py
@@ -1,7 +1,5 @@
 """Queue the requests of one service and run them on its servers here."""
 
-from typing import TYPE_CHECKING
-
 from flamingobank.admission import AdmissionQueue, Admitted, StartOutcome
 from flamingobank.balancing import choose_server
 from flamingobank.core import (
@@ -13,27 +11,24 @@
     ServiceName,
 )
 from flamingobank.loop import TimerHandle
-from flamingobank.node.exchange import AnswerSink, Load, RunningRequest
-from flamingobank.node.requests import HomeRequest
-from flamingobank.node.servers import CONNECT_BACKOFF_S, Server
-from flamingobank.node.upstream import Attempt, AttemptResult, UpstreamExchange
+from flamingobank.node.links.exchange import AnswerSink, Load, RunningRequest
+from flamingobank.node.servers.requests import HomeRequest, PoolOwner, RequestPool
+from flamingobank.node.servers.servers import CONNECT_BACKOFF_S, Server
+from flamingobank.node.servers.upstream import Attempt, AttemptResult, UpstreamExchange
 from flamingobank.objects import Service
 from flamingobank.retries import RetryBudget, admit_attempt
 from flamingobank.wire import OpenRequest
 
-if TYPE_CHECKING:
-    from flamingobank.node.dispatcher import Dispatcher
-
 # A request is sent to at most this many servers of one home; each earlier try
 # was surely not run.
 MAX_LOCAL_ATTEMPTS = 3
 ANSWERED = (AttemptResult.COMPLETE, AttemptResult.BROKEN_AFTER_HEAD)
 
 
-class ServicePool:
+class ServicePool(RequestPool):
     """Start admitted requests while servers have free slots."""
 
-    def __init__(self, dispatcher: "Dispatcher", service: Service) -> None:
+    def __init__(self, dispatcher: PoolOwner, service: Service) -> None:
         self.service = service
         self.servers: dict[InstanceId, Server] = {}
         self._dispatcher = dispatcher
--- a/src/flamingobank/node/requests.py
+++ b/src/flamingobank/node/servers/requests.py
@@ -1,19 +1,34 @@
 """Hold a request at its home node from its arrival to its answer."""
 
-from typing import TYPE_CHECKING
+import abc
+import random
+from collections.abc import Callable
 
 from flamingobank.admission import Work
 from flamingobank.balancing import Work as Choice
-from flamingobank.core import Fingerprint, InstanceId, RequestId, RouteName, WorkspaceId
-from flamingobank.loop import TimerHandle
-from flamingobank.node.exchange import AnswerSink, RunningRequest
-from flamingobank.node.upstream import UpstreamExchange
+from flamingobank.core import (
+    Clock,
+    Fingerprint,
+    InstanceId,
+    RequestId,
+    RouteName,
+    WorkspaceId,
+)
+from flamingobank.loop import Poller, TimerHandle, Timers
+from flamingobank.node.links.exchange import AnswerSink, RunningRequest
+from flamingobank.node.servers.servers import Server
+from flamingobank.node.servers.upstream import Attempt, UpstreamExchange
 from flamingobank.objects import TrafficClass
 from flamingobank.quarantine import compute_fingerprint
 from flamingobank.wire import OpenRequest
 
-if TYPE_CHECKING:
-    from flamingobank.node.pool import ServicePool
+
+class RequestPool(abc.ABC):
+    """Hold the requests for one service."""
+
+    @abc.abstractmethod
+    def cancel(self, request: "HomeRequest") -> None:
+        """Give up a request that waits or runs."""
 
 
 class HomeRequest(RunningRequest):
@@ -35,7 +50,7 @@
 
     def __init__(
         self,
-        pool: "ServicePool",
+        pool: RequestPool,
         message: OpenRequest,
         body: bytes,
         sink: AnswerSink,
@@ -89,3 +104,45 @@
         """Report bytes that the caller has taken."""
         if self.exchange is not None:
             self.exchange.acknowledge(consumed)
+
+
+class PoolOwner(abc.ABC):
+    """Run what a pool has admitted, and judge how it ended."""
+
+    poller: Poller
+    timers: Timers
+    clock: Clock
+    rng: random.Random
+    running: set[HomeRequest]
+
+    @abc.abstractmethod
+    def is_quarantined(self, request: HomeRequest) -> bool:
+        """Tell whether a request must not run."""
+
+    @abc.abstractmethod
+    def is_suspect(self, request: HomeRequest) -> bool:
+        """Tell whether a request was in flight in a crash."""
+
+    @abc.abstractmethod
+    def on_attempt(
+        self, request: HomeRequest, server: Server, attempt: Attempt
+    ) -> None:
+        """Judge how an attempt ended."""
+
+    @abc.abstractmethod
+    def check_crash(
+        self,
+        request: HomeRequest,
+        server: Server,
+        detail: str,
+        then: Callable[[], None],
+    ) -> None:
+        """Report a crash if the server's process has ended, and go on."""
+
+    @abc.abstractmethod
+    def on_timeout(self, request: HomeRequest, server: Server) -> None:
+        """Judge a request whose deadline passed while it ran."""
+
+    @abc.abstractmethod
+    def on_cancelled(self, request: HomeRequest, server: Server) -> None:
+        """Judge a request that its caller gave up."""
--- a/src/flamingobank/node/upstream.py
+++ b/src/flamingobank/node/servers/upstream.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 
 from flamingobank.loop import AnswerHandler, Poller
-from flamingobank.node.exchange import (
+from flamingobank.node.links.exchange import (
     WINDOW_BYTES,
     AnswerSink,
     AnswerStart,
     Headers,
     Load,
 )
-from flamingobank.node.servers import Server
+from flamingobank.node.servers.servers import Server
 from flamingobank.wire import AnswerState
 
 # Headers that belong to one connection and are not passed on.
--- a/src/flamingobank/node/status.py
+++ b/src/flamingobank/node/status.py
@@ -3,20 +3,17 @@
 import html
 import json
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
 
 from flamingobank.core import NodeId
 from flamingobank.health import Stage
-from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
+from flamingobank.node.http.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.node.metrics import NodeMetrics
-from flamingobank.node.servers import Server
+from flamingobank.node.parts import NodeParts
+from flamingobank.node.servers.servers import Server
 from flamingobank.objects import Service
 
-if TYPE_CHECKING:
-    from flamingobank.node.daemon import Node
-
 PAGE_HEAD = (
     "<!doctype html><meta charset=utf-8><title>flamingobank</title>"
     "<style>body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}"
@@ -77,7 +74,7 @@
         return 200, {"home": self._node}
 
 
-def describe_node(node: "Node") -> dict:
+def describe_node(node: NodeParts) -> dict:
     """Return what operators see of a node."""
     configuration = node.configuration
     membership = node.members.membership
@@ -122,7 +119,7 @@
     }
 
 
-def _describe_service(node: "Node", service: Service) -> dict:
+def _describe_service(node: NodeParts, service: Service) -> dict:
     homes = node.directory.list_homes(service.name)
     announced = sum(len(home.instances) for home in homes)
     pool = node.dispatcher.pools.get(service.name)
--- a/src/flamingobank/node/store_parts.py
+++ b/src/flamingobank/node/store_parts.py
@@ -1,19 +1,16 @@
 """Build the parts of a node that use the store."""
 
 import random
-from typing import TYPE_CHECKING
 
-from flamingobank.node.decision_audit import DecisionAudit
-from flamingobank.node.store_watch import StoreWatch
+from flamingobank.node.knowledge.decision_audit import DecisionAudit
+from flamingobank.node.knowledge.store_watch import StoreWatch
+from flamingobank.node.parts import NodeParts
 from flamingobank.store import StoreClient
 from flamingobank.store.transport import LoopTransport
 from flamingobank.wire import CrashNotice
 
-if TYPE_CHECKING:
-    from flamingobank.node.daemon import Node
 
-
-def connect_store(node: "Node", token: str, rng: random.Random) -> StoreClient:
+def connect_store(node: NodeParts, token: str, rng: random.Random) -> StoreClient:
     """Return a client for the store in the node's settings."""
     transport = LoopTransport(
         node.poller, node.timers, node.clock, node.settings.store, token
@@ -21,7 +18,7 @@
     return StoreClient(transport, node.timers, node.clock, rng, node.boot)
 
 
-def watch_store(node: "Node", client: StoreClient, rng: random.Random) -> StoreWatch:
+def watch_store(node: NodeParts, client: StoreClient, rng: random.Random) -> StoreWatch:
     """Take part in the election of the domain's watchers."""
     settings = node.settings
     host, port = settings.peers
@@ -39,7 +36,7 @@
     )
 
 
-def audit_decisions(node: "Node", client: StoreClient, rng: random.Random) -> None:
+def audit_decisions(node: NodeParts, client: StoreClient, rng: random.Random) -> None:
     """Write ejections, returns and crash reports to the audit trail."""
     audit = DecisionAudit(
         node.settings.node_id, node.boot, node.clock, node.timers, rng, client
--- a/src/flamingobank/platform/__main__.py
+++ b/src/flamingobank/platform/__main__.py
@@ -18,7 +18,7 @@
 )
 from flamingobank.platform.store import ObjectStore  # noqa: E402
 from flamingobank.sidecar.daemon import Sidecar, handle_hangup  # noqa: E402
-from flamingobank.sidecar.fleet_store import FleetStore  # noqa: E402
+from flamingobank.sidecar.fleet.fleet_store import FleetStore  # noqa: E402
 from flamingobank.sidecar.journal import Journal, start_logging  # noqa: E402
 from flamingobank.store import LoopTransport  # noqa: E402
 
--- a/src/flamingobank/platform/announcements.py
+++ b/src/flamingobank/platform/announcements.py
@@ -7,7 +7,7 @@
 
 from flamingobank.core import InstanceId, ServiceName
 from flamingobank.platform.settings import parse_address
-from flamingobank.sidecar.server_state import Announcement, Departure, Lifecycle
+from flamingobank.sidecar.fleet.server_state import Announcement, Departure, Lifecycle
 
 _PATH = re.compile(r"^/flamingobank/instances/([^/]{1,200})/(heartbeat|deregister)$")
 MAX_SLOTS = 10_000
--- a/src/flamingobank/platform/configuration.py
+++ b/src/flamingobank/platform/configuration.py
@@ -3,7 +3,7 @@
 from expression import Error, Ok, Result
 
 from flamingobank.core import RouteName, ServiceName
-from flamingobank.sidecar.routes import (
+from flamingobank.sidecar.fleet.routes import (
     RequestLimits,
     Route,
     RouteKind,
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from flamingobank.platform.configuration import decode_configuration
-from flamingobank.sidecar.fleet_store import (
+from flamingobank.sidecar.fleet.fleet_store import (
     DoneCallback,
     FleetStore,
     FleetStoreError,
@@ -15,9 +15,9 @@
     TableCallback,
     TableReading,
 )
+from flamingobank.sidecar.fleet.peers import PeerRecord, pack_record, unpack_record
+from flamingobank.sidecar.fleet.routes import RoutingTable
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.peers import PeerRecord, pack_record, unpack_record
-from flamingobank.sidecar.routes import RoutingTable
 from flamingobank.store import Transport
 from flamingobank.store.calls import Answer, CallFailed, StoreCall
 
--- /dev/null
+++ b/src/flamingobank/sidecar/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Bring the requests of this machine's callers to their answers."""
--- a/src/flamingobank/sidecar/attempts.py
+++ b/src/flamingobank/sidecar/callers/attempts.py
@@ -4,10 +4,11 @@
 import enum
 
 from flamingobank.core import Clock, RequestId, ServiceName
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.links import Link, StreamHandler
-from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.decisions.selection import HomeView
+from flamingobank.sidecar.http.caller_request import CallerRequest
+from flamingobank.sidecar.links.links import Link, StreamHandler
+from flamingobank.sidecar.links.local_link import LocalLink
+from flamingobank.sidecar.links.messages import (
     Answer,
     AnswerPart,
     Cancel,
@@ -20,7 +21,6 @@
     RefusalReason,
     Refused,
 )
-from flamingobank.sidecar.selection import HomeView
 
 
 class AttemptState(enum.Enum):
--- a/src/flamingobank/sidecar/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -6,22 +6,22 @@
 
 from flamingobank.core import Clock, NodeId, RequestId, ServiceName
 from flamingobank.loop import Timers
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.crash_reports import CrashReports
+from flamingobank.sidecar.callers.exchange import Exchange
+from flamingobank.sidecar.callers.exchange_owner import EndedRequest, ExchangeOwner
+from flamingobank.sidecar.callers.reply import Reply
+from flamingobank.sidecar.decisions.refusals import RefusalCause
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls, RetryShare
+from flamingobank.sidecar.decisions.selection import HomeView, rank_homes
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.exchange import Exchange
-from flamingobank.sidecar.exchange_owner import EndedRequest, ExchangeOwner
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.fleet.routes import RouteKind, RoutingTable, choose_target
+from flamingobank.sidecar.http.caller_request import CallerRequest
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.links import Link
-from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.messages import HomeReport
+from flamingobank.sidecar.links.links import Link
+from flamingobank.sidecar.links.local_link import LocalLink
+from flamingobank.sidecar.links.messages import HomeReport
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.refusals import RefusalCause
-from flamingobank.sidecar.reply import Reply
-from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.routes import RouteKind, RoutingTable, choose_target
-from flamingobank.sidecar.selection import HomeView, rank_homes
 
 # The answer travels to the caller within this part of its time.
 RETURN_MARGIN_S = 0.03
--- a/src/flamingobank/sidecar/exchange.py
+++ b/src/flamingobank/sidecar/callers/exchange.py
@@ -13,26 +13,26 @@
     ServiceName,
     check_invariant,
 )
-from flamingobank.sidecar.attempts import (
+from flamingobank.sidecar.callers.attempts import (
     Attempt,
     AttemptObserver,
     Attempts,
     AttemptState,
 )
-from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
-from flamingobank.sidecar.exchange_owner import EndedRequest, ExchangeOwner
-from flamingobank.sidecar.home_search import HomeSearch, NextStep
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.callers.exchange_owner import EndedRequest, ExchangeOwner
+from flamingobank.sidecar.decisions.home_search import HomeSearch, NextStep
+from flamingobank.sidecar.decisions.refusals import RefusalCause
+from flamingobank.sidecar.decisions.repeats import Repeats
+from flamingobank.sidecar.decisions.selection import HomeView
+from flamingobank.sidecar.fleet.routes import Route
+from flamingobank.sidecar.http.caller_request import CallerRequest, CallerWatcher
+from flamingobank.sidecar.links.messages import (
     Answer,
     AnswerPart,
     Failed,
     Offer,
     RefusalReason,
 )
-from flamingobank.sidecar.refusals import RefusalCause
-from flamingobank.sidecar.repeats import Repeats
-from flamingobank.sidecar.routes import Route
-from flamingobank.sidecar.selection import HomeView
 
 # Work that waits for a server to recover asks all homes again after this time.
 PATIENCE_STEP_S = 0.1
--- a/src/flamingobank/sidecar/exchange_owner.py
+++ b/src/flamingobank/sidecar/callers/exchange_owner.py
@@ -6,13 +6,13 @@
 
 from flamingobank.core import Clock, NodeId, RequestId, ServiceName
 from flamingobank.loop import Timers
-from flamingobank.sidecar.caller_request import CallerRequest
+from flamingobank.sidecar.callers.reply import Reply
+from flamingobank.sidecar.decisions.selection import HomeView
+from flamingobank.sidecar.fleet.routes import RouteKind
+from flamingobank.sidecar.http.caller_request import CallerRequest
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.links import Link
-from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.reply import Reply
-from flamingobank.sidecar.routes import RouteKind
-from flamingobank.sidecar.selection import HomeView
+from flamingobank.sidecar.links.links import Link
+from flamingobank.sidecar.links.local_link import LocalLink
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/flamingobank/sidecar/reply.py
+++ b/src/flamingobank/sidecar/callers/reply.py
@@ -8,10 +8,10 @@
 
 from flamingobank.core import Invariant, RequestId, check_invariant
 from flamingobank.loop import Headers
-from flamingobank.sidecar.caller_request import CallerRequest
+from flamingobank.sidecar.decisions.refusals import RefusalCause, choose_return
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.messages import Answer, AnswerPart
-from flamingobank.sidecar.refusals import RefusalCause, choose_return
+from flamingobank.sidecar.http.caller_request import CallerRequest
+from flamingobank.sidecar.links.messages import Answer, AnswerPart
 
 REFUSED_STATUS = 503
 
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -12,28 +12,28 @@
 
 from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
 from flamingobank.loop import Address, LoopComponent, Poller, Timers
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.control import CallDecoder, Control
-from flamingobank.sidecar.crash_reports import CrashReports
+from flamingobank.sidecar.callers.entry import Entry
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls, RetryShare
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.entry import Entry
-from flamingobank.sidecar.fleet_store import FleetStore
-from flamingobank.sidecar.gossip import Gossip
-from flamingobank.sidecar.home import Home
-from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.fleet_store import FleetStore
+from flamingobank.sidecar.fleet.gossip import Gossip
+from flamingobank.sidecar.fleet.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.fleet.store_sync import StoreSync
+from flamingobank.sidecar.homes.control import CallDecoder, Control
+from flamingobank.sidecar.homes.home import Home
+from flamingobank.sidecar.homes.server_client import ServerClient
+from flamingobank.sidecar.http.caller_request import CallerRequest
+from flamingobank.sidecar.http.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal, LineOutput
-from flamingobank.sidecar.links import Link, Links
-from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.messages import PROTOCOL_VERSION, Hello
+from flamingobank.sidecar.links.links import Link, Links
+from flamingobank.sidecar.links.local_link import LocalLink
+from flamingobank.sidecar.links.messages import PROTOCOL_VERSION, Hello
 from flamingobank.sidecar.metrics import Metrics
 from flamingobank.sidecar.peer_traffic import PeerTraffic
-from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.retry_share import RepeatedCalls, RetryShare
-from flamingobank.sidecar.routes import RequestLimits
-from flamingobank.sidecar.server_client import ServerClient
 from flamingobank.sidecar.settings import SidecarSettings
 from flamingobank.sidecar.shutdown import Shutdown
-from flamingobank.sidecar.store_sync import StoreSync
 from flamingobank.sidecar.table_exchange import TableExchange
 
 # A process that knows its configuration takes callers also without having found peers
--- a/src/flamingobank/sidecar/gate.py
+++ b/src/flamingobank/sidecar/decisions/gate.py
@@ -10,7 +10,7 @@
 import enum
 from dataclasses import dataclass
 
-from flamingobank.sidecar.messages import RefusalReason
+from flamingobank.sidecar.links.messages import RefusalReason
 
 # Careful work is kept from servers that fail more likely than this.
 CAREFUL_LIMIT = 0.2
--- a/src/flamingobank/sidecar/home_search.py
+++ b/src/flamingobank/sidecar/decisions/home_search.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from flamingobank.core import NodeId
-from flamingobank.sidecar.messages import RefusalReason
-from flamingobank.sidecar.selection import HomeView, choose_full_home
+from flamingobank.sidecar.decisions.selection import HomeView, choose_full_home
+from flamingobank.sidecar.links.messages import RefusalReason
 
 # Careful work waits for a server to recover for this share of its objective.
 PATIENCE_SHARE = 0.3
--- a/src/flamingobank/sidecar/judge.py
+++ b/src/flamingobank/sidecar/decisions/judge.py
@@ -1,7 +1,7 @@
 """Hold what a home believes of its server: if it works, how fast, if it is up."""
 
-from flamingobank.sidecar.belief import FailureBelief
-from flamingobank.sidecar.gate import CAREFUL_LIMIT, SUSPECT_LIMIT
+from flamingobank.sidecar.decisions.belief import FailureBelief
+from flamingobank.sidecar.decisions.gate import CAREFUL_LIMIT, SUSPECT_LIMIT
 
 # Until the first answers, work is taken to last this long.
 FIRST_WORK_ESTIMATE_S = 0.2
--- a/src/flamingobank/sidecar/repeats.py
+++ b/src/flamingobank/sidecar/decisions/repeats.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from flamingobank.sidecar.routes import Route
+from flamingobank.sidecar.fleet.routes import Route
 
 # Less time than this is not worth an attempt.
 MIN_LEFT_S = 0.03
--- a/src/flamingobank/sidecar/selection.py
+++ b/src/flamingobank/sidecar/decisions/selection.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 
 from flamingobank.core import NodeId
-from flamingobank.sidecar.belief import LONG_RUN_PROBABILITY, fade_probability
-from flamingobank.sidecar.messages import HomeReport
-from flamingobank.sidecar.routes import RouteKind
+from flamingobank.sidecar.decisions.belief import LONG_RUN_PROBABILITY, fade_probability
+from flamingobank.sidecar.fleet.routes import RouteKind
+from flamingobank.sidecar.links.messages import HomeReport
 
 # A failure is final for careful work; other work is only lost by a second one.
 CAREFUL_FAILURE_COST = 16.0
--- a/src/flamingobank/sidecar/fleet_store.py
+++ b/src/flamingobank/sidecar/fleet/fleet_store.py
@@ -7,8 +7,8 @@
 
 from expression import Result
 
-from flamingobank.sidecar.peers import PeerRecord
-from flamingobank.sidecar.routes import RoutingTable
+from flamingobank.sidecar.fleet.peers import PeerRecord
+from flamingobank.sidecar.fleet.routes import RoutingTable
 
 
 class FleetStoreError(enum.Enum):
--- a/src/flamingobank/sidecar/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -10,13 +10,13 @@
 from flamingobank.core import Clock, Fingerprint, InstanceId, NodeId
 from flamingobank.loop import Address, DatagramEndpoint, Poller, Timers
 from flamingobank.quarantine import CrashId
-from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.peers import (
+from flamingobank.sidecar.fleet.peers import (
     PeerRecord,
     PeerTable,
     pack_record,
     unpack_record,
 )
+from flamingobank.sidecar.journal import Journal
 
 INTERVAL_S = 0.4
 FANOUT = 2
--- a/src/flamingobank/sidecar/server_state.py
+++ b/src/flamingobank/sidecar/fleet/server_state.py
@@ -56,6 +56,11 @@
         self.warm_at = 0.0
         self._left: set[tuple[InstanceId, int]] = set()
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests the server runs at a time."""
+        return self.current.slots if self.current is not None else DEFAULT_SLOTS
+
     @property
     def accepts_work(self) -> bool:
         """Tell whether new requests may be sent to the server."""
--- a/src/flamingobank/sidecar/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -12,15 +12,15 @@
 
 from flamingobank.core import Clock, hash_text
 from flamingobank.loop import Timers
-from flamingobank.sidecar.fleet_store import (
+from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
     FleetStoreError,
     TableReading,
 )
+from flamingobank.sidecar.fleet.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.fleet.routes import RoutingTable
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.peers import PeerRecord, PeerTable
-from flamingobank.sidecar.routes import RoutingTable
 
 # Enough that losing some of them at once leaves one.
 WATCHERS = 4
--- /dev/null
+++ b/src/flamingobank/sidecar/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Be the only way to the server of this machine."""
--- a/src/flamingobank/sidecar/control.py
+++ b/src/flamingobank/sidecar/homes/control.py
@@ -9,12 +9,12 @@
 from expression import Result
 
 from flamingobank.core import Clock
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.home import Home
+from flamingobank.sidecar.fleet.routes import RoutingTable
+from flamingobank.sidecar.fleet.server_state import Announcement, Departure
+from flamingobank.sidecar.homes.home import Home
+from flamingobank.sidecar.http.caller_request import CallerRequest
 from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.routes import RoutingTable
-from flamingobank.sidecar.server_state import Announcement, Departure
 
 CallDecoder = Callable[[str, str, bytes], Result[Announcement | Departure, str]]
 JSON_HEADERS = [(b"content-type", b"application/json")]
--- a/src/flamingobank/sidecar/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -8,11 +8,26 @@
 
 from flamingobank.core import Clock, Invariant, RequestId, check_invariant
 from flamingobank.loop import Timers
-from flamingobank.sidecar.crash_reports import CrashReports
+from flamingobank.sidecar.decisions.gate import (
+    SUSPECT_LIMIT,
+    GateState,
+    Verdict,
+    decide_offer,
+)
+from flamingobank.sidecar.decisions.retry_share import RepeatedCalls
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.gate import SUSPECT_LIMIT, GateState, Verdict, decide_offer
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.server_state import AnnouncedServer
+from flamingobank.sidecar.homes.server_client import (
+    RunFailure,
+    RunOutcome,
+    ServerClient,
+)
+from flamingobank.sidecar.homes.server_health import ServerHealth
+from flamingobank.sidecar.homes.waiting_works import WaitingWorks
+from flamingobank.sidecar.homes.works import Work, WorkOwner, WorkState
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.links.messages import (
     Cancel,
     Commit,
     Failed,
@@ -27,12 +42,6 @@
     Resume,
 )
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.retry_share import RepeatedCalls
-from flamingobank.sidecar.server_client import RunFailure, RunOutcome, ServerClient
-from flamingobank.sidecar.server_health import ServerHealth
-from flamingobank.sidecar.server_state import DEFAULT_SLOTS, AnnouncedServer
-from flamingobank.sidecar.waiting_works import WaitingWorks
-from flamingobank.sidecar.works import Work, WorkOwner, WorkState
 
 # Entries ask for the outcome as soon as their link is back.
 RETAIN_S = 6.0
@@ -82,12 +91,6 @@
         self._probed_at = 0.0
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
 
-    @property
-    def slots(self) -> int:
-        """Return how many requests the server runs at a time."""
-        current = self.server.current
-        return current.slots if current is not None else DEFAULT_SLOTS
-
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is under way."""
@@ -101,7 +104,7 @@
             round(self.judge.read_failing(now), 3),
             self._busy,
             len(self._waiting),
-            self.slots,
+            self.server.slots,
             self._accepts_work(now),
         )
 
@@ -207,7 +210,7 @@
             self._busy,
             len(self._waiting),
             self._waiting.count_before(offer.priority),
-            self.slots,
+            self.server.slots,
             self.judge.mean_work_s,
             self._probed_at,
         )
@@ -241,7 +244,7 @@
         work.channel.send(Granted(work.offer.stream))
 
     def _grant_waiting(self) -> None:
-        while self._waiting and self._busy < self.slots:
+        while self._waiting and self._busy < self.server.slots:
             if not self.server.accepts_work or self.leaving:
                 return
             work = self._waiting.pop()
@@ -292,8 +295,7 @@
         channel.send(Refused(stream, reason.value, self.describe()))
 
     def _refuse_work(self, work: Work, reason: RefusalReason) -> None:
-        message = Refused(work.offer.stream, reason.value, self.describe())
-        work.report(message)
+        work.report(Refused(work.offer.stream, reason.value, self.describe()))
         self._finish(work)
 
     def _refuse_waiting(self) -> None:
--- a/src/flamingobank/sidecar/server_health.py
+++ b/src/flamingobank/sidecar/homes/server_health.py
@@ -7,14 +7,18 @@
 from collections.abc import Callable
 
 from flamingobank.core import Clock
-from flamingobank.sidecar.crash_reports import CrashReports
+from flamingobank.sidecar.decisions.judge import ServerJudge
+from flamingobank.sidecar.fleet.crash_reports import CrashReports
+from flamingobank.sidecar.fleet.server_state import AnnouncedServer, Announcement
+from flamingobank.sidecar.homes.server_client import (
+    RunFailure,
+    RunOutcome,
+    ServerClient,
+)
+from flamingobank.sidecar.homes.works import Work
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.judge import ServerJudge
-from flamingobank.sidecar.messages import Commit
+from flamingobank.sidecar.links.messages import Commit
 from flamingobank.sidecar.metrics import Metrics
-from flamingobank.sidecar.server_client import RunFailure, RunOutcome, ServerClient
-from flamingobank.sidecar.server_state import AnnouncedServer, Announcement
-from flamingobank.sidecar.works import Work
 
 # A failure that follows a failed call of the server's own within this time is put
 # down to the call.
--- a/src/flamingobank/sidecar/waiting_works.py
+++ b/src/flamingobank/sidecar/homes/waiting_works.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from flamingobank.sidecar.works import Work
+from flamingobank.sidecar.homes.works import Work
 
 
 class WaitingWorks:
--- a/src/flamingobank/sidecar/works.py
+++ b/src/flamingobank/sidecar/homes/works.py
@@ -5,10 +5,17 @@
 
 from flamingobank.core import InstanceId, RequestId
 from flamingobank.loop import Headers
+from flamingobank.sidecar.decisions.gate import NEEDED_WORK_SHARE, compute_queue_limit
+from flamingobank.sidecar.decisions.judge import ServerJudge
 from flamingobank.sidecar.dialect import Dialect
-from flamingobank.sidecar.gate import NEEDED_WORK_SHARE, compute_queue_limit
-from flamingobank.sidecar.judge import ServerJudge
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.homes.server_client import (
+    RunFailure,
+    RunHandler,
+    RunOutcome,
+    ServerClient,
+    ServerRun,
+)
+from flamingobank.sidecar.links.messages import (
     Answer,
     AnswerPart,
     Commit,
@@ -16,13 +23,6 @@
     Message,
     Offer,
 )
-from flamingobank.sidecar.server_client import (
-    RunFailure,
-    RunHandler,
-    RunOutcome,
-    ServerClient,
-    ServerRun,
-)
 
 # The request follows a grant within one round trip.
 GRANT_TIMEOUT_S = 0.6
--- a/src/flamingobank/sidecar/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -9,8 +9,8 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Connection, ConnectionHandler, Poller, Timers
-from flamingobank.sidecar.caller_request import AnswerConnection, CallerRequest
-from flamingobank.sidecar.routes import RequestLimits
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.http.caller_request import AnswerConnection, CallerRequest
 
 # Further requests of a pipeline wait in the socket.
 MAX_PIPELINED = 32
--- a/src/flamingobank/sidecar/http_server.py
+++ b/src/flamingobank/sidecar/http/http_server.py
@@ -5,9 +5,12 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Address, Listener, Poller, Timers
-from flamingobank.sidecar.caller_connection import CallerConnection, ConnectionOwner
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.routes import RequestLimits
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.http.caller_connection import (
+    CallerConnection,
+    ConnectionOwner,
+)
+from flamingobank.sidecar.http.caller_request import CallerRequest
 
 SWEEP_INTERVAL_S = 0.5
 
--- /dev/null
+++ b/src/flamingobank/sidecar/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between sidecars."""
--- a/src/flamingobank/sidecar/channels.py
+++ b/src/flamingobank/sidecar/links/channels.py
@@ -4,7 +4,7 @@
 
 from flamingobank.loop import Connection, ConnectionHandler
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.links.messages import (
     PROTOCOL_VERSION,
     Hello,
     Message,
--- a/src/flamingobank/sidecar/links.py
+++ b/src/flamingobank/sidecar/links/links.py
@@ -14,13 +14,13 @@
     Timers,
     connect,
 )
-from flamingobank.sidecar.channels import (
+from flamingobank.sidecar.journal import Journal
+from flamingobank.sidecar.links.channels import (
     AcceptedChannel,
     MessageChannel,
     PeerObserver,
 )
-from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.messages import Hello, Message, Ping, Resume
+from flamingobank.sidecar.links.messages import Hello, Message, Ping, Resume
 
 # Two round trips between failure domains take a few milliseconds; a lost opening
 # packet is sent again only after a second.
--- a/src/flamingobank/sidecar/local_link.py
+++ b/src/flamingobank/sidecar/links/local_link.py
@@ -4,8 +4,8 @@
 
 from flamingobank.core import BootId
 from flamingobank.loop import Timers
-from flamingobank.sidecar.links import MAX_PATIENCE_S, StreamHandler
-from flamingobank.sidecar.messages import Message
+from flamingobank.sidecar.links.links import MAX_PATIENCE_S, StreamHandler
+from flamingobank.sidecar.links.messages import Message
 
 
 class LocalChannel:
--- a/src/flamingobank/sidecar/peer_traffic.py
+++ b/src/flamingobank/sidecar/peer_traffic.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 from flamingobank.core import NodeId
-from flamingobank.sidecar.channels import MessageChannel, PeerObserver
-from flamingobank.sidecar.entry import Entry
-from flamingobank.sidecar.home import Home
-from flamingobank.sidecar.links import Link, LinkObserver
-from flamingobank.sidecar.local_link import LocalLink
-from flamingobank.sidecar.messages import (
+from flamingobank.sidecar.callers.entry import Entry
+from flamingobank.sidecar.homes.home import Home
+from flamingobank.sidecar.links.channels import MessageChannel, PeerObserver
+from flamingobank.sidecar.links.links import Link, LinkObserver
+from flamingobank.sidecar.links.local_link import LocalLink
+from flamingobank.sidecar.links.messages import (
     Message,
     ReportPush,
     TablePull,
--- a/src/flamingobank/sidecar/shutdown.py
+++ b/src/flamingobank/sidecar/shutdown.py
@@ -4,9 +4,9 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Timers
-from flamingobank.sidecar.entry import Entry
-from flamingobank.sidecar.home import Home
-from flamingobank.sidecar.http_server import HttpServer
+from flamingobank.sidecar.callers.entry import Entry
+from flamingobank.sidecar.homes.home import Home
+from flamingobank.sidecar.http.http_server import HttpServer
 from flamingobank.sidecar.journal import Journal
 
 # Callers are told twice, a second apart, that this process leaves.
--- a/src/flamingobank/sidecar/table_exchange.py
+++ b/src/flamingobank/sidecar/table_exchange.py
@@ -4,12 +4,12 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Address
-from flamingobank.sidecar.channels import MessageChannel
-from flamingobank.sidecar.entry import Entry
+from flamingobank.sidecar.callers.entry import Entry
+from flamingobank.sidecar.fleet.routes import RoutingTable, pack_table, unpack_table
 from flamingobank.sidecar.journal import Journal
-from flamingobank.sidecar.links import Links
-from flamingobank.sidecar.messages import TablePull, TableUpdate
-from flamingobank.sidecar.routes import RoutingTable, pack_table, unpack_table
+from flamingobank.sidecar.links.channels import MessageChannel
+from flamingobank.sidecar.links.links import Links
+from flamingobank.sidecar.links.messages import TablePull, TableUpdate
 
 # Many peers tell of a new version at once; one of them is asked for it at a time.
 PULL_SPACING_S = 0.3
--- a/src/flamingobank/wire/messages.py
+++ b/src/flamingobank/wire/messages.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import enum
-import operator
-import types
 import typing
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flamingobank.wire.fields import has_types, list_accepted_types, make_getter
+
 PROTOCOL_VERSION = 1
 
 HeaderList = list
@@ -137,7 +137,7 @@
 
 @dataclass(slots=True)
 class FloorNotice:
-    """Carry one floor lease message; flamingobank.node.floor_wire reads it."""
+    """Carry one floor lease message; flamingobank.node.servers.floor_wire reads it."""
 
     kind: int
     fields: list
@@ -195,7 +195,7 @@
 
 @dataclass(slots=True)
 class KeyNotice:
-    """Carry a message of keepers; flamingobank.node.key_wire reads it."""
+    """Carry a message of keepers; flamingobank.node.callers.key_wire reads it."""
 
     kind: int
     fields: list
@@ -251,14 +251,14 @@
     _KINDS[message_class] = kind
     fields = dataclasses.fields(message_class)
     hints = typing.get_type_hints(message_class)
-    _CHECKS[kind] = tuple(_list_accepted_types(hints[field.name]) for field in fields)
+    _CHECKS[kind] = tuple(list_accepted_types(hints[field.name]) for field in fields)
     _REQUIRED[kind] = sum(
         1
         for field in fields
         if field.default is dataclasses.MISSING
         and field.default_factory is dataclasses.MISSING
     )
-    _GETTERS[message_class] = _make_getter([field.name for field in fields])
+    _GETTERS[message_class] = make_getter([field.name for field in fields])
 
 
 def pack_message(message: Message) -> tuple[int, tuple]:
@@ -300,12 +300,12 @@
 
 
 def _are_headers(message: OpenRequest | AnswerHead) -> bool:
-    return all(_has_types(header, (bytes, bytes)) for header in message.headers)
+    return all(has_types(header, (bytes, bytes)) for header in message.headers)
 
 
 def _are_services(message: DirectoryUpdate) -> bool:
     return all(
-        _has_types(service, (str, int, int, list))
+        has_types(service, (str, int, int, list))
         and all(type(instance) is str for instance in service[3])
         for service in message.services
     )
@@ -313,15 +313,11 @@
 
 def _are_versions(message: DirectorySummary) -> bool:
     return all(
-        type(home) is str and _has_types(version, (str, int))
+        type(home) is str and has_types(version, (str, int))
         for home, version in message.homes.items()
     )
 
 
-def _has_types(values: object, expected: tuple[type, ...]) -> bool:
-    return type(values) is list and tuple(map(type, values)) == expected
-
-
 # Receivers unpack the entries of these messages without a check of their own.
 _ENTRY_CHECKS: dict[type, Callable[[Message], bool]] = {
     OpenRequest: _are_headers,
@@ -331,27 +327,5 @@
 }
 
 
-def _list_accepted_types(hint: object) -> tuple[type, ...]:
-    if hint is float:
-        return (float, int)
-    if isinstance(hint, types.UnionType):
-        return tuple(
-            accepted
-            for part in typing.get_args(hint)
-            for accepted in _list_accepted_types(part)
-        )
-    origin = typing.get_origin(hint)
-    return (origin or hint,)
-
-
-def _make_getter(names: list[str]) -> Callable[[object], tuple]:
-    if not names:
-        return lambda message: ()
-    if len(names) == 1:
-        name = names[0]
-        return lambda message: (getattr(message, name),)
-    return operator.attrgetter(*names)
-
-
 for _kind, _message_class in list(_TYPES.items()):
     register_message(_kind, _message_class)
--- a/src/flamingobank_standins/platform/server.py
+++ b/src/flamingobank_standins/platform/server.py
@@ -15,9 +15,9 @@
     Poller,
     Timers,
 )
-from flamingobank.sidecar.caller_request import CallerRequest, CallerWatcher
-from flamingobank.sidecar.http_server import HttpServer
-from flamingobank.sidecar.routes import RequestLimits
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.http.caller_request import CallerRequest, CallerWatcher
+from flamingobank.sidecar.http.http_server import HttpServer
 
 HEARTBEAT_S = 0.5
 LIMITS = RequestLimits()
--- a/src/flamingobank_standins/platform/store.py
+++ b/src/flamingobank_standins/platform/store.py
@@ -7,9 +7,9 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Address, Poller, Timers
-from flamingobank.sidecar.caller_request import CallerRequest
-from flamingobank.sidecar.http_server import HttpServer
-from flamingobank.sidecar.routes import RequestLimits
+from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.http.caller_request import CallerRequest
+from flamingobank.sidecar.http.http_server import HttpServer
 
 PREFIX = "/flamingobank/objects/"
 MAX_HISTORY = 200
--- a/src/flamingobank_standins/upstream/server.py
+++ b/src/flamingobank_standins/upstream/server.py
@@ -10,9 +10,9 @@
 
 from flamingobank.core import Clock
 from flamingobank.loop import Address, Poller, TimerHandle, Timers
-from flamingobank.node.edge import EdgeServer
-from flamingobank.node.edge_connection import ConnectionWatcher
-from flamingobank.node.edge_messages import EdgeRequest, EdgeResponse
+from flamingobank.node.http.edge import EdgeServer
+from flamingobank.node.http.edge_connection import ConnectionWatcher
+from flamingobank.node.http.edge_messages import EdgeRequest, EdgeResponse
 from flamingobank.settings import CallerLimits
 from flamingobank_standins.upstream.announcer import Announcer
 from flamingobank_standins.upstream.behavior import (
