Name the lack of a server in the log of a refusal, not full homes

Cause: a request that every home turned down was logged, counted and answered as busy, also when the homes had no server or could not reach theirs. Change: busy only where a home with a working server turned the request down. A scenario with four cases fails in two of them without the change.

--- a/features/sidecar_exchange.feature
+++ b/features/sidecar_exchange.feature
@@ -52,6 +52,19 @@
     And the answer names a time to return
     And less than half a second has passed
 
+  Scenario Outline: The log of a refusal tells full homes from homes without a server
+    Given homes that react to unsafe work with "<first>" and "<second>"
+    When the request is served
+    Then the caller gets 503 and 0 homes got the request
+    And its outcome is counted as "<outcome>"
+
+    Examples:
+      | first                 | second                | outcome |
+      | server-down           | no-server             | no-home |
+      | no-server             | server-down           | no-home |
+      | busy busy             | no-server             | busy    |
+      | server-down           | suspect busy          | busy    |
+
   Scenario: A request that is never answered ends at its deadline
     Given homes that react to unsafe work with "grant hang" and "grant hang"
     When the request is served
--- a/features/steps/sidecar_exchange_steps.py
+++ b/features/steps/sidecar_exchange_steps.py
@@ -63,6 +63,17 @@
     assert len(context.desk.commits) == sent, context.desk.commits
 
 
+@then('its outcome is counted as "{outcome}"')
+def step_outcome(context, outcome):
+    text = context.desk.entry.metrics.render().decode()
+    (line,) = [
+        line
+        for line in text.splitlines()
+        if line.startswith("flamingobank_requests_total{")
+    ]
+    assert f'outcome="{outcome}"' in line, line
+
+
 @then("the answer carries the server's seal")
 def step_seal(context):
     assert b"server-seal" in context.desk.request.answers[0][1]
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -56,7 +56,7 @@
         self.on_call_failed: Callable[[], None] = lambda: None
         self._rng = rng
         self._dialect = dialect
-        self._metrics = metrics
+        self.metrics = metrics
         self._peers = peers
         self._retries = retries
         self._views: dict[NodeId, HomeView] = {}
@@ -147,7 +147,7 @@
     def spend_retry(self, service: ServiceName, now: float) -> bool:
         if self._retries.spend(service, len(self._peers) + 1, now):
             return True
-        self._metrics.count("retries_denied_total")
+        self.metrics.count("retries_denied_total")
         return False
 
     def measure_retries(self, service: ServiceName, now: float) -> float:
@@ -168,8 +168,8 @@
             arrivals=ended.arrivals,
         )
         kind = ended.kind.value
-        self._metrics.count("requests_total", kind=kind, outcome=ended.outcome)
-        self._metrics.observe_latency(took_s, kind)
+        self.metrics.count("requests_total", kind=kind, outcome=ended.outcome)
+        self.metrics.observe_latency(took_s, kind)
         if not ended.outcome.startswith("2"):
             self.on_call_failed()
 
--- a/src/flamingobank/sidecar/callers/exchange.py
+++ b/src/flamingobank/sidecar/callers/exchange.py
@@ -307,7 +307,7 @@
         """Give the final answer at once, unless a server still has the request."""
         if self.done or self._attempts.any_committed:
             return
-        cause = RefusalCause.BUSY if self._search.has_asked else RefusalCause.NO_HOME
+        cause = RefusalCause.BUSY if self._search.found_full else RefusalCause.NO_HOME
         if self._retry_denied:
             cause = RefusalCause.RETRIES_SPENT
         self._end_without_answer(OUTCOME_UNKNOWN_STATUS, why, cause)
--- a/src/flamingobank/sidecar/decisions/home_search.py
+++ b/src/flamingobank/sidecar/decisions/home_search.py
@@ -10,6 +10,7 @@
 # Careful work waits for a server to recover for this share of its objective.
 PATIENCE_SHARE = 0.3
 TOO_LIKELY_FAILING = 0.5
+FULL_REASONS = (RefusalReason.BUSY, RefusalReason.SUSPECT, RefusalReason.CALLS_SPENT)
 
 
 class NextStep(enum.Enum):
@@ -33,6 +34,8 @@
 
     def __init__(self) -> None:
         self.ran_at: set[NodeId] = set()
+        # A home with a working server turned the request down.
+        self.found_full = False
         self._asked: set[NodeId] = set()
         # Homes whose server works but could not take the request.
         self._full: dict[NodeId, HomeView] = {}
@@ -42,14 +45,11 @@
         """Return the homes that are not asked again."""
         return self._asked | self.ran_at
 
-    @property
-    def has_asked(self) -> bool:
-        """Tell whether any home has turned the request down."""
-        return bool(self._asked)
-
     def note_refusal(self, home: HomeView, reason: RefusalReason, forced: bool) -> None:
         """Learn that a home did not take the request."""
         self._asked.add(home.node)
+        if reason in FULL_REASONS:
+            self.found_full = True
         if reason in (RefusalReason.BUSY, RefusalReason.SUSPECT) and not forced:
             self._full[home.node] = home
             return
