Let the soak delay, cut, reset and silence links, move clocks and keep connections

Change: a proxy accepts the links to each sidecar; the process is started by a program of the soak that accepts links behind it and adds what stands in a file to the time of day. Two callers a machine keep their connections. The soak is a package now. Scenarios show that each mode of the proxy does what it says.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,8 +1,15 @@
-"""Run a short soak."""
+"""Run a short soak, and look at its proxy alone."""
 
-from behave import then, when
+import random
 
-from tools.soak import run_soak
+from behave import given, then, when
+
+from features.support.callers import ScriptedServer
+from features.support.loop import LOCAL, RawPeer, TestLoop
+from flamingobank.core import VirtualClock
+from tools.soak.faults import FAULTS
+from tools.soak.proxy import DELAYS_S, LinkProxy, ProxyMode
+from tools.soak.run import run_soak
 
 
 @when(
@@ -10,10 +17,67 @@
     "faults of seed {seed:d}"
 )
 def step_soak(context, machines, seconds, seed):
-    context.soak = run_soak(seed, seconds, machines)
+    context.soak = run_soak(seed, seconds, machines, FAULTS)
 
 
 @then("no promise is broken and requests succeed once the faults are over")
 def step_kept(context):
     assert not context.soak.violations, (context.soak.faults, context.soak.violations)
     assert len(context.soak.calls) > 100
+
+
+@given('a link through the proxy of the soak in the mode "{mode}"')
+def step_proxy(context, mode):
+    context.loop = loop = TestLoop(VirtualClock(100.0))
+    context.server = ScriptedServer(loop, lambda connection, head: None)
+    address = context.server.listener.address
+    rng = random.Random(1)
+    context.proxy = LinkProxy(loop.poller, loop.timers, loop.clock, rng, LOCAL, address)
+    context.peer = RawPeer(context.proxy.address)
+    loop.run_until(lambda: context.server.connections, "link through the proxy")
+    while context.proxy.struck_count == 0 and mode != "passing":
+        context.proxy.set_mode(ProxyMode(mode))
+
+
+@when("the entry sends a request")
+def step_send(context):
+    context.peer.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    for _ in range(20):
+        context.loop.turn(0.001)
+
+
+@when("the fault ends")
+def step_end_fault(context):
+    context.proxy.set_mode(ProxyMode.PASSING)
+    for _ in range(20):
+        context.loop.turn(0.001)
+
+
+@then("the home gets it at once")
+def step_at_once(context):
+    assert len(context.server.requests) == 1
+
+
+@then("the home gets it after the delay")
+def step_after_delay(context):
+    assert not context.server.requests
+    context.loop.advance(DELAYS_S[1])
+    context.loop.run_until(lambda: context.server.requests, "delayed request")
+
+
+@then("the home gets it never")
+def step_never(context):
+    context.loop.advance(10.0)
+    assert not context.server.requests
+    assert not context.server.connections[0].closed
+
+
+@then("the home gets it never, and sees an end")
+def step_reset(context):
+    context.loop.run_until(lambda: context.server.connections[0].closed, "reset")
+    assert not context.server.requests
+
+
+@then("the entry sees the end of the link")
+def step_link_ended(context):
+    context.loop.run_until(lambda: context.peer.poll().ended, "end of the link")
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,34 @@
+"""Run seeds of the soak by hand."""
+
+import argparse
+import sys
+from collections import Counter
+
+from tools.soak.faults import FAULTS
+from tools.soak.run import run_soak
+
+
+def main(arguments: list[str]) -> int:
+    """Run seeds one after the other; return 1 when a promise broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--machines", type=int, default=5)
+    options = parser.parse_args(arguments)
+    broken = False
+    for seed in range(options.seed, options.seed + options.seeds):
+        soak = run_soak(seed, options.seconds, options.machines, FAULTS)
+        statuses = Counter(call.status for call in soak.calls)
+        print(
+            f"seed {seed}: {len(soak.faults)} faults, {len(soak.calls)} requests, "
+            f"statuses {dict(statuses)}, {len(soak.violations)} violations"
+        )
+        for violation in soak.violations:
+            broken = True
+            print(f"  {violation}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/soak/machines.py
@@ -0,0 +1,126 @@
+"""Run one sidecar process with the server beside it and the proxy before it."""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from flamingobank.loop import Address, HttpClientConnection
+from flamingobank_standins.platform.server import PlatformServer
+from tools.soak.loop import SoakLoop
+from tools.soak.process import CLOCK_VARIABLE, PORT_OFFSET
+from tools.soak.proxy import LinkProxy
+
+PEERS_PORT = 7380
+SETTINGS = """
+[self]
+node-name = "{name}"
+ip = "{host}"
+zone = "{zone}"
+application = "{host}:8080"
+service = "orders"
+[network]
+internal-ports = [{port},{last}]
+[network.listen]
+outbound = "{host}:8081"
+readiness = "{host}:8082"
+control = "{host}:8083"
+[platform]
+heartbeat-interval-s = 0.5
+[platform.platform]
+address = "{store}"
+[terms.bounds]
+grace-s = 6
+budget-ratio = 0.2
+budget-window-s = 10
+budget-extra-tries = 200
+"""
+
+
+class Machine:
+    """Hold one sidecar process and the server beside it."""
+
+    def __init__(
+        self,
+        loop: SoakLoop,
+        rng: random.Random,
+        store: Address,
+        folder: Path,
+        host: str,
+        number: int,
+    ) -> None:
+        self.name = f"m{number}"
+        self.host = host
+        self.process: subprocess.Popen | None = None
+        self._log = folder / f"{self.name}.log"
+        settings = folder / f"{self.name}.toml"
+        store_host, store_port = store
+        settings.write_text(
+            SETTINGS.format(
+                name=self.name,
+                host=self.host,
+                zone=f"z{number % 3}",
+                port=PEERS_PORT,
+                last=PEERS_PORT + 15,
+                store=f"{store_host}:{store_port}",
+            )
+        )
+        self._clock = folder / f"{self.name}.clock"
+        self.move_clock(0.0)
+        self._environment = {
+            **os.environ,
+            "FLAMINGOBANK_CONFIG": str(settings),
+            CLOCK_VARIABLE: str(self._clock),
+        }
+        self.proxy = LinkProxy(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            rng,
+            (self.host, PEERS_PORT),
+            (self.host, PEERS_PORT + PORT_OFFSET),
+        )
+        # Connections that callers keep; one is used by one request at a time.
+        self.kept: list[HttpClientConnection] = []
+        self.server = PlatformServer(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            rng,
+            "orders",
+            (self.host, 8080),
+            (self.host, 8083),
+        )
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "tools.soak.process"],
+                env=self._environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def move_clock(self, seconds: float) -> None:
+        """Let the process's time of day differ from the true one by so much."""
+        # In one step, as the process may read at any moment.
+        moved = self._clock.with_suffix(".new")
+        moved.write_text(str(seconds))
+        moved.replace(self._clock)
+
+    def end(self) -> None:
+        """End the process for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
--- /dev/null
+++ b/tools/soak/process.py
@@ -0,0 +1,48 @@
+"""Run one sidecar of the soak: behind the proxy, and with a clock that can be moved.
+
+The program itself is unchanged. Its links are accepted on another port than the one
+that it announces, where the proxy listens. What stands in a file moves its time of day.
+"""
+
+import os
+import sys
+import time
+from pathlib import Path
+
+from flamingobank.loop import Address
+from flamingobank.platform import __main__ as program
+from flamingobank.sidecar.links.channels import PeerObserver
+from flamingobank.sidecar.links.links import Links
+
+# Names the file that holds the seconds by which the time of day is moved.
+CLOCK_VARIABLE = "SOAK_CLOCK_FILE"
+# Links are accepted on the announced port plus this.
+PORT_OFFSET = 100
+
+
+def shift_time() -> None:
+    """Add the seconds in the file to the time of day at each reading."""
+    path = Path(os.environ[CLOCK_VARIABLE])
+    read_time_ns = time.time_ns
+
+    def read_shifted_ns() -> int:
+        return read_time_ns() + int(float(path.read_text()) * 1e9)
+
+    time.time_ns = read_shifted_ns
+    time.time = lambda: read_shifted_ns() / 1e9
+
+
+def listen_behind_proxy() -> None:
+    """Accept links on the port to which the proxy forwards."""
+    listen = Links.listen
+
+    def listen_shifted(self: Links, address: Address, observer: PeerObserver):
+        return listen(self, (address[0], address[1] + PORT_OFFSET), observer)
+
+    Links.listen = listen_shifted
+
+
+if __name__ == "__main__":
+    shift_time()
+    listen_behind_proxy()
+    sys.exit(program.main())
--- a/tools/soak.py
+++ b/tools/soak/run.py
@@ -1,91 +1,31 @@
-"""Run real sidecar processes on loopback under random faults and check the promises.
+"""Run machines, callers and faults, and collect what breaks a promise."""
 
-Faults come from outside the processes: signals, a store and servers that misbehave, and
-changes of the configuration. What is checked is only what callers and servers see.
-"""
-
-import argparse
 import json
-import os
 import random
 import signal
-import subprocess
-import sys
 from collections import Counter
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from circuits import Component
-
-from flamingobank.core import MonotonicClock
-from flamingobank.loop import (
-    Address,
-    AnswerHandler,
-    Headers,
-    HttpClientConnection,
-    Poller,
-    Timers,
-)
-from flamingobank_standins.platform.server import PlatformServer, ServerMode
+from flamingobank.loop import Address, AnswerHandler, Headers, HttpClientConnection
+from flamingobank_standins.platform.server import ServerMode
 from flamingobank_standins.platform.store import PlatformStore, StoreMode
+from tools.soak.loop import SoakLoop
+from tools.soak.machines import Machine
+from tools.soak.proxy import ProxyMode
 
-TURN_S = 0.02
-DRAIN_S = 2.0
 WARMUP_S = 3.0
 FAULT_GAP_S = (0.3, 1.5)
 FAULT_S = (0.3, 3.0)
 SETTLE_S = 6.0
 REQUESTS_PER_S = 8.0
 BUDGET_MS = 3000
+# Callers with a kept connection at each machine; the others open one a request.
+KEPT_CALLERS = 2
 # Once faults are over, at least this share of the requests must succeed.
 RECOVERED_SHARE = 0.9
 PROMISES = (408, 421, 429, 503)
-SETTINGS = """
-[self]
-node-name = "{name}"
-ip = "{host}"
-zone = "{zone}"
-application = "{host}:8080"
-service = "orders"
-[network]
-internal-ports = [{port},{last}]
-[network.listen]
-outbound = "{host}:8081"
-readiness = "{host}:8082"
-control = "{host}:8083"
-[platform]
-heartbeat-interval-s = 0.5
-[platform.platform]
-address = "{store}"
-[terms.bounds]
-grace-s = 6
-budget-ratio = 0.2
-budget-window-s = 10
-budget-extra-tries = 200
-"""
-
-
-class SoakLoop(Component):
-    """Turn one loop for the stand-ins and the callers."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.clock = MonotonicClock()
-        self.poller = Poller().register(self)
-        self.timers = Timers(self.clock).register(self)
-
-    def exception(self, kind, error, trace, handler=None, fevent=None) -> None:
-        """End the soak; an exception of a stand-in is a fault of the soak."""
-        print("".join(trace), file=sys.stderr)
-        os._exit(70)
-
-    def run_until(self, deadline: float) -> None:
-        """Turn the loop until a time."""
-        while self.clock.now() < deadline:
-            left_s = self.timers.run_due()
-            self.poller.wait(TURN_S if left_s is None else min(TURN_S, left_s))
-            while len(self):
-                self.flush()
 
 
 class Call(AnswerHandler):
@@ -96,6 +36,7 @@
         self.unsafe = unsafe
         self.status = 0
         self.seal = ""
+        self.ended = False
         self.sent_at = soak.loop.clock.now()
         self.body = b""
         self._soak = soak
@@ -116,68 +57,14 @@
         self._soak.note_end(self)
 
 
-class Machine:
-    """Hold one sidecar process and the server beside it."""
-
-    def __init__(self, soak: "Soak", number: int) -> None:
-        self.name = f"m{number}"
-        self.host = f"127.77.{soak.network}.{number + 1}"
-        self.process: subprocess.Popen | None = None
-        self._soak = soak
-        self._log = soak.folder / f"{self.name}.log"
-        settings = soak.folder / f"{self.name}.toml"
-        store_host, store_port = soak.store.address
-        settings.write_text(
-            SETTINGS.format(
-                name=self.name,
-                host=self.host,
-                zone=f"z{number % 3}",
-                port=7380,
-                last=7395,
-                store=f"{store_host}:{store_port}",
-            )
-        )
-        self._environment = {**os.environ, "FLAMINGOBANK_CONFIG": str(settings)}
-        self.server = PlatformServer(
-            soak.loop.poller,
-            soak.loop.timers,
-            soak.loop.clock,
-            soak.rng,
-            "orders",
-            (self.host, 8080),
-            (self.host, 8083),
-        )
-
-    def start(self) -> None:
-        """Start the process unless it runs."""
-        if self.process is not None and self.process.poll() is None:
-            return
-        with self._log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "flamingobank.platform"],
-                env=self._environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send(self, number: int) -> None:
-        """Send a signal to the process if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def end(self) -> None:
-        """End the process for good."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
-
-
 class Soak:
     """Run machines, callers and faults, and collect what breaks a promise."""
 
-    def __init__(self, seed: int, machines: int, folder: Path) -> None:
+    def __init__(
+        self, seed: int, machines: int, folder: Path, kinds: Sequence["Fault"]
+    ) -> None:
         self.rng = random.Random(seed)
+        self._kinds = kinds
         self.network = seed % 250
         self.folder = folder
         self.loop = SoakLoop()
@@ -187,7 +74,17 @@
         )
         self.version = 1
         self._write_configuration()
-        self.machines = [Machine(self, number) for number in range(machines)]
+        self.machines = [
+            Machine(
+                self.loop,
+                self.rng,
+                self.store.address,
+                folder,
+                f"127.77.{self.network}.{number + 1}",
+                number,
+            )
+            for number in range(machines)
+        ]
         self.calls: list[Call] = []
         self.violations: list[str] = []
         self.faults: list[str] = []
@@ -214,6 +111,7 @@
 
     def note_end(self, call: Call) -> None:
         """Check one answer."""
+        call.ended = True
         if call.status and call.seal and call.request_id not in call.seal:
             self.violations.append(f"{call.request_id} got the answer {call.seal}")
         if call.status == 200 and call.body != call.request_id.encode():
@@ -266,19 +164,34 @@
             f"Request-Id: {call.request_id}\r\nContent-Length: 0\r\n"
             f"Deadline-Milliseconds: {BUDGET_MS}\r\n\r\n"
         )
-        connection = HttpClientConnection(self.loop.poller, (machine.host, 8081))
+        connection = self._choose_connection(machine)
         connection.send(request.encode(), call)
         now = self.loop.clock.now()
         self.loop.timers.call_at(
-            now + BUDGET_MS / 1000, lambda: connection.close("time budget")
+            now + BUDGET_MS / 1000, lambda: self._give_up(call, connection)
         )
         gap_s = self.rng.expovariate(REQUESTS_PER_S)
         self.loop.timers.call_at(now + gap_s, lambda: self._send_next(machine))
 
+    def _choose_connection(self, machine: Machine) -> HttpClientConnection:
+        """Return a kept connection that is free, or a new one."""
+        machine.kept = [one for one in machine.kept if not one.closed and one.reusable]
+        for connection in machine.kept:
+            if connection.idle:
+                return connection
+        connection = HttpClientConnection(self.loop.poller, (machine.host, 8081))
+        if len(machine.kept) < KEPT_CALLERS:
+            machine.kept.append(connection)
+        return connection
+
+    def _give_up(self, call: Call, connection: HttpClientConnection) -> None:
+        if not call.ended:
+            connection.close("time budget")
+
     def _break_something(self) -> None:
         if self._calm_from is not None or self.faults[-1:] == ["calm"]:
             return
-        fault = self.rng.choice(FAULTS)
+        fault = self.rng.choice(self._kinds)
         machine = self.rng.choice(self.machines)
         self.faults.append(f"{fault.__name__}:{machine.name}")
         fault(self, machine, self.rng.uniform(*FAULT_S))
@@ -296,6 +209,7 @@
         self.store.mode = StoreMode.SERVING
         for machine in self.machines:
             machine.server.mode = ServerMode.WORKING
+            machine.proxy.set_mode(ProxyMode.PASSING)
             if machine.server.draining:
                 machine.server.restart()
             machine.send(signal.SIGCONT)
@@ -340,112 +254,12 @@
                 version = entry["version"]
 
 
-def kill(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Kill a process and start it again."""
-    machine.send(signal.SIGKILL)
-    soak.later(seconds, machine.start)
+Fault = Callable[[Soak, Machine, float], None]
 
 
-def stop(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Ask a process to stop and start it again when it has."""
-    machine.send(signal.SIGTERM)
-    for delay_s in range(1, 9):
-        soak.later(delay_s, machine.start)
-
-
-def pause(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Freeze a process for a while."""
-    machine.send(signal.SIGSTOP)
-    soak.later(seconds, lambda: machine.send(signal.SIGCONT))
-
-
-def hang_up(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Tell a process that its settings have changed."""
-    machine.send(signal.SIGHUP)
-
-
-def trouble_store(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Let the store fail in one of its ways."""
-    soak.store.mode = soak.rng.choice(list(StoreMode))
-    soak.later(seconds, lambda: setattr(soak.store, "mode", StoreMode.SERVING))
-
-
-def forget_history(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Let the store forget its history."""
-    soak.store.forget_history()
-
-
-def change_configuration(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Write a higher version."""
-    soak.version += soak.rng.randint(1, 5)
-    soak._write_configuration()
-
-
-def trouble_server(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Let a server fail in one of its ways."""
-    machine.server.mode = soak.rng.choice(list(ServerMode))
-    soak.later(seconds, lambda: setattr(machine.server, "mode", ServerMode.WORKING))
-
-
-def replace_server(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Drain a server and start another one in its place."""
-    server = machine.server
-    server.drain()
-
-    def check_and_restart() -> None:
-        drained_at = server.drained_at
-        if drained_at is not None:
-            for request_id, instance, time in server.runs:
-                if instance == server.instance and time > drained_at + DRAIN_S:
-                    soak.violations.append(f"{request_id} reached drained {instance}")
-        server.restart()
-
-    soak.later(DRAIN_S + seconds, check_and_restart)
-
-
-FAULTS = (
-    kill,
-    stop,
-    pause,
-    hang_up,
-    trouble_store,
-    forget_history,
-    change_configuration,
-    trouble_server,
-    trouble_server,
-    replace_server,
-)
-
-
-def run_soak(seed: int, seconds: float, machines: int) -> Soak:
+def run_soak(seed: int, seconds: float, machines: int, kinds: Sequence[Fault]) -> Soak:
     """Run one seed in a folder of its own."""
     with TemporaryDirectory() as folder:
-        soak = Soak(seed, machines, Path(folder))
+        soak = Soak(seed, machines, Path(folder), kinds)
         soak.run(seconds)
         return soak
-
-
-def main(arguments: list[str]) -> int:
-    """Run seeds one after the other; return 1 when a promise broke."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
-    parser.add_argument("--seconds", type=float, default=15.0)
-    parser.add_argument("--machines", type=int, default=5)
-    options = parser.parse_args(arguments)
-    broken = False
-    for seed in range(options.seed, options.seed + options.seeds):
-        soak = run_soak(seed, options.seconds, options.machines)
-        statuses = Counter(call.status for call in soak.calls)
-        print(
-            f"seed {seed}: {len(soak.faults)} faults, {len(soak.calls)} requests, "
-            f"statuses {dict(statuses)}, {len(soak.violations)} violations"
-        )
-        for violation in soak.violations:
-            broken = True
-            print(f"  {violation}")
-    return 1 if broken else 0
-
-
-if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
