--- /dev/null
+++ b/benchmarks/sidecar_logs.py
@@ -0,0 +1,47 @@
+"""Measure the processor time of sidecars for a request, with logs and without.
+
+Four sidecars serve stand-in servers without faults, by turns with their logs and with a
+journal that writes nothing. Entry, home, gossip and the store's watch are included.
+"""
+
+import os
+import statistics
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from tools.soak.process import QUIET_VARIABLE
+from tools.soak.run import Soak
+
+MACHINES = 4
+
+
+def add_arguments(parser) -> None:
+    """Describe the options."""
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--rate", type=float, default=25.0, help="requests/s a sidecar")
+
+
+def measure(options) -> dict:
+    """Return milliseconds for a request, and the share that logs add."""
+    logged, quiet = [], []
+    for number in range(options.rounds):
+        seed = options.seed + 2 * number
+        logged.append(_measure_round(seed, options))
+        os.environ[QUIET_VARIABLE] = "1"
+        quiet.append(_measure_round(seed + 1, options))
+        del os.environ[QUIET_VARIABLE]
+    with_logs, without = statistics.median(logged), statistics.median(quiet)
+    return {
+        "cpu_ms_with_logs": round(with_logs * 1000, 3),
+        "cpu_ms_without_logs": round(without * 1000, 3),
+        "added_share": round(with_logs / without - 1, 3),
+        "rounds_with_logs": [round(value * 1000, 3) for value in logged],
+        "rounds_without_logs": [round(value * 1000, 3) for value in quiet],
+    }
+
+
+def _measure_round(seed: int, options) -> float:
+    with TemporaryDirectory() as folder:
+        soak = Soak(seed, MACHINES, Path(folder), kinds=())
+        return soak.measure_cpu(options.seconds, options.rate)
--- a/tools/soak/machines.py
+++ b/tools/soak/machines.py
@@ -94,6 +94,13 @@
             (self.host, 8083),
         )
 
+    def read_cpu_s(self) -> float:
+        """Return the processor time that the process has used."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        # The name in parentheses may hold spaces.
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def start(self) -> None:
         """Start the process unless it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/tools/soak/process.py
+++ b/tools/soak/process.py
@@ -11,11 +11,14 @@
 
 from flamingobank.loop import Address
 from flamingobank.platform import __main__ as program
+from flamingobank.sidecar.journal import Journal
 from flamingobank.sidecar.links.channels import PeerObserver
 from flamingobank.sidecar.links.links import Links
 
 # Names the file that holds the seconds by which the time of day is moved.
 CLOCK_VARIABLE = "SOAK_CLOCK_FILE"
+# Set for a process that writes no log, so that the cost of logs can be measured.
+QUIET_VARIABLE = "SOAK_QUIET"
 # Links are accepted on the announced port plus this.
 PORT_OFFSET = 100
 
@@ -42,7 +45,19 @@
     Links.listen = listen_shifted
 
 
+def silence_journal() -> None:
+    """Write no line about decisions."""
+
+    def write_nothing(self: Journal, *names: str, **fields: object) -> None:
+        return None
+
+    Journal.event = write_nothing
+    Journal.request = write_nothing
+
+
 if __name__ == "__main__":
+    if os.environ.get(QUIET_VARIABLE):
+        silence_journal()
     shift_time()
     listen_behind_proxy()
     sys.exit(program.main())
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -86,6 +86,7 @@
             for number in range(machines)
         ]
         self.calls: list[Call] = []
+        self.requests_per_s = REQUESTS_PER_S
         self.violations: list[str] = []
         self.faults: list[str] = []
         self._calm_from: float | None = None
@@ -109,6 +110,25 @@
                 machine.end()
         self._check()
 
+    def measure_cpu(self, seconds: float, requests_per_s: float) -> float:
+        """Return the processor seconds of all processes for one answered request."""
+        self.requests_per_s = requests_per_s
+        try:
+            for machine in self.machines:
+                machine.start()
+            self._run_for(WARMUP_S)
+            self._send_requests()
+            self._run_for(WARMUP_S)
+            cpu_s = sum(machine.read_cpu_s() for machine in self.machines)
+            answered = sum(call.status == 200 for call in self.calls)
+            self._run_for(seconds)
+            cpu_s = sum(machine.read_cpu_s() for machine in self.machines) - cpu_s
+            answered = sum(call.status == 200 for call in self.calls) - answered
+        finally:
+            for machine in self.machines:
+                machine.end()
+        return cpu_s / max(1, answered)
+
     def note_end(self, call: Call) -> None:
         """Check one answer."""
         call.ended = True
@@ -170,7 +190,7 @@
         self.loop.timers.call_at(
             now + BUDGET_MS / 1000, lambda: self._give_up(call, connection)
         )
-        gap_s = self.rng.expovariate(REQUESTS_PER_S)
+        gap_s = self.rng.expovariate(self.requests_per_s)
         self.loop.timers.call_at(now + gap_s, lambda: self._send_next(machine))
 
     def _choose_connection(self, machine: Machine) -> HttpClientConnection:
