Find peers, homes and watchers without walking all records

Change: indexes by address and service that are rebuilt after a change, a digest that is updated with each record, and one ranking of watchers for each state of the table.

--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -294,10 +294,8 @@
     def _find_node(self, link: Link | LocalLink) -> NodeId | None:
         if isinstance(link, LocalLink):
             return self.peers.local_record.node
-        for record in self.peers.list_peers():
-            if record.address == link.address:
-                return record.node
-        return None
+        record = self.peers.find_address(link.address)
+        return record.node if record is not None else None
 
     def _list_channels(self) -> list:
         return [*self.links.accepted, self.local_link.channel]
--- a/src/flamingobank/sidecar/fleet/peers.py
+++ b/src/flamingobank/sidecar/fleet/peers.py
@@ -94,8 +94,13 @@
         self._hashes: dict[NodeId, bytes] = {
             local_record.node: hash_record(local_record)
         }
-        self._digest: int | None = None
+        # XOR of all record hashes, so that one changed record updates it at once.
+        self._digest = _to_number(self._hashes[local_record.node])
         self._left_at: dict[NodeId, float] = {}
+        self._nodes_by_address: dict[Address, NodeId] = {}
+        # Views of the table that are built on first use after a change.
+        self._peers: list[PeerRecord] | None = None
+        self._homes: dict[ServiceName, list[PeerRecord]] | None = None
 
     def __len__(self) -> int:
         return len(self._records)
@@ -103,11 +108,6 @@
     @property
     def digest(self) -> int:
         """Return a number that is equal for equal tables."""
-        if self._digest is None:
-            digest = 0
-            for record_hash in self._hashes.values():
-                digest ^= int.from_bytes(record_hash, "big")
-            self._digest = digest
         return self._digest
 
     def update_local(self, **changes: object) -> None:
@@ -125,29 +125,49 @@
         known = self._records.get(record.node)
         if known is not None and known.version >= record.version:
             return False
-        for node, other in list(self._records.items()):
-            # An address belongs to one process; the later start replaces the earlier.
-            if other.address != record.address or node == record.node:
-                continue
-            if other.incarnation > record.incarnation:
+        # An address belongs to one process; the later start replaces the earlier.
+        other_node = self._nodes_by_address.get(record.address, record.node)
+        if other_node != record.node:
+            if self._records[other_node].incarnation > record.incarnation:
                 return False
-            self._drop(node)
+            self._drop(other_node)
+        if known is not None:
+            self._drop(record.node)
         self._records[record.node] = record
-        self._hashes[record.node] = hash_record(record)
-        self._digest = None
+        self._nodes_by_address[record.address] = record.node
+        self._replace_hash(record.node, hash_record(record))
         if record.left:
             self._left_at[record.node] = now
-        else:
-            self._left_at.pop(record.node, None)
         return True
 
     def find(self, node: NodeId) -> PeerRecord | None:
         """Return the record of a peer, or None if it is not known."""
         return self._records.get(node)
 
+    def find_address(self, address: Address) -> PeerRecord | None:
+        """Return the record of the peer at an address, or None if there is none."""
+        node = self._nodes_by_address.get(address)
+        return self._records[node] if node is not None else None
+
     def list_peers(self) -> list[PeerRecord]:
-        """Return the peers that have not left."""
-        return [record for record in self._records.values() if not record.left]
+        """Return the peers that have not left; the caller must not change the list."""
+        if self._peers is None:
+            self._peers = [
+                record for record in self._records.values() if not record.left
+            ]
+        return self._peers
+
+    def list_homes(self, service: ServiceName) -> list[PeerRecord]:
+        """Return the records of the homes whose server of a service accepts work.
+
+        The caller must not change the list.
+        """
+        if self._homes is None:
+            self._homes = {}
+            for record in self.list_all():
+                if record.serving and not record.left:
+                    self._homes.setdefault(record.service, []).append(record)
+        return self._homes.get(service, [])
 
     def list_all(self) -> list[PeerRecord]:
         """Return all records, including the local one and those that have left."""
@@ -193,11 +213,27 @@
 
     def _set_local(self, record: PeerRecord) -> None:
         self.local_record = record
-        self._hashes[record.node] = hash_record(record)
-        self._digest = None
+        self._replace_hash(record.node, hash_record(record))
 
     def _drop(self, node: NodeId) -> None:
-        self._records.pop(node, None)
-        self._hashes.pop(node, None)
+        record = self._records.pop(node, None)
+        if record is None:
+            return
+        self._nodes_by_address.pop(record.address, None)
+        self._replace_hash(node, None)
         self._left_at.pop(node, None)
-        self._digest = None
+
+    def _replace_hash(self, node: NodeId, record_hash: bytes | None) -> None:
+        """Replace the hash of a record, or remove it with None."""
+        former_hash = self._hashes.pop(node, None)
+        if former_hash is not None:
+            self._digest ^= _to_number(former_hash)
+        if record_hash is not None:
+            self._hashes[node] = record_hash
+            self._digest ^= _to_number(record_hash)
+        self._peers = None
+        self._homes = None
+
+
+def _to_number(record_hash: bytes) -> int:
+    return int.from_bytes(record_hash, "big")
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -71,6 +71,8 @@
         self._peers_were_listed = False
         self._record_saved = False
         self._save_pending = False
+        self._ranked_digest: int | None = None
+        self._is_watcher = False
 
     @property
     def reading_age_s(self) -> float:
@@ -116,13 +118,18 @@
 
     def is_watcher(self) -> bool:
         """Return whether this sidecar is one of those that watch the store."""
-        local_record = self._peers.local_record
-        rank = sum(
-            1
-            for peer in self._peers.list_peers()
-            if hash_text(peer.node) < hash_text(local_record.node)
-        )
-        return rank < WATCHER_COUNT
+        # The digest changes with each record, so the rank is computed once for each
+        # state of the table.
+        if self._ranked_digest != self._peers.digest:
+            self._ranked_digest = self._peers.digest
+            local_hash = hash_text(self._peers.local_record.node)
+            lower = [
+                peer
+                for peer in self._peers.list_peers()
+                if hash_text(peer.node) < local_hash
+            ]
+            self._is_watcher = len(lower) < WATCHER_COUNT
+        return self._is_watcher
 
     def _check(self) -> None:
         now = self._clock.now()
