Give each entry a subset of a large service's homes, and end long searches

Change: an entry uses 24 homes of a service, half of them in its own failure domain, chosen by rendezvous hashing; it asks others only when these refuse. After 10 refusals as busy or suspect the request is queued at the best of the homes that refused.

--- a/features/sidecar_decisions.feature
+++ b/features/sidecar_decisions.feature
@@ -121,3 +121,15 @@
     When 12 machines repeat a third of their runs, each of which makes two calls
     Then no window of 10 seconds has more retries at the called service than allowed
     And repeated runs go on while the called service's budget lasts
+
+  Scenario: The entries of a large fleet spread over all homes of a service
+    Given a service with 145 homes in 6 failure domains and 232 entries
+    When each entry chooses its homes
+    Then each home is used by at least 12 entries of at least 4 failure domains
+    And no home is used by more than three times as many entries as the average
+
+  Scenario: A home that leaves changes the homes of few entries
+    Given a service with 145 homes in 6 failure domains and 232 entries
+    When each entry chooses its homes
+    And one home leaves
+    Then entries that did not use it keep their homes, and the others replace only it
--- a/features/sidecar_exchange.feature
+++ b/features/sidecar_exchange.feature
@@ -84,3 +84,21 @@
   Scenario: Whatever homes do, an unsafe request runs at most once
     When unsafe requests meet homes with random reactions
     Then each gets one answer in time, ran at most once, and not at all if refused
+
+  Scenario: A large service that is busy everywhere is not asked home by home
+    Given 145 homes that refuse unsafe requests as "busy"
+    When the request is served
+    Then the caller gets 503 and 0 homes got the request
+    And at most 20 offers were made
+    And less than half a second has passed
+
+  Scenario: An entry uses a few of the homes of a large service
+    Given 145 homes that react to safe requests with "grant 200"
+    When 300 safe requests are served
+    Then at most 24 homes got a request, at least half of them in other failure domains
+
+  Scenario: An entry asks further homes when its usual ones cannot be reached
+    Given 145 homes that react to unsafe requests with "grant 200"
+    And all homes that the entry uses have lost their links
+    When the request is served
+    Then the caller gets 200 and 1 homes got the request
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -1,6 +1,7 @@
 """Check the decision rules of a sidecar without a network."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -17,6 +18,7 @@
     LONG_RUN_PROBABILITY,
     FailureEstimate,
 )
+from flamingobank.sidecar.decisions.home_subset import HomeSubset
 from flamingobank.sidecar.decisions.offer_admission import (
     FINAL_ATTEMPT_MAX_FAILURE_PROBABILITY,
     AdmissionState,
@@ -567,3 +569,61 @@
 def step_new_start(context, instance, started):
     context.server.take(make_announcement(instance, started, 1), 3.0)
     assert context.server.accepts_work
+
+
+@given("a service with {count:d} homes in 6 failure domains and {entries:d} entries")
+def step_large_service(context, count, entries):
+    context.homes = [
+        make_record(
+            f"h{i}", host=f"10.1.0.{i}", failure_domain=FailureDomain(f"z{i % 6}")
+        )
+        for i in range(count)
+    ]
+    context.subsets = [
+        HomeSubset(NodeId(f"e{i}"), FailureDomain(f"z{i % 6}")) for i in range(entries)
+    ]
+
+
+@when("each entry chooses its homes")
+def step_choose_subsets(context):
+    context.chosen = [
+        [home.node for home in subset.choose(context.homes)]
+        for subset in context.subsets
+    ]
+
+
+@then(
+    "each home is used by at least {least:d} entries of at least {domains:d} failure "
+    "domains"
+)
+def step_homes_covered(context, least, domains):
+    for home in context.homes:
+        users = [
+            number for number, nodes in enumerate(context.chosen) if home.node in nodes
+        ]
+        assert len(users) >= least, (home.node, users)
+        assert len({number % 6 for number in users}) >= domains, (home.node, users)
+
+
+@then("no home is used by more than three times as many entries as the average")
+def step_homes_balanced(context):
+    counts = Counter(node for nodes in context.chosen for node in nodes)
+    average = counts.total() / len(context.homes)
+    assert max(counts.values()) <= 3 * average, counts.most_common(3)
+
+
+@when("one home leaves")
+def step_home_leaves(context):
+    context.left = context.homes[7].node
+    remaining = [home for home in context.homes if home.node != context.left]
+    context.chosen_after = [
+        [home.node for home in subset.choose(remaining)] for subset in context.subsets
+    ]
+
+
+@then("entries that did not use it keep their homes, and the others replace only it")
+def step_subsets_stable(context):
+    for before, after in zip(context.chosen, context.chosen_after, strict=True):
+        assert len(after) == len(before), (before, after)
+        expected_change = {context.left} & set(before)
+        assert set(before) - set(after) == expected_change, (before, after)
--- a/features/steps/sidecar_exchange_steps.py
+++ b/features/steps/sidecar_exchange_steps.py
@@ -3,13 +3,16 @@
 from behave import given, then, when
 from hypothesis import given as for_all, settings, strategies as st
 
-from features.support.sidecar import ExchangeHarness
+from features.support.sidecar import ExchangeHarness, RecordingRequest
+from flamingobank.core import ServiceName
+from flamingobank.sidecar.decisions.home_subset import HomeSubset
 from flamingobank.sidecar.fleet.routes import RouteKind
 
 RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=60)
 OFFER_REACTIONS = ("grant", "busy", "suspect", "silent", "server-down", "no-server")
 REQUEST_REACTIONS = (200, 500, "not-run", "unknown", "lost", "restarted", "hang")
 REFUSALS = (408, 421, 429, 503)
+ORDERS = ServiceName("orders")
 
 
 def _parse_script(script):
@@ -151,3 +154,60 @@
         assert ran <= 1, [home.commits for home in harness.homes.values()]
         if harness.final in REFUSALS:
             assert ran == 0, harness.request.answers
+
+
+def _make_large_service(kind, make_script):
+    # The budget is for the whole fleet, so each entry may send ten retries.
+    scripts = [make_script() for _ in range(145)]
+    return ExchangeHarness(RouteKind(kind), scripts, retries=10.0 * (145 + 1))
+
+
+@given('145 homes that refuse {kind} requests as "{reason}"')
+def step_large_refusing(context, kind, reason):
+    context.harness = _make_large_service(kind, lambda: [reason] * 10)
+
+
+@given('145 homes that react to {kind} requests with "{script}"')
+def step_large_serving(context, kind, script):
+    context.harness = _make_large_service(kind, lambda: _parse_script(script) * 300)
+
+
+@given("all homes that the entry uses have lost their links")
+def step_lost_links(context):
+    harness = context.harness
+    homes = harness.peers.list_homes(ORDERS)
+    own = harness.peers.local_record
+    for home in HomeSubset(own.node, own.failure_domain).choose(homes):
+        harness.homes[home.node].is_usable = False
+
+
+@when("{count:d} {kind} requests are served")
+def step_serve_many(context, count, kind):
+    harness = context.harness
+    for _ in range(count):
+        harness.request = RecordingRequest(harness.loop.clock.now(), RouteKind(kind))
+        harness.run()
+        assert harness.final == 200, harness.request.answers
+
+
+@then("at most {limit:d} offers were made")
+def step_few_offers(context, limit):
+    made = sum(10 - len(home.script) for home in context.harness.homes.values())
+    assert 0 < made <= limit, made
+
+
+@then(
+    "at most {limit:d} homes got a request, at least half of them in other failure "
+    "domains"
+)
+def step_few_homes(context, limit):
+    harness = context.harness
+    used = {node for node, home in harness.homes.items() if home.commits}
+    local = [
+        node
+        for node in used
+        if harness.peers.find(node).failure_domain
+        == harness.peers.local_record.failure_domain
+    ]
+    assert 12 < len(used) <= limit, used
+    assert len(local) <= len(used) / 2 + 1, (local, used)
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -4,7 +4,7 @@
 
 from features.steps.sidecar_decisions_steps import make_record, make_route
 from features.support.loop import TestLoop
-from flamingobank.core import ServiceName, VirtualClock
+from flamingobank.core import FailureDomain, ServiceName, VirtualClock
 from flamingobank.platform.headers import PlatformDialect
 from flamingobank.sidecar.callers.entry import Entry
 from flamingobank.sidecar.decisions.retry_budget import RepeatedRunLimiter, RetryBudget
@@ -25,6 +25,7 @@
 from flamingobank.sidecar.metrics import SidecarMetrics
 
 REPORT = HomeReport("orders", 0.05, 0, 0, 4, True)
+FAILURE_DOMAINS = ("graz-a", "graz-b", "leoben", "kapfenberg", "bruck", "weiz")
 SEALED = [(b"server-seal", b"s"), (b"content-length", b"2")]
 
 
@@ -158,9 +159,14 @@
         self.loop = TestLoop(VirtualClock(100.0))
         self.homes = {}
         peers = PeerTable(make_record("own", host="10.0.0.1", serving=False))
+        self.peers = peers
         for number, script in enumerate(scripts):
             node = f"h{number}"
-            peers.merge(make_record(node, host=f"10.0.1.{number}"), 0.0)
+            domain = FAILURE_DOMAINS[number % 6] if len(scripts) > 24 else "graz-a"
+            record = make_record(
+                node, host=f"10.0.1.{number}", failure_domain=FailureDomain(domain)
+            )
+            peers.merge(record, 0.0)
             self.homes[node] = ScriptedHome(self, node, script)
         share = RetryBudget(0.0, retries, 10.0)
         self.entry = Entry(
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -120,7 +120,9 @@
             self._give_up("quarantined")
             return
         final_attempt = self.retry_state.is_final_attempt(now)
-        home = self._choose_home(final_attempt, self._search.excluded, now)
+        home = None
+        if not self._search.is_exhausted:
+            home = self._choose_home(final_attempt, self._search.excluded, now)
         if home is None:
             self._queue_or_give_up(final_attempt, now)
             return
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -9,6 +9,7 @@
 from flamingobank.sidecar.callers.caller_exchange import CallerExchange
 from flamingobank.sidecar.callers.exchange_owner import EndedRequest, ExchangeOwner
 from flamingobank.sidecar.callers.reply import CallerReply
+from flamingobank.sidecar.decisions.home_subset import SUBSET_SIZE, HomeSubset
 from flamingobank.sidecar.decisions.refusals import RefusalCause
 from flamingobank.sidecar.decisions.retry_budget import RepeatedRunLimiter, RetryBudget
 from flamingobank.sidecar.decisions.selection import HomeView, rank_homes
@@ -60,6 +61,7 @@
         self._peers = peers
         self._retries = retries
         self._views: dict[NodeId, HomeView] = {}
+        self._subsets: dict[ServiceName, HomeSubset] = {}
         self._streams = itertools.count(1)
 
     def take(self, request: CallerRequest) -> None:
@@ -117,10 +119,37 @@
         final_attempt: bool,
         excluded: set[NodeId],
         now: float,
+    ) -> HomeView | None:
+        homes = self._peers.list_homes(service)
+        home = self._choose_among(
+            self._choose_subset(service, homes), kind, final_attempt, excluded, now
+        )
+        if home is not None or len(homes) <= SUBSET_SIZE:
+            return home
+        others = self._rng.sample(homes, SUBSET_SIZE)
+        return self._choose_among(others, kind, final_attempt, excluded, now)
+
+    def _choose_subset(
+        self, service: ServiceName, homes: list[PeerRecord]
+    ) -> list[PeerRecord]:
+        subset = self._subsets.get(service)
+        if subset is None:
+            local_record = self._peers.local_record
+            subset = HomeSubset(local_record.node, local_record.failure_domain)
+            self._subsets[service] = subset
+        return subset.choose(homes)
+
+    def _choose_among(
+        self,
+        homes: list[PeerRecord],
+        kind: RouteKind,
+        final_attempt: bool,
+        excluded: set[NodeId],
+        now: float,
     ) -> HomeView | None:
         views = []
         silent = []
-        for record in self._list_homes(service):
+        for record in homes:
             if record.node in excluded:
                 continue
             link = self.get_link(record.node)
@@ -180,13 +209,6 @@
         if not ended.outcome.startswith("2"):
             self.on_call_failed()
 
-    def _list_homes(self, service: ServiceName) -> list[PeerRecord]:
-        return [
-            record
-            for record in self._peers.list_all()
-            if record.service == service and record.serving and not record.left
-        ]
-
     def _get_view(self, record: PeerRecord) -> HomeView:
         view = self._views.get(record.node)
         if view is None:
