Keep the departures of the servers that started last

After more than 8 replacements on a machine a restarted sidecar could forget the latest departure and send work to a server that had left. Change: the departures of the 8 latest starts are kept. Figures: the new scenario fails before (the record had the z names) and passes after.

--- a/features/sidecar_decisions.feature
+++ b/features/sidecar_decisions.feature
@@ -117,6 +117,10 @@
     When "a" started at 100 announces 6 as ready
     Then the home denies work to "a"
 
+  Scenario: The departures that last are those of the latest servers
+    Given a home whose servers "z1" to "z9" and "a1" to "a9" have left one after another
+    Then the 8 departures that it publishes are those of "a2" to "a9"
+
   Scenario: Repeated runs keep to the retry budget of the service that they call
     When 12 machines repeat a third of their runs, each of which makes two calls
     Then no window of 10 seconds has more retries at the called service than allowed
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -627,3 +627,19 @@
         assert len(after) == len(before), (before, after)
         expected_change = {context.left} & set(before)
         assert set(before) - set(after) == expected_change, (before, after)
+
+
+@given('a home whose servers "z1" to "z9" and "a1" to "a9" have left one after another')
+def step_many_departures(context):
+    context.server = AnnouncedServer()
+    names = [f"{letter}{number}" for letter in "za" for number in range(1, 10)]
+    for started, name in enumerate(names):
+        context.server.take(make_announcement(name, started, 1), 0.0)
+        context.server.take_departure(Departure(InstanceId(name), started))
+
+
+@then('the {count:d} departures that it publishes are those of "a2" to "a9"')
+def step_latest_departures(context, count):
+    departures = context.server.list_latest_departures(count)
+    names = [instance for instance, _ in departures]
+    assert names == [f"a{number}" for number in range(2, 10)], names
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -328,7 +328,7 @@
     def _publish_server(self) -> None:
         server = self.home.server
         current = server.current
-        departures = tuple(sorted(server.list_departures()))[-MAX_DEPARTURES:]
+        departures = server.list_latest_departures(MAX_DEPARTURES)
         service = current.service if current is not None else self.settings.service
         local_record = self.peers.local_record
         serving = server.accepts_work and not self.shutdown.begun
--- a/src/flamingobank/sidecar/fleet/server_state.py
+++ b/src/flamingobank/sidecar/fleet/server_state.py
@@ -113,6 +113,11 @@
         """Add the departures that an earlier process acknowledged."""
         self._departed |= departures
 
-    def list_departures(self) -> set[tuple[InstanceId, int]]:
-        """Return the instance and start of each server known to have left."""
-        return set(self._departed)
+    def list_latest_departures(self, count: int) -> tuple[tuple[InstanceId, int], ...]:
+        """Return instance and start of the servers that started last, oldest first.
+
+        Older ones are left out: a machine has one server at a time, so a late message
+        is most likely one of the latest servers.
+        """
+        by_start = sorted(self._departed, key=lambda departure: departure[::-1])
+        return tuple(by_start[-count:])
