Bound what one broken peer can make a sidecar hold

Change: bytes without progress are limited, for callers by the configured size of a head and for servers by 64 KB, or 1 MB where an answer to another request is skipped; answers that are never streamed end at 1 MB; a home stops reading a streamed answer while 1 MB waits on its link, and keeps no parts; an answer that does not end counts as a failure of the server and is checked for a crash; a caller with more than 16 MB unread is cut off. Open: a caller that reads slowly holds up to 16 MB at its entry.

--- /dev/null
+++ b/features/sidecar_hostile_peers.feature
@@ -0,0 +1,51 @@
+Feature: Servers and callers that send what is no answer or request
+  A broken peer may send bytes without end or break off midway. One connection may make
+  the process hold a bounded number of bytes, and the outcome is still told truthfully.
+
+  Scenario Outline: A server that sends bytes without end is cut off
+    Given a home whose server sends <bytes> without end
+    When an entry offers and commits a request
+    Then the entry is told "unknown"
+    And the home has taken at most 2 MB from the server
+
+    Examples:
+      | bytes                   |
+      | one header              |
+      | one status line         |
+      | headers                 |
+      | interim answers         |
+      | another request's body  |
+      | an unsigned body        |
+
+  Scenario: A server that says it did not run a request, without end, is cut off
+    Given a home whose server sends a refusal's body without end
+    When an entry offers and commits a request
+    Then the entry is told "not run"
+    And the home has taken at most 2 MB from the server
+
+  Scenario: A streamed answer waits while the link to the entry is full
+    Given a home whose server sends a signed body without end
+    When an entry offers and commits a request on a link that is full
+    Then the home has taken at most 3 MB from the server after 5 seconds
+
+  Scenario Outline: A caller that sends a request head without end is cut off
+    Given an HTTP server that echoes bodies
+    When a caller sends <bytes> without end
+    Then it gets 431 or a closed connection before it has sent 1 MB
+
+    Examples:
+      | bytes        |
+      | one header   |
+      | one target   |
+      | headers      |
+
+  Scenario Outline: The outcome of a streamed answer counts like that of a whole one
+    Given a home whose server streams an answer with status <status> and <ends>
+    When an entry offers and commits a request that is streamed
+    Then the home's estimate counts it as a <outcome>
+
+    Examples:
+      | status | ends       | outcome |
+      | 200    | ends       | success |
+      | 500    | ends       | failure |
+      | 200    | breaks off | failure |
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -77,6 +77,7 @@
     def __init__(self, boot="e"):
         self.peer_boot = boot
         self.messages = []
+        self.output_bytes = 0
 
     def send(self, message):
         """Record a message."""
--- a/src/flamingobank/loop/http_client.py
+++ b/src/flamingobank/loop/http_client.py
@@ -11,6 +11,7 @@
 
 from flamingobank.loop.connections import (
     CLOSED_BY_PEER,
+    RECEIVE_BYTES,
     Address,
     Connection,
     ConnectionHandler,
@@ -23,6 +24,8 @@
 AnswerFilter = Callable[[int, Headers], bool]
 
 MAX_ANSWER_HEAD_BYTES = 65536
+# Limit once an answer to another request was skipped, which may have a body.
+MAX_SKIPPED_BYTES = 1_048_576
 
 
 class AnswerHandler(abc.ABC):
@@ -65,6 +68,10 @@
         self._is_head_request = False
         self._headers: Headers = []
         self._head_bytes = 0
+        # Bytes since the expected answer last made progress by its head or a part of
+        # its body. The parser collects a header or status line without a limit.
+        self._bytes_without_progress = 0
+        self._skipped_any = False
         self._parser: httptools.HttpResponseParser | None = None
         self._connection: Connection = connect(poller, address, self)
 
@@ -86,6 +93,8 @@
         self._status_seen = False
         self._complete = False
         self._skipping_answer = False
+        self._bytes_without_progress = 0
+        self._skipped_any = False
         # The parser does not know that an answer to HEAD has no body.
         self._is_head_request = request.startswith(b"HEAD ")
         self._parser = httptools.HttpResponseParser(self)
@@ -145,6 +154,8 @@
             return
         if self._complete:
             self._finish()
+            return
+        self._limit_bytes_without_progress(len(data))
 
     def on_closed(self, reason: str) -> None:
         self.closed = True
@@ -183,10 +194,12 @@
             return
         if self.identify is not None and not self.identify(status, self._headers):
             self._skipping_answer = True
+            self._skipped_any = True
             self._headers = []
             self._head_bytes = 0
             return
         self._status_seen = True
+        self._bytes_without_progress = 0
         # The parser no longer knows the Connection header when the message ends.
         self.reusable = self._parser.should_keep_alive()
         if self._exchange is not None:
@@ -196,7 +209,10 @@
     def on_body(self, data: bytes) -> None:
         """Pass on a part of the body; called by the parser."""
         self._check_incomplete()
-        if self._exchange is not None and not self._skipping_answer:
+        if self._skipping_answer:
+            return
+        self._bytes_without_progress = 0
+        if self._exchange is not None:
             self._exchange.on_answer_part(data)
 
     def on_message_complete(self) -> None:
@@ -204,6 +220,17 @@
         if self._status_seen and not self._skipping_answer:
             self._complete = True
 
+    def _limit_bytes_without_progress(self, count: int) -> None:
+        self._bytes_without_progress += count
+        limit = MAX_SKIPPED_BYTES if self._skipped_any else MAX_ANSWER_HEAD_BYTES
+        # What was received last may hold the progress and bytes after it.
+        if self._bytes_without_progress > limit + RECEIVE_BYTES:
+            self.reusable = False
+            self.close(
+                f"{self._bytes_without_progress} bytes that are neither the head nor "
+                f"the body of the answer, at most {limit} are allowed"
+            )
+
     def _check_incomplete(self) -> None:
         if self._complete:
             raise ValueError("bytes follow the end of the answer")
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -305,6 +305,14 @@
         if request is None:
             self._refuse_never_received(channel, stream)
             return
+        if request.streaming:
+            # Parts of the answer were lost with the link and are not kept.
+            if request.state is HomeRequestState.RUNNING:
+                self._cancel(request, "streamed answer was lost with its link")
+            channel.send(
+                Failed(stream, False, True, "streamed answer lost", self.build_report())
+            )
+            return
         request.channel = channel
         request.orphaned_at = None
         for message in request.outcome:
@@ -377,5 +385,7 @@
             timeout_reason = request.find_timeout_reason(now)
             if timeout_reason is not None:
                 self._cancel(request, timeout_reason)
+                continue
+            request.resume_reading()
         if self.requests:
             self._schedule_sweep(now)
--- a/src/flamingobank/sidecar/homes/requests.py
+++ b/src/flamingobank/sidecar/homes/requests.py
@@ -33,6 +33,9 @@
 # A repeatable request whose link broke is cancelled unless the entry resumes it within
 # this time; meanwhile the entry retries at another home.
 ORPHAN_TIMEOUT_S = 0.4
+# A streamed answer is read from the server only while less than this is queued on the
+# link to the entry.
+MAX_QUEUED_OUTPUT_BYTES = 1_048_576
 # A running request is cancelled this long after its deadline. Servers end requests at
 # the deadline themselves, and their answers need some time to arrive.
 DEADLINE_SLACK_S = 1.0
@@ -99,6 +102,10 @@
         self.repeated = False
         self.outcome: list[Message] = []
         self.orphaned_at: float | None = None
+        # The answer is passed on in parts, which are not kept.
+        self.streaming = False
+        self._status = 0
+        self._paused = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -149,20 +156,39 @@
             self.home.on_answered(self, status)
         headers = self.home.dialect.pass_answer_headers(headers)
         report = self.home.build_report()
-        self.send_outcome(
-            Answer(self.offer.stream, status, headers, body, complete, report)
-        )
+        message = Answer(self.offer.stream, status, headers, body, complete, report)
+        if complete:
+            self.send_outcome(message)
+            return
+        self.streaming = True
+        self._status = status
+        self.channel.send(message)
 
     def on_run_part(self, body: bytes, complete: bool) -> None:
         if complete:
-            self.home.on_answered(self, 200)
+            self.home.on_answered(self, self._status)
         elif not body:
-            failure = RunFailure(
-                RunOutcome.UNKNOWN, True, False, "answer broke off midway"
+            self.home.on_run_failed(
+                self,
+                RunFailure(
+                    RunOutcome.UNKNOWN,
+                    arrived=True,
+                    unreachable=False,
+                    reason="answer broke off midway",
+                    broken=True,
+                ),
             )
-            self.home.on_failed(self, failure)
             return
-        self.send_outcome(AnswerPart(self.offer.stream, body, complete))
+        self.channel.send(AnswerPart(self.offer.stream, body, complete))
+        if not complete and self.channel.output_bytes > MAX_QUEUED_OUTPUT_BYTES:
+            self._paused = True
+            self.run.connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on from the server if the link has sent what was queued."""
+        if self._paused and self.channel.output_bytes <= MAX_QUEUED_OUTPUT_BYTES / 2:
+            self._paused = False
+            self.run.connection.resume_reading()
 
     def on_run_failed(self, failure: RunFailure) -> None:
         self.home.on_run_failed(self, failure)
--- a/src/flamingobank/sidecar/homes/server_client.py
+++ b/src/flamingobank/sidecar/homes/server_client.py
@@ -131,8 +131,13 @@
             return
         self._parts.append(data)
         self._size += len(data)
-        if self._size > MAX_BUFFERED_BYTES and not self.facts.not_run:
+        if self._size <= MAX_BUFFERED_BYTES:
+            return
+        if self.facts.signed and not self.facts.not_run:
             self._start_streaming()
+            return
+        # Such a body is never streamed, so it would be held until it ends.
+        self._end_oversized()
 
     def on_answer_end(self) -> None:
         if self._done:
@@ -172,6 +177,18 @@
             return
         self._fail(RunOutcome.UNKNOWN, reason, broken=True)
 
+    def _end_oversized(self) -> None:
+        if self._done:
+            return
+        self._done = True
+        self._stop_timers()
+        self.connection.cancel()
+        outcome = RunOutcome.NOT_RUN if self.facts.not_run else RunOutcome.UNKNOWN
+        self._fail(
+            outcome,
+            f"unsigned or refusing answer exceeds {MAX_BUFFERED_BYTES} bytes",
+        )
+
     def _fail(self, outcome: RunOutcome, reason: str, broken: bool = False) -> None:
         misdirected = self.facts is not None and self.facts.misdirected
         self._handler.on_run_failed(
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -14,6 +14,8 @@
 
 # Reading pauses at this many unanswered requests; further ones stay in the socket.
 MAX_PIPELINED = 32
+# A caller that reads its answers too slowly is cut off when more than this is queued.
+MAX_QUEUED_OUTPUT_BYTES = 16 * 1_048_576
 # An idle connection is kept a little longer than the advertised timeout, so that a
 # request that is in transit when the timeout ends is still read.
 IDLE_GRACE_S = 1.0
@@ -52,6 +54,10 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._head_complete = True
+        # Counts the parser's callbacks that end a part of a request. The parser
+        # collects a header without a limit, so bytes without progress are counted too.
+        self._progress = 0
+        self._bytes_without_progress = 0
         self._closing = False
         self._closed = False
         self._paused = False
@@ -78,6 +84,8 @@
 
     def send(self, data: bytes) -> None:
         self.connection.write(data)
+        if self.connection.output_bytes > MAX_QUEUED_OUTPUT_BYTES:
+            self.connection.reset("caller does not read its answer")
 
     def on_answered(self) -> None:
         while self._pending and self._pending[0].finished:
@@ -128,6 +136,7 @@
     def on_data(self, data: bytes) -> None:
         if self._closing:
             return
+        progress = self._progress
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -135,6 +144,7 @@
         except (httptools.HttpParserError, ValueError) as error:
             self._server.on_malformed(str(error))
             self._error_status = self._error_status or 400
+        self._limit_bytes_without_progress(len(data), self._progress != progress)
         # on_request is called here and not in a callback of the parser, since the
         # parser hides the exceptions that are raised in its callbacks.
         parsed, self._parsed = self._parsed, []
@@ -153,6 +163,7 @@
     def on_message_begin(self) -> None:
         """Start a new request and its head timeout."""
         self._incoming = CallerRequest(self)
+        self._progress += 1
         self._head_bytes = 0
         self._body_bytes = 0
         self._head_complete = False
@@ -173,6 +184,7 @@
     def on_headers_complete(self) -> None:
         """Check the head of the request and answer an Expect header."""
         self._head_complete = True
+        self._progress += 1
         self.head_deadline = None
         request = self._incoming
         request.method = self._parser.get_method().decode("latin-1")
@@ -189,6 +201,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self._progress += 1
         self._body_bytes += len(data)
         self._check_body_size(self._body_bytes)
         if not self._error_status:
@@ -196,6 +209,7 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to those pending."""
+        self._progress += 1
         if self._error_status or self._closing:
             return
         request = self._incoming
@@ -208,6 +222,14 @@
             self.connection.pause_reading()
         self._parsed.append(request)
 
+    def _limit_bytes_without_progress(self, count: int, progressed: bool) -> None:
+        if progressed:
+            self._bytes_without_progress = 0
+            return
+        self._bytes_without_progress += count
+        if self._bytes_without_progress > self._server.limits().max_head_bytes:
+            self._error_status = self._error_status or 431
+
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
         if self._head_bytes > self._server.limits().max_head_bytes:
--- a/src/flamingobank/sidecar/links/local_link.py
+++ b/src/flamingobank/sidecar/links/local_link.py
@@ -14,6 +14,8 @@
     def __init__(self, link: "LocalLink", boot: BootId) -> None:
         self.peer_boot = boot
         self.closed = False
+        # Messages are delivered in the next turn of the loop, so none are queued.
+        self.output_bytes = 0
         self._link = link
 
     def send(self, message: Message) -> None:
