--- a/src/flamingobank/sidecar/decisions/home_search.py
+++ b/src/flamingobank/sidecar/decisions/home_search.py
@@ -13,10 +13,13 @@
 # The request waits only if the server of every home that could queue it has a higher
 # failure probability than this; otherwise it is queued.
 WAIT_MIN_FAILURE_PROBABILITY = 0.5
-# A request that this many homes refused as busy or suspect is queued at the best of
-# them. Asking all homes of a large service takes longer than most waits in a queue, and
-# under overload each of these offers costs two processes time in vain.
-MAX_REFUSALS_BEFORE_QUEUE = 10
+# A request is queued at the best home so far after this many homes were busy, or this
+# many busy or suspect. Asking all homes of a large service takes longer than most waits
+# in a queue, and under overload each of these offers costs two processes time in vain.
+# A suspect server may only have had no work lately, so the search for a proven one goes
+# on for longer.
+MAX_BUSY_BEFORE_QUEUE = 8
+MAX_REFUSALS_BEFORE_QUEUE = 24
 BUSY_REASONS = (RefusalReason.BUSY, RefusalReason.SUSPECT, RefusalReason.CALLS_SPENT)
 
 
@@ -46,13 +49,17 @@
         self._refused_by: set[NodeId] = set()
         # Homes that refused as busy or suspect and may still queue the request.
         self._queue_candidates: dict[NodeId, HomeView] = {}
-        # Refusals as busy or suspect since the search began or was started again.
+        # Refusals as busy or suspect, and as busy, since the search was last started.
         self._refusals = 0
+        self._busy_refusals = 0
 
     @property
     def is_exhausted(self) -> bool:
         """Return whether enough homes have refused to queue the request at one."""
-        return self._refusals >= MAX_REFUSALS_BEFORE_QUEUE
+        return (
+            self._busy_refusals >= MAX_BUSY_BEFORE_QUEUE
+            or self._refusals >= MAX_REFUSALS_BEFORE_QUEUE
+        )
 
     @property
     def excluded(self) -> set[NodeId]:
@@ -71,6 +78,7 @@
         if reason in (RefusalReason.BUSY, RefusalReason.SUSPECT) and not forced:
             self._queue_candidates[home.node] = home
             self._refusals += 1
+            self._busy_refusals += reason is RefusalReason.BUSY
             return
         self._queue_candidates.pop(home.node, None)
 
@@ -95,6 +103,7 @@
             self._refused_by.clear()
             self._queue_candidates.clear()
             self._refusals = 0
+            self._busy_refusals = 0
             return NextDecision(NextStep.WAIT)
         home = choose_queue_home(homes, now)
         del self._queue_candidates[home.node]
