Validate peer messages by field, and keep an error to its message

Cause: link messages were built from any values, so a wrong type surfaced deep in a decision; an error in one message lost those that arrived with it, and their requests hung until their deadlines; a digest with a negative age made the newest reading of the store newer than now, so that no sidecar took over for lost watchers; negative type numbers named real types. Change: every field's type is checked where a message is decoded, numbers of a digest must be possible ones, an unexpected error ends with its message, is logged with its traceback and counted in flamingobank_exceptions_total; a broken invariant still stops the process.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -49,3 +49,17 @@
       | 200    | ends       | success |
       | 500    | ends       | failure |
       | 200    | breaks off | failure |
+
+  Scenario: Link messages with fields of other types are malformed
+    When random link messages are decoded
+    Then each is a message whose fields have their types, or malformed
+
+  Scenario: No gossip datagram raises an error or changes the age of the newest reading
+    When random gossip datagrams arrive
+    Then each is applied or logged as malformed
+    And no datagram makes the newest reading of the store newer than now
+
+  Scenario: An error in one message does not lose the messages after it
+    Given a link whose receiver fails on the first message
+    When three messages arrive in one piece
+    Then the other two are handled, and the error is counted and logged
--- a/features/steps/sidecar_hostile_peers_steps.py
+++ b/features/steps/sidecar_hostile_peers_steps.py
@@ -1,12 +1,32 @@
 """Check that broken servers and callers cannot make a sidecar hold much or lie."""
 
+from dataclasses import fields
+
+import msgpack
 from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
 
+from features.steps.sidecar_fleet_steps import GossipingNode
 from features.support.callers import RawPeer
 from features.support.home import SCRIPTS, HomeHarness, RecordingChannel
+from features.support.loop import TestLoop
+from flamingobank.core import VirtualClock
 from flamingobank.loop import HttpClientConnection
 from flamingobank.sidecar.decisions.failure_estimate import LONG_RUN_PROBABILITY
-from flamingobank.sidecar.links.messages import Answer, AnswerPart, Failed, Granted
+from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.gossip import MAX_READING_AGE_S
+from flamingobank.sidecar.fleet.peers import pack_record
+from flamingobank.sidecar.links.channels import MessageChannel, PeerObserver
+from flamingobank.sidecar.links.messages import (
+    MESSAGE_TYPES,
+    Answer,
+    AnswerPart,
+    Failed,
+    Granted,
+    HomeReport,
+    MessageReader,
+    pack_message,
+)
 
 CHUNK = 65_536
 OWN_HEAD = b"HTTP/1.1 200 X\r\nServer-Seal: s\r\nRequest-Id: r1\r\n"
@@ -161,3 +181,146 @@
     estimate = harness.home.server_estimate
     failing = estimate.read_failure_probability(harness.loop.clock.now())
     assert (failing > LONG_RUN_PROBABILITY) == (outcome == "failure"), failing
+
+
+RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=400)
+SCALARS = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**63 - 1),
+    st.floats(),
+    st.text(max_size=5),
+    st.binary(max_size=5),
+)
+VALUES = st.recursive(SCALARS, lambda inner: st.lists(inner, max_size=9), max_leaves=12)
+EXAMPLES = {
+    "int": 3,
+    "str": "x",
+    "float": 1.5,
+    "bool": True,
+    "bytes": b"x",
+    "list": [],
+    HomeReport: ["orders", 0.1, 1, 0, 2, True],
+}
+
+
+def _is_valid(value, annotation):
+    if annotation == "float":
+        return isinstance(value, float | int) and abs(value) < float("inf")
+    if annotation is HomeReport:
+        return isinstance(value, HomeReport) and all(
+            _is_valid(getattr(value, field.name), _get_annotation(field))
+            for field in fields(HomeReport)
+        )
+    return type(value).__name__ == annotation
+
+
+def _get_annotation(field):
+    if field.type is HomeReport:
+        return HomeReport
+    return getattr(field.type, "__name__", field.type)
+
+
+@when("random link messages are decoded")
+def step_random_messages(context):
+    context.decoded, context.malformed = [], 0
+
+    @RANDOMISED
+    @for_all(st.data())
+    def run(data):
+        number = data.draw(st.integers(0, len(MESSAGE_TYPES) - 1))
+        values = [
+            EXAMPLES[_get_annotation(field)] for field in fields(MESSAGE_TYPES[number])
+        ]
+        if values:
+            position = data.draw(st.integers(0, len(values) - 1))
+            values[position] = data.draw(VALUES)
+        try:
+            context.decoded += MessageReader().feed(msgpack.packb([number, values]))
+        except ValueError:
+            context.malformed += 1
+
+    run()
+
+
+@then("each is a message whose fields have their types, or malformed")
+def step_typed(context):
+    assert context.malformed and context.decoded
+    for message in context.decoded:
+        for field in fields(message):
+            value = getattr(message, field.name)
+            assert _is_valid(value, _get_annotation(field)), message
+
+
+@when("random gossip datagrams arrive")
+def step_random_datagrams(context):
+    loop = TestLoop(VirtualClock(100.0))
+    node = GossipingNode(loop, "own")
+    peer = GossipingNode(loop, "peer")
+    node.table.merge(peer.table.local_record, 100.0)
+    context.ages_s = []
+    node.gossip.on_digest = lambda record, version, age_s: context.ages_s.append(age_s)
+    record = pack_record(peer.table.local_record)
+
+    @RANDOMISED
+    @for_all(st.data())
+    def run(data):
+        kind = data.draw(st.sampled_from([0, 1, 1, 1, 1, 2, 3, 4, 5, 6]))
+        examples = {
+            1: [1, 7, 20, [record]],
+            2: [b"123456"],
+            3: [[record]],
+            4: [b"f", "i", "c"],
+        }
+        values = [*examples.get(kind, [1])]
+        values[data.draw(st.integers(0, len(values) - 1))] = data.draw(VALUES)
+        datagram = data.draw(
+            st.sampled_from([[kind, "peer", values]] * 4 + [[kind, values, 1], values])
+        )
+        node.gossip._receive(msgpack.packb(datagram), peer.table.local_record.address)
+
+    run()
+
+
+@then("each is applied or logged as malformed")
+def step_no_error(context):
+    # An error would have ended the step before.
+    assert context.ages_s
+
+
+@then("no datagram makes the newest reading of the store newer than now")
+def step_no_negative_age(context):
+    assert all(0 <= age_s <= MAX_READING_AGE_S for age_s in context.ages_s)
+
+
+class FailingObserver(PeerObserver):
+    """Raises an unexpected error on the first message."""
+
+    def __init__(self):
+        self.streams = []
+
+    def on_peer_message(self, channel, message):
+        self.streams.append(message.stream)
+        if len(self.streams) == 1:
+            raise KeyError("unexpected")
+
+    def on_channel_closed(self, channel):
+        raise AssertionError("the channel was closed")
+
+
+@given("a link whose receiver fails on the first message")
+def step_failing_receiver(context):
+    context.observer = FailingObserver()
+    context.event_log = EventLog("own")
+    context.channel = MessageChannel(context.observer, context.event_log)
+
+
+@when("three messages arrive in one piece")
+def step_three_messages(context):
+    context.channel.on_data(b"".join(pack_message(Granted(n)) for n in (1, 2, 3)))
+
+
+@then("the other two are handled, and the error is counted and logged")
+def step_others_handled(context):
+    assert context.observer.streams == [1, 2, 3], context.observer.streams
+    assert context.event_log.exceptions == 1
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -236,11 +236,7 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind, error, trace, handler=None, fevent=None) -> None:
-        self.event_log.warn(
-            "sidecar:exception",
-            error=f"{kind.__name__}: {error}",
-            trace="".join(trace) if isinstance(trace, list) else str(trace),
-        )
+        self.event_log.exception("sidecar:exception", error)
         if isinstance(error, InvariantError):
             # After a violated invariant the process must not serve any more requests;
             # the platform restarts it.
@@ -304,6 +300,7 @@
 
     def _answer_metrics(self, request: CallerRequest) -> None:
         self.metrics.count_dropped_lines(self.event_log.dropped + self.output.dropped)
+        self.metrics.count_exceptions(self.event_log.exceptions)
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         request.answer(200, headers, self.metrics.render())
 
--- a/src/flamingobank/sidecar/event_log.py
+++ b/src/flamingobank/sidecar/event_log.py
@@ -7,6 +7,7 @@
 import json
 import os
 import sys
+import traceback
 from collections import deque
 
 import eliot
@@ -29,6 +30,8 @@
         self._node = node
         self._clock = None
         self.dropped = 0
+        # Unexpected exceptions, also those whose lines were dropped.
+        self.exceptions = 0
         self._current_second = 0
         self._lines_in_second = 0
 
@@ -52,6 +55,18 @@
         """Log an unexpected event with the level "warning"."""
         self.event(message_type, level="warning", **fields)
 
+    def exception(
+        self, message_type: str, error: BaseException, /, **fields: object
+    ) -> None:
+        """Count and log an unexpected exception with its traceback."""
+        self.exceptions += 1
+        self.warn(
+            message_type,
+            error=f"{type(error).__name__}: {error}",
+            trace="".join(traceback.format_tb(error.__traceback__)),
+            **fields,
+        )
+
     def _is_within_limit(self, limit: int) -> bool:
         if self._clock is not None:
             second = int(self._clock.now())
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -180,6 +180,7 @@
             kind = DatagramKind(number)
             if kind is DatagramKind.DIGEST:
                 digest, version, age_ms, records = fields
+                _check_digest(digest, version, age_ms)
                 self._merge_records(records)
                 sender = self.table.find(NodeId(node))
                 if sender is not None:
@@ -194,7 +195,13 @@
                 self.on_crash(
                     Fingerprint(fingerprint), InstanceId(instance), CrashId(crash_id)
                 )
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+            msgpack.UnpackException,
+        ) as error:
             self._event_log.warn(
                 "gossip:malformed", error=str(error), sender=address[0]
             )
@@ -260,3 +267,12 @@
         if peer_has_others and now >= self._compared_at + MIN_COMPARE_INTERVAL_S:
             self._compared_at = now
             self._send(address, DatagramKind.COMPARE, self.table.list_hashes())
+
+
+def _check_digest(digest: object, version: object, age_ms: object) -> None:
+    """Raise ValueError unless the numbers of a digest are possible ones."""
+    for number in (digest, version, age_ms):
+        if type(number) is not int or number < 0:
+            raise ValueError(f"digest has the number {number!r:.80}")
+    if age_ms > 1000 * MAX_READING_AGE_S:
+        raise ValueError(f"digest has a reading that is {age_ms} ms old")
--- a/src/flamingobank/sidecar/links/channels.py
+++ b/src/flamingobank/sidecar/links/channels.py
@@ -2,6 +2,7 @@
 
 import abc
 
+from flamingobank.core import InvariantError
 from flamingobank.loop import Connection, ConnectionHandler
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.links.messages import (
@@ -70,7 +71,16 @@
         for message in messages:
             if self.closed:
                 return
+            self._receive_safely(message)
+
+    def _receive_safely(self, message: Message) -> None:
+        """Handle a message; an error in it must not lose those of other requests."""
+        try:
             self.receive(message)
+        except InvariantError:
+            raise
+        except Exception as error:
+            self._event_log.exception("link:exception", error, peer=self.peer)
 
     def on_closed(self, reason: str) -> None:
         self.closed = True
--- a/src/flamingobank/sidecar/links/messages.py
+++ b/src/flamingobank/sidecar/links/messages.py
@@ -3,6 +3,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass, fields
+from math import isfinite
 from operator import attrgetter
 
 import msgpack
@@ -279,17 +280,68 @@
         return messages
 
 
+def _list_field_types(message_type: type) -> tuple[tuple[type, ...], ...]:
+    return tuple(
+        WIRE_TYPES[getattr(item.type, "__name__", item.type)]
+        for item in fields(message_type)
+    )
+
+
+# The types that the decoder of msgpack gives for each annotation of a field.
+WIRE_TYPES = {
+    "int": (int,),
+    "str": (str,),
+    "float": (float, int),
+    "bool": (bool,),
+    "bytes": (bytes,),
+    "list": (list,),
+    "HomeReport": (list,),
+}
+_FIELD_TYPES = {
+    message_type: _list_field_types(message_type)
+    for message_type in (*MESSAGE_TYPES, HomeReport)
+}
+
+
+def _check_types(message_type: type, values: list) -> None:
+    """Raise ValueError unless all values have the types of the message's fields."""
+    expected = _FIELD_TYPES[message_type]
+    if len(values) != len(expected):
+        raise ValueError(
+            f"{message_type.__name__} has {len(values)} fields, "
+            f"expected {len(expected)}"
+        )
+    for value, types in zip(values, expected, strict=True):
+        if type(value) not in types or (types[0] is float and not isfinite(value)):
+            raise ValueError(
+                f"{message_type.__name__} has the value {value!r:.80}, "
+                f"expected {types[0].__name__}"
+            )
+
+
+def _decode_header(item: object) -> tuple[bytes, bytes]:
+    if isinstance(item, list) and len(item) == 2:
+        name, value = item
+        if type(name) is bytes and type(value) is bytes:
+            return name, value
+    raise ValueError(f"header is not a pair of name and value: {item!r:.80}")
+
+
 def _decode(item: object) -> Message:
     if not isinstance(item, list) or len(item) != 2:
         raise ValueError(
             f"message is not a pair of type number and fields: {item!r:.80}"
         )
     type_number, values = item
+    if type(type_number) is not int or not 0 <= type_number < len(MESSAGE_TYPES):
+        raise ValueError(f"message has the unknown type number {type_number!r:.80}")
     message_type = MESSAGE_TYPES[type_number]
+    _check_types(message_type, values)
     position = _REPORT_POSITIONS.get(message_type)
     if position is not None:
+        _check_types(HomeReport, values[position])
         values[position] = HomeReport(*values[position])
     position = _HEADERS_POSITIONS.get(message_type)
     if position is not None:
-        values[position] = [(name, value) for name, value in values[position]]
+        values[position] = [_decode_header(item) for item in values[position]]
     return message_type(*values)
--- a/src/flamingobank/sidecar/metrics.py
+++ b/src/flamingobank/sidecar/metrics.py
@@ -17,6 +17,7 @@
     "store_calls_total": "Calls to the platform's store, by operation and outcome.",
     "announcements_total": "Announcements of servers, by outcome.",
     "log_lines_dropped_total": "Log lines that were not written.",
+    "exceptions_total": "Unexpected exceptions, each of which is logged.",
 }
 
 
@@ -47,6 +48,10 @@
         """Set how many log lines have been dropped so far."""
         self._counters["log_lines_dropped_total"].set({}, total)
 
+    def count_exceptions(self, total: int) -> None:
+        """Set how many unexpected exceptions have occurred so far."""
+        self._counters["exceptions_total"].set({}, total)
+
     def observe_latency(self, seconds: float, kind: str) -> None:
         """Add one request's duration to the histogram."""
         self._latency.observe({"kind": kind}, seconds)
