Answer requests that have arrived when a planned stop begins

Cause: a stop closes idle connections, and closed also those whose next request was in the socket already but not read; the listener's last connections were accepted and closed unread. Change: what has arrived on an idle connection is read before it is closed.

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -34,6 +34,19 @@
     Then it receives "first" and then "second"
     And the connection is closed
 
+  Scenario Outline: A request that has arrived when a stop begins is answered
+    Given an HTTP server that echoes bodies
+    When a caller's request arrives <when> and the server <action>
+    Then the caller gets its answer
+    And the connection is closed
+
+    Examples:
+      | when                         | action |
+      | on an open connection        | drains |
+      | on an open connection        | closes |
+      | on a connection not accepted | drains |
+      | on a connection not accepted | closes |
+
   Scenario: The end of a caller's connection is reported
     Given an HTTP server that never answers
     When a caller sends a request and closes
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -397,3 +397,24 @@
 def step_no_crash(context):
     assert len(context.home.channel.list_kind(Failed)) == 1
     assert not context.home.crashes.has_reports
+
+
+@when("a caller's request arrives {when} and the server {action}")
+def step_arrive_and_stop(context, when, action):
+    harness = context.http
+    peer = harness.peer
+    if when == "on an open connection":
+        for _ in range(3):
+            harness.loop.turn(0)
+        assert harness.server.connections
+    peer.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody")
+    if action == "closes":
+        harness.server.draining = True
+        harness.server.close()
+    else:
+        harness.server.drain()
+
+
+@then("the caller gets its answer")
+def step_gets_answer(context):
+    context.http.read_until(b"body")
--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -228,6 +228,11 @@
         self.handler.on_connected()
         self.flush()
 
+    def receive_arrived(self) -> None:
+        """Pass on the bytes that have arrived already, without waiting for the loop."""
+        if not self.closed and not self._connecting and self._reading:
+            self._receive()
+
     def _receive(self) -> None:
         try:
             data = self._sock.recv(RECEIVE_BYTES)
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -96,7 +96,7 @@
             if self._pending:
                 self._pending[0].flush()
         if self._server.draining and self.is_idle:
-            self.finish_output()
+            self.finish_if_unused()
             return
         now = self._server.clock.now()
         self.idle_deadline = now + self._advertised_idle_s + IDLE_GRACE_S
@@ -105,6 +105,12 @@
             if not self._closed:
                 self.connection.resume_reading()
 
+    def finish_if_unused(self) -> None:
+        """Close an idle connection unless a request has arrived on it."""
+        self.connection.receive_arrived()
+        if self.is_idle:
+            self.finish_output()
+
     def finish_output(self) -> None:
         """Close the sending side and discard input until the linger timeout."""
         if self._closed or self._closing:
--- a/src/flamingobank/sidecar/http/http_server.py
+++ b/src/flamingobank/sidecar/http/http_server.py
@@ -58,7 +58,7 @@
     def _close_idle(self) -> None:
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.finish_output()
+                connection.finish_if_unused()
 
     def _accept(self, sock: socket.socket) -> None:
         self.connections.add(CallerConnection(self, sock))
