--- a/features/caller_http.feature
+++ b/features/caller_http.feature
@@ -123,3 +123,9 @@
       | unframed and closed  | 1.0     | whole  |
       | unframed and closed  | 1.1     | whole  |
       | whole                | 1.1     | whole  |
+
+  Scenario: A request that arrives as a draining node closes idle connections is answered
+    Given an entry with one server
+    And a caller whose connection is idle while the node drains
+    When its next request arrives as the node closes idle connections
+    Then the caller gets an answer to both requests
--- a/features/steps/caller_http_steps.py
+++ b/features/steps/caller_http_steps.py
@@ -418,3 +418,30 @@
     assert is_whole(caller) == (seen == "whole"), (caller.ended, caller.received)
     if seen == "broken":
         assert caller.ended or b"outcome: unknown" in caller.received, caller.received
+
+
+@given("a caller whose connection is idle while the node drains")
+def step_idle_caller(context):
+    harness = context.harness
+    context.caller = harness.call(get())
+    harness.run_until(
+        lambda: OK_ANSWER[-2:] in context.caller.poll().received, "answer"
+    )
+    harness.http_server.drain()
+
+
+@when("its next request arrives as the node closes idle connections")
+def step_request_at_close(context):
+    harness = context.harness
+    context.caller.send(get())
+    harness.loop.clock.advance_to(harness.loop.clock.now() + 2.5)
+    harness.http_server._check_deadlines()
+
+
+@then("the caller gets an answer to both requests")
+def step_both_answered(context):
+    harness = context.harness
+    harness.run_until(
+        lambda: context.caller.poll().received.count(b"HTTP/1.1 200") == 2,
+        "second answer",
+    )
--- a/src/flamingobank/node/http/caller_connection.py
+++ b/src/flamingobank/node/http/caller_connection.py
@@ -143,6 +143,12 @@
         """Close the connection once its output has been sent."""
         self.connection.close_after_output()
 
+    def close_if_unused(self) -> None:
+        """Close an idle connection unless a request has arrived on it."""
+        self.connection.receive_arrived()
+        if not self.busy and not self.reading_request and not self.closed:
+            self.close()
+
     def abort(self) -> None:
         """Reset the connection, so that a partial answer does not look complete."""
         # If the answer has no length and no chunks, a regular close would end it as a
--- a/src/flamingobank/node/http/http_server.py
+++ b/src/flamingobank/node/http/http_server.py
@@ -183,7 +183,7 @@
             if connection.closing:
                 continue
             if self.draining and now >= self._close_idle_at:
-                connection.close()
+                connection.close_if_unused()
                 continue
             age_ms = (now - connection.phase_started_at) * 1000
             if connection.reading_request:
