Answer a request without Host with 400

Change: the entry answers 400 and logs entry:refused with the cause no-host. Figures: the new scenario fails before (404) and passes after.

--- a/features/sidecar_exchange.feature
+++ b/features/sidecar_exchange.feature
@@ -102,3 +102,8 @@
     And all homes that the entry uses have lost their links
     When the request is served
     Then the caller gets 200 and 1 homes got the request
+
+  Scenario: A request without a host is malformed, not unknown
+    Given homes that react to safe requests with "grant 200" and "grant 200"
+    When the request is served without a host
+    Then the caller gets 400 and 0 homes got the request
--- a/features/steps/sidecar_exchange_steps.py
+++ b/features/steps/sidecar_exchange_steps.py
@@ -211,3 +211,10 @@
     ]
     assert 12 < len(used) <= limit, used
     assert len(local) <= len(used) / 2 + 1, (local, used)
+
+
+@when("the request is served without a host")
+def step_serve_without_host(context):
+    request = context.harness.request
+    request.headers = [item for item in request.headers if item[0] != b"host"]
+    context.harness.run()
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -72,6 +72,12 @@
             self._refuse_early(request, facts.request_id, RefusalCause.NO_CONFIGURATION)
             return
         host = request.get_header(b"host").partition(":")[0].lower()
+        if not host:
+            self.event_log.request(
+                "entry:refused", facts.request_id, cause="no-host", version=None
+            )
+            self.create_reply(request, facts.request_id).answer_malformed()
+            return
         path = request.target.decode("latin-1").partition("?")[0]
         route = self.table.find(host, path)
         if route is None:
--- a/src/flamingobank/sidecar/callers/reply.py
+++ b/src/flamingobank/sidecar/callers/reply.py
@@ -99,8 +99,15 @@
 
     def answer_not_found(self) -> None:
         """Tell the caller that no route matches its request."""
+        self._answer_denied(404)
+
+    def answer_malformed(self) -> None:
+        """Tell the caller that its request is not valid HTTP/1.1."""
+        self._answer_denied(400)
+
+    def _answer_denied(self, status: int) -> None:
         headers = self._dialect.list_refusal_headers(self._request_id, None)
-        self._request.answer(404, headers, b"")
+        self._request.answer(status, headers, b"")
 
 
 def _find_content_length(headers: Headers) -> int | None:
