Count suspended time towards deadlines

Cause: CLOCK_MONOTONIC stands still while a machine is suspended, so a process that woke acted on grants, leases and request deadlines that had run out for everyone else. Change: the process's clock is CLOCK_BOOTTIME.

--- a/features/core.feature
+++ b/features/core.feature
@@ -14,3 +14,8 @@
   Scenario: The error for a violated invariant shows its name and the state
     When the invariant "slots" is checked with 5 slots in use of 4
     Then the violation names "slots" and "in_use=5"
+
+  Scenario: Deadlines pass while the machine is suspended
+    Given a timer that is due in 2 seconds
+    When the machine is suspended for 5 seconds, which its steady clock does not count
+    Then the timer is due
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -1,10 +1,13 @@
 """Steps for clocks, rendezvous hashing and invariants."""
 
+import time
+
 from behave import given, then, when
 
 from flamingobank.core import (
     Invariant,
     InvariantError,
+    MonotonicClock,
     VirtualClock,
     check_invariant,
     rank_by_rendezvous,
@@ -63,3 +66,29 @@
 def step_violation(context, first, second):
     text = str(context.violation)
     assert first in text and second in text, text
+
+
+@given("a timer that is due in 2 seconds")
+def step_timer(context):
+    context.clock = MonotonicClock()
+    context.deadline = context.clock.now() + 2.0
+
+
+@when(
+    "the machine is suspended for {seconds:d} seconds, which its steady clock does not "
+    "count"
+)
+def step_suspend(context, seconds):
+    read_clock = time.clock_gettime
+
+    def read_after_suspension(clock_id):
+        suspended_s = seconds if clock_id == time.CLOCK_BOOTTIME else 0
+        return read_clock(clock_id) + suspended_s
+
+    time.clock_gettime = read_after_suspension
+    context.add_cleanup(setattr, time, "clock_gettime", read_clock)
+
+
+@then("the timer is due")
+def step_timer_due(context):
+    assert context.clock.now() > context.deadline
--- a/src/flamingobank/core/clock.py
+++ b/src/flamingobank/core/clock.py
@@ -13,11 +13,15 @@
 
 
 class MonotonicClock(Clock):
-    """Monotonic clock of the machine."""
+    """Monotonic clock of the machine, which also counts the time it is suspended.
+
+    Leases, grants and deadlines of others run on meanwhile, so a process that wakes
+    must find its own expired too. Linux leaves that time out of CLOCK_MONOTONIC.
+    """
 
     def now(self) -> float:
         """Return the current reading in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class VirtualClock(Clock):
