--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -63,3 +63,7 @@
     Given a link whose receiver fails on the first message
     When three messages arrive in one piece
     Then the other two are handled, and the error is counted and logged
+
+  Scenario: Whatever copies of answers a server sends, a request gets its own answer
+    When a server answers requests with copies of earlier answers, cut at random
+    Then each request got its own answer, or was told that its outcome is unknown
--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -136,3 +136,9 @@
     Given a home with a server that answers "ok"
     When the retry budget is used up for the calls of a repeated run
     Then a repeated request is refused and a first one is granted
+
+  Scenario: A grant that ran out while its home was paused is no longer used
+    Given a home with a server that answers "ok"
+    When the home is paused for 5 seconds between the grant and the request
+    Then the entry is told "not run"
+    And the server got nothing
--- a/features/steps/sidecar_hostile_peers_steps.py
+++ b/features/steps/sidecar_hostile_peers_steps.py
@@ -1,6 +1,7 @@
 """Check that broken servers and callers cannot make a sidecar hold much or lie."""
 
 from dataclasses import fields
+from itertools import pairwise
 
 import msgpack
 from behave import given, then, when
@@ -8,7 +9,7 @@
 
 from features.steps.sidecar_fleet_steps import GossipingNode
 from features.support.callers import RawPeer
-from features.support.home import SCRIPTS, HomeHarness, RecordingChannel
+from features.support.home import SCRIPTS, HomeHarness, RecordingChannel, answer
 from features.support.loop import TestLoop
 from flamingobank.core import VirtualClock
 from flamingobank.loop import HttpClientConnection
@@ -21,6 +22,7 @@
     MESSAGE_TYPES,
     Answer,
     AnswerPart,
+    Commit,
     Failed,
     Granted,
     HomeReport,
@@ -324,3 +326,67 @@
 def step_others_handled(context):
     assert context.observer.streams == [1, 2, 3], context.observer.streams
     assert context.event_log.exceptions == 1
+
+
+def _answer_request(number):
+    return answer(request_id=b"r%d" % number, body=b"body of r%d" % number)
+
+
+def _write_in_pieces(harness, connection, data, cuts):
+    for start, end in pairwise(
+        [0, *sorted(cut % len(data) for cut in cuts), len(data)]
+    ):
+        if start < end and not connection.closed:
+            connection.connection.write(data[start:end])
+            for _ in range(2):
+                harness.loop.turn(0)
+
+
+@when("a server answers requests with copies of earlier answers, cut at random")
+def step_copies(context):
+    context.outcomes = []
+    copies = st.lists(st.integers(1, 4), max_size=3)
+    plans = st.lists(
+        st.tuples(copies, copies, st.lists(st.integers(0, 999), max_size=4)),
+        min_size=2,
+        max_size=4,
+    )
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=100)
+    @for_all(plans)
+    def run(plan):
+        requests = []
+        SCRIPTS["test"] = lambda connection, head: requests.append(connection)
+        harness = HomeHarness("test")
+        del SCRIPTS["test"]
+        for number, (before, after, cuts) in enumerate(plan, start=1):
+            headers = [(b"host", b"x.example"), (b"request-id", b"r%d" % number)]
+            harness.channel.messages.clear()
+            harness.offer(number)
+            harness.home.receive(
+                harness.channel,
+                Commit(
+                    number, f"r{number}", "GET", b"/", headers, b"", 1.5, "patterns"
+                ),
+            )
+            harness.loop.run_until(lambda: len(requests) == number, "request")  # noqa: B023
+            earlier = [copy for copy in before if copy < number]
+            data = b"".join(map(_answer_request, [*earlier, number, *after]))
+            _write_in_pieces(harness, requests[-1], data, cuts)
+            harness.run_until_sent(Answer | Failed)
+            context.outcomes.append((number, harness.channel.messages[-1]))
+        harness.server.listener.close()
+
+    run()
+
+
+@then("each request got its own answer, or was told that its outcome is unknown")
+def step_own_answers(context):
+    answered = 0
+    for number, message in context.outcomes:
+        if isinstance(message, Failed):
+            assert not message.not_run, message
+            continue
+        assert message.body == b"body of r%d" % number, (number, message)
+        answered += 1
+    assert answered > len(context.outcomes) / 2, answered
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -418,3 +418,12 @@
 @then("the caller gets its answer")
 def step_gets_answer(context):
     context.http.read_until(b"body")
+
+
+@when("the home is paused for {seconds:d} seconds between the grant and the request")
+def step_pause_home(context, seconds):
+    harness = context.home
+    harness.offer(1)
+    assert harness.channel.list_kind(Granted)
+    harness.loop.advance(seconds, turns=1)
+    harness.commit(1)
