Keep the outcome unknown between the loss of a keeper and the next attempt

Cause: a deadline in that turn of the loop reported NOT_RUN although the keeper may have run the request (part of KNOWN-RED 10). Change: the disposition of a lost keeper is merged before the next attempt.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -42,3 +42,8 @@
     And a restarted successor and a repeated handover get no right to run
     And the successor replays the answer once the sealed keeper reports it
     And a lost sealed keeper makes the running keyed request unknown
+
+  Scenario: A deadline between the loss of a keeper and the next attempt leaves the outcome unknown
+    Given a keyed request whose keeper was lost after it was sent
+    When its deadline comes before the next attempt
+    Then it is not refused as not run
--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -4,6 +4,7 @@
 import random
 import tracemalloc
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 from behave import given, then, when
 from hypothesis import given as given_data, settings, strategies as st
@@ -14,7 +15,7 @@
     run_state_machine_as_test,
 )
 
-from flamingobank.core import Disposition, RefusalCause
+from flamingobank.core import Disposition, NodeId, Refusal, RefusalCause
 from flamingobank.idempotency import (
     CallerKeyRun,
     CallerKeys,
@@ -42,6 +43,7 @@
     rank_replicas,
 )
 from flamingobank.idempotency.table import KeyEntry, KeyState, KeyTable
+from flamingobank.node.callers.keyed_exchange import KeyedCallerExchange
 from flamingobank.store import CallFailed, GroupBudget, StoreAnswer
 from flamingobank.store.operations import Finished
 from flamingobank.store.writes import PutOperation
@@ -554,3 +556,34 @@
     assert isinstance(successor.accept(context.key, FIRST, 3.0), StillRunning)
     successor.on_keeper_lost(keeper.name)
     assert isinstance(successor.accept(context.key, FIRST, 3.0), OutcomeUnknown)
+
+
+@given("a keyed request whose keeper was lost after it was sent")
+def step_keeper_lost(context):
+    exchange = KeyedCallerExchange.__new__(KeyedCallerExchange)
+    exchange.entry = SimpleNamespace(
+        timers=SimpleNamespace(call_soon=lambda callback: None)
+    )
+    exchange.message = SimpleNamespace(keyed=None)
+    exchange._ended = exchange._head_written = False
+    exchange._running = object()
+    exchange._refusal_count = 0
+    exchange._replicas = [NodeId("replica")]
+    exchange._disposition = Disposition.NOT_RUN
+    context.refusals = []
+    exchange._refuse = context.refusals.append
+    lost = Refusal(Disposition.UNKNOWN, RefusalCause.UNREACHABLE, 1.0, "link lost")
+    exchange.on_refused(lost, None)
+    assert not context.refusals
+    context.exchange = exchange
+
+
+@when("its deadline comes before the next attempt")
+def step_deadline_between(context):
+    context.exchange._on_deadline()
+
+
+@then("it is not refused as not run")
+def step_not_refused(context):
+    (refusal,) = context.refusals
+    assert refusal.disposition is Disposition.UNKNOWN, refusal
--- a/src/flamingobank/node/callers/keyed_exchange.py
+++ b/src/flamingobank/node/callers/keyed_exchange.py
@@ -6,6 +6,7 @@
 from flamingobank.node.callers.keyed_requests import KeyedRequests
 from flamingobank.node.links.exchange import HomeReport
 from flamingobank.node.links.remote import RemoteRequest
+from flamingobank.retries import merge_dispositions
 from flamingobank.wire import KeyedMode
 
 # Counts the first attempt, redirects to a successor, resends with a new generation, and
@@ -40,6 +41,8 @@
             self._end("broken")
             self.connection.abort()
             return
+        # What is told if the deadline comes before the next attempt.
+        self._disposition = merge_dispositions(self._disposition, refusal.disposition)
         self._refusal_count += 1
         if self._refusal_count < MAX_KEEPER_ATTEMPTS and self._choose_next_target(
             refusal
