Cut off slow callers only while their answer is streamed

Cause: the limit on queued output was checked for whole answers too, so the answers to many pipelined requests, written in one turn, could reset a caller that reads (found while reading the diff). Change: the limit is checked after each part of a streamed answer.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -67,3 +67,8 @@
   Scenario: Whatever copies of answers a server sends, a request gets its own answer
     When a server answers requests with copies of earlier answers, cut at random
     Then each request got its own answer, or was told that its outcome is unknown
+
+  Scenario: A caller that does not read a streamed answer is cut off
+    Given an HTTP server that streams an answer without end
+    When a caller sends a request and does not read
+    Then its connection is reset after at most 32 MB, and the request's watcher is told
--- a/features/steps/sidecar_hostile_peers_steps.py
+++ b/features/steps/sidecar_hostile_peers_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import given as for_all, settings, strategies as st
 
 from features.steps.sidecar_fleet_steps import GossipingNode
+from features.steps.sidecar_network_steps import HttpHarness
 from features.support.callers import RawPeer
 from features.support.home import SCRIPTS, HomeHarness, RecordingChannel, answer
 from features.support.loop import TestLoop
@@ -390,3 +391,33 @@
         assert message.body == b"body of r%d" % number, (number, message)
         answered += 1
     assert answered > len(context.outcomes) / 2, answered
+
+
+@given("an HTTP server that streams an answer without end")
+def step_endless_stream(context):
+    context.streamed = 0
+
+    def stream(harness, request):
+        request.start(200, [], None)
+        while not harness.watcher.left and context.streamed < 2**26:
+            request.write_part(b"a" * CHUNK)
+            context.streamed += CHUNK
+
+    context.http = HttpHarness(stream)
+
+
+@when("a caller sends a request and does not read")
+def step_not_reading(context):
+    harness = context.http
+    harness.peer.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    harness.loop.run_until(lambda: context.streamed, "request")
+
+
+@then(
+    "its connection is reset after at most {limit:d} MB, and the request's watcher is "
+    "told"
+)
+def step_reset(context, limit):
+    assert context.streamed <= limit * 2**20, context.streamed
+    assert context.http.watcher.left
+    assert not context.http.server.connections
--- a/src/flamingobank/sidecar/callers/reply.py
+++ b/src/flamingobank/sidecar/callers/reply.py
@@ -55,9 +55,11 @@
 
     def pass_part(self, part: AnswerPart) -> None:
         """Send the caller the next part of an answer."""
+        if not part.complete:
+            self._request.write_part(part.body)
+            return
         self._request.write(part.body)
-        if part.complete:
-            self._request.finish()
+        self._request.finish()
 
     def abort(self) -> None:
         """Abort an answer that cannot be completed."""
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -14,7 +14,8 @@
 
 # Reading pauses at this many unanswered requests; further ones stay in the socket.
 MAX_PIPELINED = 32
-# A caller that reads its answers too slowly is cut off when more than this is queued.
+# A caller that reads a streamed answer too slowly is cut off when more than this is
+# queued.
 MAX_QUEUED_OUTPUT_BYTES = 16 * 1_048_576
 # An idle connection is kept a little longer than the advertised timeout, so that a
 # request that is in transit when the timeout ends is still read.
@@ -84,6 +85,8 @@
 
     def send(self, data: bytes) -> None:
         self.connection.write(data)
+
+    def limit_queued_output(self) -> None:
         if self.connection.output_bytes > MAX_QUEUED_OUTPUT_BYTES:
             self.connection.reset("caller does not read its answer")
 
--- a/src/flamingobank/sidecar/http/caller_request.py
+++ b/src/flamingobank/sidecar/http/caller_request.py
@@ -43,6 +43,10 @@
     def send(self, data: bytes) -> None:
         """Send a piece of the answer to the oldest pending request."""
 
+    @abc.abstractmethod
+    def limit_queued_output(self) -> None:
+        """Reset the connection if too much output waits for the caller to read it."""
+
     @abc.abstractmethod
     def on_answered(self) -> None:
         """Handle the end of an answer."""
@@ -131,6 +135,11 @@
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._send(data)
 
+    def write_part(self, data: bytes) -> None:
+        """Send a part of a streamed body, or cut off a caller that does not read."""
+        self.write(data)
+        self.connection.limit_queued_output()
+
     def finish(self) -> None:
         """Finish the answer, so that the next one may be sent."""
         if self._chunked:
