Drop links to peers that have left

Cause: a lost link was opened again every 3 s for the life of the process, also when its peer had left, so attempts grew with every sidecar that was ever replaced. Change: a link without connection and requests is dropped when its peer is no member any more; the unused LinkPool.remove is gone.

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -142,3 +142,8 @@
     When the home is paused for 5 seconds between the grant and the request
     Then the entry is told "not run"
     And the server got nothing
+
+  Scenario: A link to a peer that has left is not opened again
+    Given links to a peer that left and to one that is only unreachable
+    When the sidecar runs for 10 seconds
+    Then only the unreachable peer is tried again
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -1,5 +1,8 @@
 """Test the connections of a sidecar on loopback sockets."""
 
+import random
+import socket
+
 from behave import given, then, when
 
 from features.support.home import HomeHarness, RecordingChannel
@@ -11,11 +14,14 @@
 from flamingobank.sidecar.fleet.server_state import Lifecycle
 from flamingobank.sidecar.http.caller_request import CallerWatcher
 from flamingobank.sidecar.http.http_server import HttpServer
+from flamingobank.sidecar.links.links import LinkPool
 from flamingobank.sidecar.links.messages import (
+    PROTOCOL_VERSION,
     Answer,
     Cancel,
     Failed,
     Granted,
+    Hello,
     Queued,
     Refused,
     Resume,
@@ -427,3 +433,39 @@
     assert harness.channel.list_kind(Granted)
     harness.loop.advance(seconds, turns=1)
     harness.commit(1)
+
+
+def _find_closed_address():
+    with socket.socket() as unused:
+        unused.bind(LOCAL)
+        return unused.getsockname()
+
+
+@given("links to a peer that left and to one that is only unreachable")
+def step_links(context):
+    loop = context.loop = TestLoop(VirtualClock(100.0))
+    context.left, context.unreachable = _find_closed_address(), _find_closed_address()
+    context.connects = []
+    context.pool = LinkPool(
+        loop.poller,
+        loop.timers,
+        loop.clock,
+        random.Random(1),
+        EventLog("own"),
+        Hello(PROTOCOL_VERSION, "own", "b"),
+    )
+    context.pool.is_member = lambda address: address == context.unreachable
+    for address in (context.left, context.unreachable):
+        context.pool.get(address).connect()
+
+
+@when("the sidecar runs for {seconds:d} seconds")
+def step_seconds_pass(context, seconds):
+    for _ in range(seconds * 10):
+        context.loop.advance(0.1)
+
+
+@then("only the unreachable peer is tried again")
+def step_tried(context):
+    assert list(context.pool.list_links()) == [context.unreachable]
+    assert context.pool.get(context.unreachable).retry_at > 105.0
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -94,6 +94,7 @@
             event_log,
             Hello(PROTOCOL_VERSION, settings.node_id, self.boot),
         )
+        self.links.is_member = self._is_member
         self.crashes = CrashReports(self.clock, event_log)
         retries = RetryBudget(
             settings.bounds.retry_ratio,
@@ -292,6 +293,10 @@
         record = self.peers.find_address(link.address)
         return record.node if record is not None else None
 
+    def _is_member(self, address: Address) -> bool:
+        record = self.peers.find_address(address)
+        return record is not None and not record.left
+
     def _list_channels(self) -> list:
         return [*self.links.accepted, self.local_link.channel]
 
--- a/src/flamingobank/sidecar/links/links.py
+++ b/src/flamingobank/sidecar/links/links.py
@@ -4,6 +4,7 @@
 import enum
 import random
 import socket
+from collections.abc import Callable, Iterator
 
 from flamingobank.core import Clock
 from flamingobank.loop import (
@@ -164,6 +165,11 @@
         """Return whether check() may have something to do."""
         return bool(self.handlers or self.failed or self.state is LinkState.CONNECTING)
 
+    @property
+    def is_unused(self) -> bool:
+        """Return whether there is neither a connection nor an open request."""
+        return self.state is LinkState.IDLE and not self.handlers
+
     def check(self, now: float) -> None:
         """Apply the timeouts, and reconnect if requests wait or the link failed."""
         if self.state is LinkState.CONNECTING and now > self._connect_deadline:
@@ -304,6 +310,8 @@
         self.hello = hello
         # Receives the messages of peers that belong to no request.
         self.observer: LinkObserver | None = None
+        # Returns whether an address is that of a peer that has not left.
+        self.is_member: Callable[[Address], bool] = lambda address: True
         self._links: dict[Address, Link] = {}
         self.accepted: set[AcceptedChannel] = set()
         self._accept_observer: PeerObserver | None = None
@@ -334,12 +342,9 @@
             self._check_scheduled = True
             self._timers.call_at(self.clock.now() + CHECK_INTERVAL_S, self._check)
 
-    def remove(self, address: Address) -> None:
-        """Close and remove the link to a peer that has left."""
-        link = self._links.pop(address, None)
-        if link is not None:
-            link.close("peer left")
-            self._watched.discard(link)
+    def list_links(self) -> Iterator[Address]:
+        """Return the addresses of the peers that have a link."""
+        return iter(self._links)
 
     def remove_accepted(self, channel: AcceptedChannel) -> None:
         """Remove an accepted channel that was closed."""
@@ -355,7 +360,10 @@
         now = self.clock.now()
         for link in list(self._watched):
             link.check(now)
-            if not link.needs_checks:
+            if link.is_unused and not self.is_member(link.address):
+                self._links.pop(link.address, None)
+                self._watched.discard(link)
+            elif not link.needs_checks:
                 self._watched.discard(link)
         if self._watched and not self._check_scheduled:
             self._check_scheduled = True
