End every call to the store, whatever it answers

Cause: an answer that is JSON of an unexpected structure raised in the decoder, so the call never gave a result; the sidecar kept it pending and did not read the store or list its peers again until its restart. Change: such an answer is a malformed one, which is logged, and the next call follows.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -72,3 +72,7 @@
     Given an HTTP server that streams an answer without end
     When a caller sends a request and does not read
     Then its connection is reset after at most 32 MB, and the request's watcher is told
+
+  Scenario: Every call to the store ends, whatever the store answers
+    When the store answers calls with random documents
+    Then each call gave its result once
--- a/features/steps/sidecar_hostile_peers_steps.py
+++ b/features/steps/sidecar_hostile_peers_steps.py
@@ -1,11 +1,12 @@
 """Check that broken servers and callers cannot make a sidecar hold much or lie."""
 
+import json
 from dataclasses import fields
 from itertools import pairwise
 
 import msgpack
 from behave import given, then, when
-from hypothesis import given as for_all, settings, strategies as st
+from hypothesis import example, given as for_all, settings, strategies as st
 
 from features.steps.sidecar_fleet_steps import GossipingNode
 from features.steps.sidecar_network_steps import HttpHarness
@@ -14,6 +15,7 @@
 from features.support.loop import TestLoop
 from flamingobank.core import VirtualClock
 from flamingobank.loop import HttpClientConnection
+from flamingobank.platform.store import ObjectStore
 from flamingobank.sidecar.decisions.failure_estimate import LONG_RUN_PROBABILITY
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.gossip import MAX_READING_AGE_S
@@ -30,8 +32,10 @@
     MessageReader,
     pack_message,
 )
+from flamingobank.store import CallFailed, StoreAnswer
 
 CHUNK = 65_536
+MAX_PAGES = 5
 OWN_HEAD = b"HTTP/1.1 200 X\r\nServer-Seal: s\r\nRequest-Id: r1\r\n"
 # For each kind of flood: what is sent once, and what is repeated without end.
 FLOODS = {
@@ -421,3 +425,66 @@
     assert context.streamed <= limit * 2**20, context.streamed
     assert context.http.watcher.left
     assert not context.http.server.connections
+
+
+class AnsweringTransport:
+    """Transport whose store answers each call with the same bytes."""
+
+    def __init__(self, body):
+        self.body = body
+        self.calls = 0
+
+    def send(self, call, callback):
+        """Answer a call at once; a listing that never ends is cut off."""
+        self.calls += 1
+        if self.calls > MAX_PAGES:
+            callback(CallFailed("test ends", sent=False))
+            return
+        callback(StoreAnswer(200, {}, self.body))
+
+
+@when("the store answers calls with random documents")
+def step_random_store(context):
+    context.results = []
+    names = ("items", "events", "current-rev", "has-more", "object", "metadata")
+    documents = st.recursive(
+        SCALARS.filter(lambda value: not isinstance(value, bytes)),
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=3),
+            st.dictionaries(
+                st.sampled_from([*names, "name", "specification", "record", "deleted"]),
+                inner,
+                max_size=4,
+            ),
+        ),
+        max_leaves=12,
+    )
+    listings = st.fixed_dictionaries(
+        {"current-rev": st.one_of(st.integers(0, 9), documents)},
+        optional=dict.fromkeys(("items", "events", "has-more"), documents),
+    )
+    deep = b"[" * 100_000
+
+    @RANDOMISED
+    @for_all(st.one_of(listings, documents).map(json.dumps).map(str.encode))
+    @example(deep)
+    @example(b'{"items": [1], "has-more": true, "current-rev": 1}')
+    @example(b'{"events": [1], "current-rev": 1}')
+    def run(body):
+        store = ObjectStore(AnsweringTransport(body), EventLog("own"))
+        for call in (
+            store.read_table,
+            lambda callback: store.await_table(3, 1.0, callback),
+            store.list_peers,
+        ):
+            results = []
+            call(results.append)
+            context.results.append((body, results))
+
+    run()
+
+
+@then("each call gave its result once")
+def step_results(context):
+    for body, results in context.results:
+        assert len(results) == 1, (body[:200], results)
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -30,6 +30,15 @@
 # milliseconds later.
 WATCH_ANSWER_MARGIN_S = 0.5
 JSON_HEADERS = (("Content-Type", "application/json"),)
+# What decoding a document of unexpected structure can raise.
+MALFORMED_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 
@@ -47,7 +56,11 @@
             StoreCall(
                 "GET", f"{OBJECTS_PATH}/{CONFIGURATION_KIND}", timeout_s=READ_TIMEOUT_S
             ),
-            lambda result: callback(result.bind(self._decode_listing)),
+            lambda result: callback(
+                result.bind(
+                    lambda document: self._decode_reading(document, _list_items)
+                )
+            ),
         )
 
     def await_table(
@@ -60,7 +73,11 @@
         )
         self._call(
             StoreCall("GET", target, timeout_s=wait_s + WATCH_ANSWER_MARGIN_S),
-            lambda result: callback(result.bind(self._decode_events)),
+            lambda result: callback(
+                result.bind(
+                    lambda document: self._decode_reading(document, _list_changed)
+                )
+            ),
         )
 
     def list_peers(self, callback: PeersCallback) -> None:
@@ -108,14 +125,19 @@
             if result.is_error():
                 callback(Error(result.error))
                 return
-            items = result.ok.get("items") or []
+            try:
+                items = _list_items(result.ok)
+                last = items[-1]["metadata"]["name"] if items else ""
+            except MALFORMED_ERRORS as error:
+                self._event_log.warn("store:malformed", error=repr(error))
+                callback(Error(FleetStoreError.MALFORMED))
+                return
             for item in items:
                 record = self._decode_peer(item)
                 if record is not None:
                     records.append(record)
             if result.ok.get("has-more") and items:
-                last = str(items[-1]["metadata"]["name"])
-                self._list_page(last, records, callback)
+                self._list_page(str(last), records, callback)
                 return
             callback(Ok(records))
 
@@ -145,7 +167,7 @@
             return Error(FleetStoreError.UNAVAILABLE)
         try:
             document = json.loads(answer.body) if answer.body else {}
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             self._log_failure(call, f"body is not JSON: {error}")
             return Error(FleetStoreError.MALFORMED)
         if not isinstance(document, dict):
@@ -153,24 +175,18 @@
             return Error(FleetStoreError.MALFORMED)
         return Ok(document)
 
-    def _decode_listing(self, document: dict) -> Result[TableReading, FleetStoreError]:
-        return self._decode_objects(document, document.get("items") or [])
-
-    def _decode_events(self, document: dict) -> Result[TableReading, FleetStoreError]:
-        objects = [
-            event.get("object")
-            for event in document.get("events") or []
-            if not event.get("deleted")
-        ]
-        return self._decode_objects(document, objects)
-
-    def _decode_objects(
-        self, document: dict, objects: list
+    def _decode_reading(
+        self, document: dict, list_objects: Callable[[dict], list]
     ) -> Result[TableReading, FleetStoreError]:
         revision = document.get("current-rev")
         if not isinstance(revision, int):
             self._event_log.warn("store:malformed", field="current-rev")
             return Error(FleetStoreError.MALFORMED)
+        try:
+            objects = list_objects(document)
+        except MALFORMED_ERRORS as error:
+            self._event_log.warn("store:malformed", error=repr(error))
+            return Error(FleetStoreError.MALFORMED)
         newest = None
         for item in objects:
             decoded = _decode_item(item)
@@ -186,7 +202,7 @@
     def _decode_peer(self, item: dict) -> PeerRecord | None:
         try:
             return unpack_record(item["specification"]["record"])
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED_ERRORS as error:
             self._event_log.warn("store:malformed", error=repr(error))
             return None
 
@@ -196,6 +212,21 @@
         )
 
 
+def _list_items(document: dict) -> list:
+    items = document.get("items") or []
+    if not isinstance(items, list):
+        raise ValueError(f"items is {type(items).__name__}, expected a list")
+    return items
+
+
+def _list_changed(document: dict) -> list:
+    return [
+        event["object"]
+        for event in document.get("events") or []
+        if not event.get("deleted")
+    ]
+
+
 def _decode_item(item: object) -> Result[RoutingTable, str] | None:
     """Return the table of a configuration object, None for any other object."""
     try:
