Log where a configuration came from and who reads the store

The hypotheses on the late configuration differ in when the first of the surviving sidecars read the new version, from where, and how long the others took after it. configuration:applied now names its source, configuration:requested the peer that was asked, store:watcher a change of the sidecars that watch the store, and store:takeover the age of the newest reading when another one reads in their place. Version and reading age are gauges on the metrics address too.

--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -174,7 +174,7 @@
             make_store(self),
             self.peers,
         )
-        self.store_sync.on_table = self.table_sync.apply
+        self.store_sync.on_table = lambda table: self.table_sync.apply(table, "store")
         self.store_sync.on_peers = self._on_peers
         self.gossip.get_reading_age_s = lambda: self.store_sync.reading_age_s
         self.control = AnnouncementHandler(
@@ -306,12 +306,15 @@
     def _answer_metrics(self, request: CallerRequest) -> None:
         self.metrics.count_dropped_lines(self.event_log.dropped + self.output.dropped)
         self.metrics.count_exceptions(self.event_log.exceptions)
+        self.metrics.set_configuration(
+            self.table_sync.version, self.store_sync.reading_age_s
+        )
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         request.answer(200, headers, self.metrics.render())
 
     def _on_digest(self, peer: PeerRecord, version: int, age_s: float) -> None:
         self.store_sync.note_reading_age(age_s)
-        self.table_sync.note_version(peer.address, version)
+        self.table_sync.note_version(peer, version)
 
     def _on_peers(self, records: list[PeerRecord]) -> None:
         self.gossip.add_records(records)
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -128,7 +128,10 @@
                 for peer in self._peers.list_peers()
                 if hash_text(peer.node) < local_hash
             ]
-            self._is_watcher = len(lower) < WATCHER_COUNT
+            is_watcher = len(lower) < WATCHER_COUNT
+            if is_watcher != self._is_watcher:
+                self._is_watcher = is_watcher
+                self._event_log.event("store:watcher", watching=is_watcher)
         return self._is_watcher
 
     def _check(self) -> None:
@@ -159,7 +162,12 @@
         if self.reading_age_s <= TAKEOVER_AGE_S:
             return False
         probability = 2 * WATCHER_COUNT / (len(self._peers) + 1)
-        return self._rng.random() < probability
+        if self._rng.random() >= probability:
+            return False
+        self._event_log.event(
+            "store:takeover", reading_age_s=round(self.reading_age_s, 2)
+        )
+        return True
 
     def _on_reading(self, result: Result[TableReading, FleetStoreError]) -> None:
         self._call_pending = False
--- a/src/flamingobank/sidecar/metrics.py
+++ b/src/flamingobank/sidecar/metrics.py
@@ -1,6 +1,6 @@
 """Count events and measure latencies; the number of label sets is bounded."""
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 PREFIX = "flamingobank_"
@@ -19,10 +19,14 @@
     "log_lines_dropped_total": "Log lines that were not written.",
     "exceptions_total": "Unexpected exceptions, each of which is logged.",
 }
+GAUGES = {
+    "configuration_version": "Version of the configuration in force, 0 before any.",
+    "store_reading_age_seconds": "Age of the newest reading of the store in the fleet.",
+}
 
 
 class SidecarMetrics:
-    """Hold the counters and histograms of one process."""
+    """Hold the counters, gauges and histograms of one process."""
 
     def __init__(self, labels: dict[str, str]) -> None:
         self._registry = Registry()
@@ -32,6 +36,12 @@
             )
             for name, help_text in COUNTERS.items()
         }
+        self._gauges = {
+            name: Gauge(
+                PREFIX + name, help_text, const_labels=labels, registry=self._registry
+            )
+            for name, help_text in GAUGES.items()
+        }
         self._latency = Histogram(
             PREFIX + "request_duration_seconds",
             "Time from the last byte of a request to its answer.",
@@ -52,6 +62,11 @@
         """Set how many unexpected exceptions have occurred so far."""
         self._counters["exceptions_total"].set({}, total)
 
+    def set_configuration(self, version: int, reading_age_s: float) -> None:
+        """Set the version in force and the age of the newest reading of the store."""
+        self._gauges["configuration_version"].set({}, version)
+        self._gauges["store_reading_age_seconds"].set({}, round(reading_age_s, 3))
+
     def observe_latency(self, seconds: float, kind: str) -> None:
         """Add one request's duration to the histogram."""
         self._latency.observe({"kind": kind}, seconds)
--- a/src/flamingobank/sidecar/peer_messages.py
+++ b/src/flamingobank/sidecar/peer_messages.py
@@ -40,7 +40,7 @@
             if node is not None:
                 self._entry.note_report(node, message.report)
         elif isinstance(message, TableUpdate):
-            self._table_sync.take(message)
+            self._table_sync.take(message, self._find_node(link) or "unknown peer")
 
     def on_peer_message(self, channel: MessageChannel, message: Message) -> None:
         if self._home.receive(channel, message):
--- a/src/flamingobank/sidecar/routing_table_sync.py
+++ b/src/flamingobank/sidecar/routing_table_sync.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from flamingobank.core import Clock
-from flamingobank.loop import Address
 from flamingobank.sidecar.callers.entry import Entry
 from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.peers import PeerRecord
 from flamingobank.sidecar.fleet.routes import RoutingTable, pack_table, unpack_table
 from flamingobank.sidecar.links.channels import MessageChannel
 from flamingobank.sidecar.links.links import LinkPool
@@ -40,34 +40,43 @@
         table = self._entry.table
         return table.version if table is not None else 0
 
-    def apply(self, table: RoutingTable) -> None:
-        """Apply a table if it is newer than the current one."""
+    def apply(self, table: RoutingTable, source: str) -> None:
+        """Apply a table if it is newer than the current one.
+
+        `source` is "store" or the peer that sent the table, for the log.
+        """
         if self._entry.table is not None and table.version <= self.version:
             return
         self._entry.table = table
         self._event_log.event(
-            "configuration:applied", version=table.version, routes=len(table.routes)
+            "configuration:applied",
+            version=table.version,
+            routes=len(table.routes),
+            source=source,
         )
         self._on_applied(table.version)
 
-    def note_version(self, address: Address, version: int) -> None:
+    def note_version(self, peer: PeerRecord, version: int) -> None:
         """Request a peer's table if its version is newer."""
         now = self._clock.now()
         if version <= self.version or now < self._pulled_at + MIN_PULL_INTERVAL_S:
             return
         self._pulled_at = now
-        self._links.get(address).send(TablePull())
+        self._event_log.event(
+            "configuration:requested", version=version, peer=peer.node
+        )
+        self._links.get(peer.address).send(TablePull())
 
     def answer_pull(self, channel: MessageChannel) -> None:
         """Send the current table to a peer, if there is one."""
         if self._entry.table is not None:
             channel.send(TableUpdate(pack_table(self._entry.table)))
 
-    def take(self, message: TableUpdate) -> None:
+    def take(self, message: TableUpdate, source: str) -> None:
         """Decode and apply a table that a peer sent."""
         try:
             table = unpack_table(message.table)
         except (ValueError, TypeError) as error:
             self._event_log.warn("configuration:malformed", error=str(error))
             return
-        self.apply(table)
+        self.apply(table, source)
