Send gossip to peers that were heard from lately

What callers saw: with most of the fleet gone, a new configuration that one sidecar had was in force on the last one 1.6 s later.

Cause: datagrams went to peers chosen from all records, and records do not tell who still runs. With 67 of 95 machines without power, the three datagrams that announce a version reach 0.9 running peers on average, so the announcement dies out and the periodic rounds carry on with 0.6 each 0.4 s.

Change: all but one of the chosen peers are such that sent a digest in the last 1.2 s; a version is announced again after 0.2, 0.4 and 0.7 s; and a digest with an older version is answered, as its sender runs.

The time until the first sidecar reads the new version is another fault and is not changed here.

--- /dev/null
+++ b/features/steps/configuration_spread_steps.py
@@ -0,0 +1,201 @@
+"""Test how soon a change of the configuration reaches the processes that run on."""
+
+import random
+
+from behave import given, then, when
+from expression import Ok
+
+from features.steps.sidecar_decisions_steps import make_route
+from features.steps.sidecar_fleet_steps import GossipingNode
+from features.support.loop import TestLoop
+from flamingobank.core import ServiceName, VirtualClock
+from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.fleet_store import FleetStore, TableReading
+from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
+from flamingobank.sidecar.fleet.store_sync import StoreSync
+from flamingobank.sidecar.metrics import SidecarMetrics
+
+ANSWER_S = 0.004
+# Time to fetch the table from a peer that announced it.
+FETCH_S = 0.005
+STEP_S = 0.02
+
+
+class OperatedStore:
+    """A store whose configuration the operator changes; the version is its revision."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.version = 1
+        self._waiting = []
+
+    def change(self):
+        """Confirm a new version, and answer the watches that wait for it."""
+        self.version += 1
+        waiting, self._waiting = self._waiting, []
+        for answer in waiting:
+            answer()
+
+    def wait_for_change(self, answer):
+        """Call back on the next change."""
+        self._waiting.append(answer)
+
+    def read(self):
+        """Return the table of the current version."""
+        services = frozenset([ServiceName("orders")])
+        table = RoutingTable(self.version, (make_route(),), services, RequestLimits())
+        return Ok(TableReading(table, self.version))
+
+
+class StoreConnection(FleetStore):
+    """One process's calls to the store, which end when the process vanishes."""
+
+    def __init__(self, store):
+        self.store = store
+        self.cut = False
+        self.calls = 0
+
+    def read_table(self, callback):
+        """Return the current table."""
+        self._answer_later(ANSWER_S, lambda: callback(self.store.read()))
+
+    def await_table(self, revision, wait_s, callback):
+        """Return the table as soon as it is newer, or nothing after the wait."""
+        if self.store.version > revision:
+            self.read_table(callback)
+            return
+        answered = []
+
+        def answer():
+            if not answered:
+                answered.append(True)
+                self._end_call(lambda: callback(self._read_since(revision)))
+
+        self.calls += 1
+        self.store.wait_for_change(lambda: self._call_after(ANSWER_S, answer))
+        self._call_after(wait_s, answer)
+
+    def list_peers(self, callback):
+        """Return no records: the processes know one another."""
+        self._answer_later(ANSWER_S, lambda: callback(Ok([])))
+
+    def save_peer(self, record, timeout_s, callback):
+        """Confirm the write."""
+        self._answer_later(ANSWER_S, lambda: callback(Ok(None)))
+
+    def remove_peer(self, record, callback):
+        """Confirm the removal."""
+        self._answer_later(ANSWER_S, lambda: callback(Ok(None)))
+
+    def _read_since(self, revision):
+        if self.store.version > revision:
+            return self.store.read()
+        return Ok(TableReading(None, revision))
+
+    def _answer_later(self, seconds, answer):
+        self.calls += 1
+        self._call_after(seconds, lambda: self._end_call(answer))
+
+    def _call_after(self, seconds, callback):
+        timers = self.store.loop.timers
+        timers.call_at(self.store.loop.clock.now() + seconds, callback)
+
+    def _end_call(self, answer):
+        if not self.cut:
+            answer()
+
+
+class FollowingProcess(GossipingNode):
+    """A process that follows the store's configuration and its peers' versions."""
+
+    def __init__(self, loop, store, name, seed):
+        super().__init__(loop, name, seed=seed)
+        self.loop = loop
+        self.version = 0
+        self.running = True
+        self.store = StoreConnection(store)
+        self.sync = StoreSync(
+            loop.clock,
+            loop.timers,
+            self.rng,
+            EventLog(name),
+            SidecarMetrics({"node": name}),
+            self.store,
+            self.table,
+        )
+        self.sync.on_table = lambda table: self.apply(table.version)
+        self.gossip.get_reading_age_s = lambda: self.sync.reading_age_s
+        self.gossip.on_digest = self.receive_digest
+
+    def apply(self, version):
+        """Put a newer version in force."""
+        if version > self.version and self.running:
+            self.version = version
+            self.gossip.set_version(version)
+
+    def receive_digest(self, peer, version, age_s):
+        """Take over what a peer knows, fetching a newer version from it."""
+        self.sync.note_reading_age(age_s)
+        if version > self.version:
+            self.loop.timers.call_at(
+                self.loop.clock.now() + FETCH_S, lambda: self.apply(version)
+            )
+
+    def vanish(self):
+        """Lose power: nothing is sent, received or answered any more."""
+        self.running = False
+        self.sync.stopping = True
+        self.store.cut = True
+        self.loss_rate = 1.0
+        self.gossip._endpoint.close()
+
+
+def _advance(context, seconds):
+    for _ in range(round(seconds / STEP_S)):
+        context.loop.advance(STEP_S, turns=2)
+
+
+@given("{count:d} processes that follow the store, with the random seed {seed:d}")
+def step_follow(context, count, seed):
+    loop = context.loop = TestLoop(VirtualClock(100.0))
+    context.rng = random.Random(seed)
+    context.store = OperatedStore(loop)
+    context.processes = [
+        FollowingProcess(loop, context.store, f"n{i}", seed) for i in range(count)
+    ]
+    for process in context.processes:
+        for other in context.processes:
+            process.table.merge(other.table.local_record, 100.0)
+    for process in context.processes:
+        loop.timers.call_at(100.0 + context.rng.uniform(0, 0.3), process.sync.start)
+    _advance(context, 4 + context.rng.uniform(0, 1.2))
+    assert all(process.version == 1 for process in context.processes)
+
+
+@when(
+    "{count:d} of them vanish, but no watcher, and the configuration changes "
+    "{delay_ms:d} ms later"
+)
+def step_most_vanish(context, count, delay_ms):
+    others = [p for p in context.processes if not p.sync.is_watcher()]
+    _vanish_then_change(context, context.rng.sample(others, count), delay_ms / 1000)
+
+
+def _vanish_then_change(context, vanishing, delay_s):
+    for process in vanishing:
+        process.vanish()
+    _advance(context, delay_s)
+    context.store.change()
+    context.changed_at = context.loop.clock.now()
+
+
+@then("every other process has the change within {seconds:d} second")
+@then("every other process has the change within {seconds:d} seconds")
+def step_in_force(context, seconds):
+    _advance(context, seconds)
+    late = [p.table.local_record.node for p in _list_running(context) if p.version < 2]
+    assert not late, f"{len(late)} of {len(_list_running(context))} are late: {late}"
+
+
+def _list_running(context):
+    return [process for process in context.processes if process.running]
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -26,6 +26,11 @@
 UPDATE_DELAY_S = 0.08
 UPDATE_FANOUT = 3
 UPDATE_ROUNDS = 4
+# Peers that sent a digest within this time are taken to be running.
+HEARD_WINDOW_S = 1.2
+# A new version is sent again after these times, each time to other peers, since the
+# peers chosen at first may have vanished.
+VERSION_PUSH_DELAYS_S = (0.0, 0.2, 0.4, 0.7)
 # A process that starts compares its table of peers with this many of them. The periodic
 # rounds find the differences that remain.
 INITIAL_COMPARE_FANOUT = 3
@@ -81,9 +86,10 @@
         self._updates: deque[list] = deque()
         self._updates_scheduled = False
         self._compared_at = -1.0
+        self._heard_at: dict[NodeId, float] = {}
         self._endpoint = DatagramEndpoint(poller, address, self._receive)
         timers.call_every(ROUND_INTERVAL_S, self._run_round)
-        timers.call_every(EXPIRE_INTERVAL_S, lambda: table.expire(clock.now()))
+        timers.call_every(EXPIRE_INTERVAL_S, self._expire)
 
     def publish(self, **changes: object) -> None:
         """Change the local record and send it to peers."""
@@ -93,6 +99,13 @@
     def set_version(self, version: int) -> None:
         """Set the version of the configuration and send it to some peers."""
         self.version = version
+        now = self._clock.now()
+        for delay_s in VERSION_PUSH_DELAYS_S:
+            self._timers.call_at(now + delay_s, lambda: self._push_version(version))
+
+    def _push_version(self, version: int) -> None:
+        if version != self.version:
+            return
         for peer in self._choose_peers(UPDATE_FANOUT):
             self._send_digest(peer)
 
@@ -133,8 +146,41 @@
                 self._updates.remove(entry)
 
     def _choose_peers(self, count: int) -> list[PeerRecord]:
+        """Choose random peers, all but one of them among those heard from lately.
+
+        Records do not tell which peers still run, and when many have vanished, most
+        datagrams to peers chosen from all records would be lost.
+        """
         peers = self.table.list_peers()
-        return self._rng.sample(peers, min(count, len(peers)))
+        if len(peers) <= count:
+            return peers
+        heard = self._list_heard()
+        chosen = self._rng.sample(heard, min(count - 1, len(heard)))
+        while len(chosen) < count:
+            peer = self._rng.choice(peers)
+            if peer not in chosen:
+                chosen.append(peer)
+        return chosen
+
+    def _list_heard(self) -> list[PeerRecord]:
+        """Return the peers that sent a digest lately and have not left."""
+        heard_after = self._clock.now() - HEARD_WINDOW_S
+        heard = []
+        for node, heard_at in self._heard_at.items():
+            record = self.table.find(node)
+            if heard_at < heard_after or record is None or record.left:
+                continue
+            heard.append(record)
+        return heard
+
+    def _expire(self) -> None:
+        now = self._clock.now()
+        self.table.expire(now)
+        self._heard_at = {
+            node: heard_at
+            for node, heard_at in self._heard_at.items()
+            if heard_at >= now - HEARD_WINDOW_S
+        }
 
     def _queue_update(self, record: PeerRecord) -> None:
         self._updates = deque(
@@ -184,7 +230,11 @@
                 self._merge_records(records)
                 sender = self.table.find(NodeId(node))
                 if sender is not None:
+                    self._heard_at[sender.node] = self._clock.now()
                     self.on_digest(sender, version, age_ms / 1000)
+                    if version < self.version:
+                        # The sender is known to run, unlike peers chosen at random.
+                        self._send_digest(sender)
                 self._compare_digest(digest, address)
             elif kind is DatagramKind.COMPARE:
                 self._answer_compare(fields[0], address)
