Read the store without the watchers in time for the configuration's bound

Cause: four sidecars watch the store for all. When they vanish together, nobody tells, and the others began to read only when the newest reading they knew of was 2.2 s old, at checks 0.5 s apart and with a probability that counted the vanished ones too. The constant was above the bound of the small deployments (2 s) and left 0.3 s of the bound of the grown ones. It could not be lower, because the age of a reading spread in the periodic rounds of gossip and was over a second old on arrival.

Change: each reading of the store is announced to peers at once, who announce it on. Others read after 0.35 of the time in which a change must be in force (config-propagation-s), at random times in intervals of 0.2 s and with a probability that grows until each of them reads. Watches last 0.84 to 1.56 s instead of 1.2 s, so that readings do not bunch.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -4,6 +4,30 @@
   store, and half for spreading the change. Any process may vanish without notice.
   Gossip runs on loopback sockets in virtual time, and the store is scripted.
 
+  # Guards against a reading of the store that is taken over too late for the bound.
+  Scenario Outline: All watchers vanish just before the configuration changes
+    Given 40 processes that follow the store, with the random seed <seed>
+    When all watchers vanish just after a reading, and the configuration changes at once
+    Then another process has the change within 1 second, and all within 2 seconds
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against a process without peers that waits for their reading of the store.
+  Scenario Outline: A process that reaches the store is cut off from its peers
+    Given 40 processes that follow the store, with the random seed <seed>
+    When one that is no watcher loses its peers and the configuration changes 3 s later
+    Then that process has the change within 2 seconds
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   # Guards against gossip that is sent to processes that no longer exist.
   Scenario Outline: Most processes vanish before the configuration changes
     Given 90 processes that follow the store, with the random seed <seed>
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -15,6 +15,7 @@
 from flamingobank.sidecar.fleet.store_sync import StoreSync
 from flamingobank.sidecar.metrics import SidecarMetrics
 
+PROPAGATION_S = 2.0
 ANSWER_S = 0.004
 # Time to fetch the table from a peer that announced it.
 FETCH_S = 0.005
@@ -54,6 +55,12 @@
         self.store = store
         self.cut = False
         self.calls = 0
+        self._open_calls = 0
+
+    @property
+    def is_called(self):
+        """Return whether a call is open."""
+        return self._open_calls > 0
 
     def read_table(self, callback):
         """Return the current table."""
@@ -71,7 +78,7 @@
                 answered.append(True)
                 self._end_call(lambda: callback(self._read_since(revision)))
 
-        self.calls += 1
+        self._begin_call()
         self.store.wait_for_change(lambda: self._call_after(ANSWER_S, answer))
         self._call_after(wait_s, answer)
 
@@ -93,14 +100,19 @@
         return Ok(TableReading(None, revision))
 
     def _answer_later(self, seconds, answer):
-        self.calls += 1
+        self._begin_call()
         self._call_after(seconds, lambda: self._end_call(answer))
 
     def _call_after(self, seconds, callback):
         timers = self.store.loop.timers
         timers.call_at(self.store.loop.clock.now() + seconds, callback)
 
+    def _begin_call(self):
+        self.calls += 1
+        self._open_calls += 1
+
     def _end_call(self, answer):
+        self._open_calls -= 1
         if not self.cut:
             answer()
 
@@ -122,7 +134,9 @@
             SidecarMetrics({"node": name}),
             self.store,
             self.table,
+            PROPAGATION_S,
         )
+        self.sync.on_newer_reading = self.gossip.announce_reading
         self.sync.on_table = lambda table: self.apply(table.version)
         self.gossip.get_reading_age_s = lambda: self.sync.reading_age_s
         self.gossip.on_digest = self.receive_digest
@@ -146,6 +160,10 @@
         self.running = False
         self.sync.stopping = True
         self.store.cut = True
+        self.lose_peers()
+
+    def lose_peers(self):
+        """Send and receive no more gossip."""
         self.loss_rate = 1.0
         self.gossip._endpoint.close()
 
@@ -172,6 +190,21 @@
     assert all(process.version == 1 for process in context.processes)
 
 
+@when("all watchers vanish just after a reading, and the configuration changes at once")
+def step_watchers_vanish(context):
+    watchers = [p for p in context.processes if p.sync.is_watcher()]
+    others = [p for p in context.processes if not p.sync.is_watcher()]
+    assert len(watchers) == 4
+    for _ in range(500):
+        newest_age_s = min(process.sync.reading_age_s for process in watchers)
+        if newest_age_s <= STEP_S and not any(p.store.is_called for p in others):
+            break
+        _advance(context, STEP_S)
+    else:
+        raise AssertionError("others call the store all the time")
+    _vanish_then_change(context, watchers, 0)
+
+
 @when(
     "{count:d} of them vanish, but no watcher, and the configuration changes "
     "{delay_ms:d} ms later"
@@ -181,6 +214,20 @@
     _vanish_then_change(context, context.rng.sample(others, count), delay_ms / 1000)
 
 
+@when("one that is no watcher loses its peers and the configuration changes 3 s later")
+def step_lose_peers(context):
+    others = [p for p in context.processes if not p.sync.is_watcher()]
+    context.alone = context.rng.choice(others)
+    context.alone.lose_peers()
+    _vanish_then_change(context, [], 3)
+
+
+@then("that process has the change within 2 seconds")
+def step_alone_in_force(context):
+    _advance(context, 2)
+    assert context.alone.version == 2
+
+
 def _vanish_then_change(context, vanishing, delay_s):
     for process in vanishing:
         process.vanish()
@@ -189,6 +236,13 @@
     context.changed_at = context.loop.clock.now()
 
 
+@then("another process has the change within 1 second, and all within 2 seconds")
+def step_noticed(context):
+    _advance(context, 1)
+    assert any(process.version == 2 for process in _list_running(context))
+    step_in_force(context, 1)
+
+
 @then("every other process has the change within {seconds:d} second")
 @then("every other process has the change within {seconds:d} seconds")
 def step_in_force(context, seconds):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -36,6 +36,7 @@
 address = "127.0.0.1:8142"
 [terms.bounds]
 grace-s = 6
+config-propagation-s = 2.5
 budget-ratio = 0.2
 budget-window-s = 10
 budget-extra-tries = 56
@@ -160,6 +161,7 @@
     assert loaded.store == ("127.0.0.1", 8142)
     assert loaded.service == "huvo11a"
     assert loaded.bounds.retry_extra == 56
+    assert loaded.bounds.propagation_s == 2.5
 
 
 @then('loading fails and names "{field}"')
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -22,6 +22,7 @@
 from flamingobank.sidecar.metrics import SidecarMetrics
 
 DEPARTURE = (InstanceId("i-1"), 100)
+PROPAGATION_S = 2.0
 
 
 class GossipingNode:
@@ -188,6 +189,7 @@
         SidecarMetrics({"node": name}),
         store,
         table,
+        PROPAGATION_S,
     )
     sync.tables = []
     sync.on_table = sync.tables.append
@@ -333,8 +335,10 @@
             SidecarMetrics({"node": name}),
             store,
             node.table,
+            PROPAGATION_S,
         )
         node.sync.on_peers = node.gossip.add_records
+        node.sync.on_newer_reading = node.gossip.announce_reading
         node.gossip.get_reading_age_s = lambda sync=node.sync: sync.reading_age_s
         node.gossip.on_digest = lambda peer, version, age_s, sync=node.sync: (
             sync.note_reading_age(age_s)
--- a/src/flamingobank/platform/settings.py
+++ b/src/flamingobank/platform/settings.py
@@ -77,6 +77,9 @@
         heartbeat_interval_s=float(document["platform"]["heartbeat-interval-s"]),
         bounds=Bounds(
             grace_s=float(bounds.get("grace-s", defaults.grace_s)),
+            propagation_s=float(
+                bounds.get("config-propagation-s", defaults.propagation_s)
+            ),
             retry_ratio=float(bounds.get("budget-ratio", defaults.retry_ratio)),
             retry_window_s=float(
                 bounds.get("budget-window-s", defaults.retry_window_s)
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -173,7 +173,9 @@
             self.metrics,
             make_store(self),
             self.peers,
+            settings.bounds.propagation_s,
         )
+        self.store_sync.on_newer_reading = self.gossip.announce_reading
         self.store_sync.on_table = lambda table: self.table_sync.apply(table, "store")
         self.store_sync.on_peers = self._on_peers
         self.gossip.get_reading_age_s = lambda: self.store_sync.reading_age_s
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -104,11 +104,17 @@
             self._timers.call_at(now + delay_s, lambda: self._push_version(version))
 
     def _push_version(self, version: int) -> None:
-        if version != self.version:
-            return
+        if version == self.version:
+            self._send_digests()
+
+    def _send_digests(self) -> None:
         for peer in self._choose_peers(UPDATE_FANOUT):
             self._send_digest(peer)
 
+    def announce_reading(self) -> None:
+        """Tell some peers how old the newest reading of the store is."""
+        self._send_digests()
+
     def add_records(self, records: list[PeerRecord]) -> None:
         """Merge records from another source and compare tables with some peers.
 
@@ -194,8 +200,7 @@
 
     def _send_updates(self) -> None:
         self._updates_scheduled = False
-        for peer in self._choose_peers(UPDATE_FANOUT):
-            self._send_digest(peer)
+        self._send_digests()
 
     def _send_digest(self, peer: PeerRecord) -> None:
         records = []
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -1,8 +1,9 @@
 """Read the configuration and the peers from the platform's store.
 
 Calls to the store are counted and charged, so only a few sidecars watch it; others get
-changes from them. Gossip carries the age of the newest reading of the store that any
-sidecar had; when this age grows too high, more sidecars call the store themselves.
+changes from them. Each reading of the store is announced by gossip. When no sidecar has
+read the store for a part of the time in which a change must be in force everywhere, the
+watchers are taken to be cut off or gone, and a random choice of the others reads it.
 """
 
 import random
@@ -24,11 +25,25 @@
 
 # Several watchers, so that one remains when some of them fail at the same time.
 WATCHER_COUNT = 4
-# A short timeout of a watch, so that a dead connection is detected soon.
+# A short timeout of a watch, so that a dead connection is detected soon. It is varied
+# by WATCH_TIMEOUT_SPREAD, as watchers that started together would otherwise go on to
+# read the store at the same time, and leave long gaps between their readings.
 WATCH_TIMEOUT_S = 1.2
-# If the newest reading of any sidecar is older than this, the watchers are taken to be
-# cut off from the store, and a random choice of the other sidecars reads it.
-TAKEOVER_AGE_S = 2.2
+WATCH_TIMEOUT_SPREAD = 0.3
+# Other sidecars read the store when the newest reading is older than this share of the
+# time in which a change must be in force. The rest of the time is for their reading and
+# for the change to spread.
+TAKEOVER_SHARE = 0.35
+# Each sidecar decides at random whether to read, once in each interval of this length.
+# The first time, TAKEOVER_READERS of the whole fleet are expected to do so. The number
+# grows by TAKEOVER_GROWTH each time, since most of the fleet may be gone or cut off.
+TAKEOVER_INTERVAL_S = 0.2
+TAKEOVER_READERS = 8
+TAKEOVER_GROWTH = 4
+# Such a reading only asks whether there was a change.
+TAKEOVER_WAIT_S = 0.02
+# A reading is announced to peers if the last announced one is older by this.
+ANNOUNCE_INTERVAL_S = 0.3
 # Watchers list the peers this often, to find sidecars that gossip does not reach.
 LIST_INTERVAL_S = 10.0
 CHECK_INTERVAL_S = 0.5
@@ -49,9 +64,13 @@
         metrics: SidecarMetrics,
         store: FleetStore,
         peers: PeerTable,
+        propagation_s: float,
     ) -> None:
+        """Keep a change of the configuration within `propagation_s` of its writing."""
         self.on_table: Callable[[RoutingTable], None] = lambda table: None
         self.on_peers: Callable[[list[PeerRecord]], None] = lambda records: None
+        # Called for a reading that peers should learn of, by this sidecar or another.
+        self.on_newer_reading: Callable[[], None] = lambda: None
         self.stopping = False
         self._clock = clock
         self._timers = timers
@@ -61,7 +80,11 @@
         self._store = store
         self._peers = peers
         self._revision: int | None = None
+        self._takeover_age_s = TAKEOVER_SHARE * propagation_s
         self._newest_reading_at = -1e9
+        self._announced_reading_at = -1e9
+        # Decisions on a takeover since the newest reading or the last own attempt.
+        self._takeover_decisions = 0
         self._call_pending = False
         self._store_available = True
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -86,12 +109,11 @@
         self._list_peers()
         self._check()
         self._timers.call_every(CHECK_INTERVAL_S, self._check)
+        self._schedule_takeover(self._clock.now() + self._takeover_age_s)
 
     def note_reading_age(self, reading_age_s: float) -> None:
         """Record the age of a reading by another sidecar."""
-        self._newest_reading_at = max(
-            self._newest_reading_at, self._clock.now() - reading_age_s
-        )
+        self._note_reading(self._clock.now() - reading_age_s)
 
     def save_departure(self, on_done: Callable[[], None]) -> None:
         """Write the local record with its departures; call `on_done` afterwards.
@@ -146,7 +168,13 @@
             and not self._save_pending
         ):
             self._save()
-        if self._call_pending or not self._must_read():
+        if self._revision is None or self.is_watcher():
+            spread = self._rng.uniform(-WATCH_TIMEOUT_SPREAD, WATCH_TIMEOUT_SPREAD)
+            self._read(WATCH_TIMEOUT_S * (1 + spread))
+
+    def _read(self, wait_s: float) -> None:
+        """Read the table, or wait for a change of the one that was read."""
+        if self._call_pending:
             return
         self._call_pending = True
         if self._revision is None:
@@ -154,20 +182,42 @@
             self._store.read_table(self._on_reading)
             return
         self._count("watch")
-        self._store.await_table(self._revision, WATCH_TIMEOUT_S, self._on_reading)
+        self._store.await_table(self._revision, wait_s, self._on_reading)
 
-    def _must_read(self) -> bool:
-        if self._revision is None or self.is_watcher():
-            return True
-        if self.reading_age_s <= TAKEOVER_AGE_S:
-            return False
-        probability = 2 * WATCHER_COUNT / (len(self._peers) + 1)
+    def _note_reading(self, read_at: float) -> None:
+        if read_at <= self._newest_reading_at:
+            return
+        self._newest_reading_at = read_at
+        if read_at >= self._announced_reading_at + ANNOUNCE_INTERVAL_S:
+            self._announced_reading_at = read_at
+            self.on_newer_reading()
+
+    def _schedule_takeover(self, earliest: float) -> None:
+        # At a random time in the interval, so that one reading spares the others.
+        decide_at = earliest + self._rng.uniform(0, TAKEOVER_INTERVAL_S)
+        self._timers.call_at(decide_at, self._consider_takeover)
+
+    def _consider_takeover(self) -> None:
+        """Decide whether to read the store in place of the watchers."""
+        now = self._clock.now()
+        takeover_at = self._newest_reading_at + self._takeover_age_s
+        if now < takeover_at:
+            self._takeover_decisions = 0
+            self._schedule_takeover(takeover_at)
+            return
+        self._schedule_takeover(now + TAKEOVER_INTERVAL_S / 2)
+        if self.stopping or self._call_pending or now < self._retry_at:
+            return
+        growth = TAKEOVER_GROWTH**self._takeover_decisions
+        probability = growth * TAKEOVER_READERS / (len(self._peers) + 1)
         if self._rng.random() >= probability:
-            return False
+            self._takeover_decisions += 1
+            return
+        self._takeover_decisions = 0
         self._event_log.event(
             "store:takeover", reading_age_s=round(self.reading_age_s, 2)
         )
-        return True
+        self._read(TAKEOVER_WAIT_S)
 
     def _on_reading(self, result: Result[TableReading, FleetStoreError]) -> None:
         self._call_pending = False
@@ -177,10 +227,10 @@
             return
         self._on_success()
         reading = result.ok
-        self._newest_reading_at = now
         self._revision = reading.revision
         if reading.table is not None:
             self.on_table(reading.table)
+        self._note_reading(now)
         self._check()
 
     def _on_error(self, error: FleetStoreError, now: float) -> None:
--- a/src/flamingobank/sidecar/settings.py
+++ b/src/flamingobank/sidecar/settings.py
@@ -8,10 +8,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Time limit of the shutdown and retry budget that the whole fleet must keep."""
+    """Time limits and the retry budget that the whole fleet must keep."""
 
     # Time from SIGTERM to SIGKILL.
     grace_s: float = 6.0
+    # Time from the writing of a configuration until it must be in force everywhere.
+    propagation_s: float = 2.0
     # Extra arrivals at a service within the window: ratio x requests + extra.
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
