Log the rate limit and the leaving that a server names in its answers

Two hypotheses on the exceeded limits can be told apart only when a home notes what its server names. Both headers are decoded and the newest notices of the server kept: home:rate-limit is logged for each change, home:server-leaving once, and the limit is a gauge. Nothing acts on them yet. A head that another process may have sent is not believed, and a limit that cannot be decoded does not revoke an earlier one.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -63,6 +63,29 @@
       | 500    | Server-Seal: s  | may have run     |
       | 429    | Server-Seal: s  | may have run     |
 
+  Scenario Outline: The head of a server's answer names a rate limit
+    When a server answers 200 with "<header>"
+    Then the limit is <limit> and it is <named>
+
+    Examples:
+      | header             | limit | named     |
+      | Server-Seal: s     | None  | not named |
+      | Server-Limit: 2.5  | 2.5   | named     |
+      | Server-Limit: 0    | 0.0   | named     |
+      | Server-Limit: -1   | None  | named     |
+      | Server-Limit: nan  | None  | named     |
+      | Server-Limit: many | None  | named     |
+
+  Scenario Outline: The head of a server's answer says whether the server leaves
+    When a server answers 200 with "<header>"
+    Then the answer says that the server <leaves>
+
+    Examples:
+      | header            | leaves         |
+      | Server-Leaving: 1 | leaves         |
+      | Server-Leaving: 0 | does not leave |
+      | Server-Seal: s    | does not leave |
+
   Scenario: An answer to another request is recognised
     When a server answers 200 with "Request-Id: other"
     Then the answer belongs to another request
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -330,3 +330,15 @@
 @then("the answer belongs to another request")
 def step_check_foreign_answer(context):
     assert context.facts.foreign
+
+
+@then("the limit is {limit} and it is {named}")
+def step_rate_limit(context, limit, named):
+    expected = None if limit == "None" else float(limit)
+    assert context.facts.rate_limit_per_s == expected
+    assert context.facts.names_rate_limit == (named == "named")
+
+
+@then("the answer says that the server {leaves}")
+def step_leaving(context, leaves):
+    assert context.facts.leaving == (leaves == "leaves")
--- a/src/flamingobank/platform/headers.py
+++ b/src/flamingobank/platform/headers.py
@@ -13,6 +13,9 @@
 NOT_EXECUTED = b"not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 SERVER_LOAD = b"server-load"
+# Requests per second from all callers together, for as long as answers carry it.
+SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 KEEP_ALIVE = b"keep-alive"
 STATUS_MISDIRECTED = 421
@@ -99,6 +102,9 @@
             misdirected=misdirected,
             signed=SERVER_SEAL in values_by_name,
             foreign=echoed is not None and echoed != request_id.encode("latin-1"),
+            names_rate_limit=SERVER_LIMIT in values_by_name,
+            rate_limit_per_s=_parse_number(values_by_name.get(SERVER_LIMIT)),
+            leaving=values_by_name.get(SERVER_LEAVING, b"").strip() == b"1",
             running=running,
             waiting=waiting,
             keep_alive_s=_parse_keep_alive(values_by_name.get(KEEP_ALIVE)),
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -311,6 +311,7 @@
         self.metrics.set_configuration(
             self.table_sync.version, self.store_sync.reading_age_s
         )
+        self.metrics.set_rate_limit(self.home.notices.rate_limit_per_s)
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         request.answer(200, headers, self.metrics.render())
 
--- a/src/flamingobank/sidecar/dialect.py
+++ b/src/flamingobank/sidecar/dialect.py
@@ -28,6 +28,12 @@
     signed: bool
     # The answer carries the id of another request.
     foreign: bool
+    # The server names the rate of requests that it takes from all callers together.
+    names_rate_limit: bool
+    # That rate in requests per second; None if it is not named or cannot be decoded.
+    rate_limit_per_s: float | None
+    # The server states that it leaves.
+    leaving: bool
     # Running and waiting requests at the server, if it reports them.
     running: int | None
     waiting: int | None
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -16,7 +16,7 @@
     decide_offer,
 )
 from flamingobank.sidecar.decisions.retry_budget import RepeatedRunLimiter
-from flamingobank.sidecar.dialect import Dialect
+from flamingobank.sidecar.dialect import Dialect, ServerFacts
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.crash_reports import CrashReports
 from flamingobank.sidecar.fleet.server_state import AnnouncedServer
@@ -31,6 +31,7 @@
     ServerClient,
 )
 from flamingobank.sidecar.homes.server_health import ServerHealth
+from flamingobank.sidecar.homes.server_notices import ServerNotices
 from flamingobank.sidecar.homes.waiting_requests import WaitingRequests
 from flamingobank.sidecar.links.messages import (
     Cancel,
@@ -88,6 +89,7 @@
             metrics,
             self._push_report,
         )
+        self.notices = ServerNotices(self.server, event_log)
         self.server_estimate = self.health.server_estimate
         # Offers are refused before this time, as departures that an earlier process
         # acknowledged may not have been received yet.
@@ -129,7 +131,8 @@
         self._push_report()
 
     def on_new_instance(self) -> None:
-        """Discard the estimates of the previous server."""
+        """Discard the estimates and notices of the previous server."""
+        self.notices.reset()
         self.server_estimate.reset(self.clock.now())
 
     def leave(self) -> None:
@@ -171,6 +174,9 @@
             elif request.state is HomeRequestState.RUNNING:
                 request.orphaned_at = now
 
+    def on_server_facts(self, request: HomeRequest, facts: ServerFacts) -> None:
+        self.notices.note(request.server, facts)
+
     def on_answered(self, request: HomeRequest, status: int) -> None:
         self.health.note_answer(request, status)
         self._finish(request)
@@ -291,7 +297,7 @@
             request.repeated = True
             self.run_limiter.start_run()
         self._metrics.count("server_requests_total")
-        request.start(message, now)
+        request.start(message, self.server.current, now)
 
     def _resume(self, channel, request: HomeRequest | None, stream: int) -> None:
         if request is not None and request.state in (
--- a/src/flamingobank/sidecar/homes/requests.py
+++ b/src/flamingobank/sidecar/homes/requests.py
@@ -10,7 +10,8 @@
     compute_queue_limit,
 )
 from flamingobank.sidecar.decisions.server_estimate import ServerEstimate
-from flamingobank.sidecar.dialect import Dialect
+from flamingobank.sidecar.dialect import Dialect, ServerFacts
+from flamingobank.sidecar.fleet.server_state import Announcement
 from flamingobank.sidecar.homes.server_client import (
     RunFailure,
     RunHandler,
@@ -61,6 +62,10 @@
     def build_report(self) -> HomeReport:
         """Return the report on this home that is sent to entries."""
 
+    @abc.abstractmethod
+    def on_server_facts(self, request: "HomeRequest", facts: ServerFacts) -> None:
+        """Note what the server states about itself in an answer."""
+
     @abc.abstractmethod
     def on_answered(self, request: "HomeRequest", status: int) -> None:
         """Record a complete answer and free the request's slot."""
@@ -98,6 +103,8 @@
         self.state_since = now
         self.request_id = RequestId("")
         self.commit: Commit | None = None
+        # The server that the request was sent to.
+        self.server: Announcement | None = None
         self.run: ServerRun | None = None
         self.repeated = False
         self.outcome: list[Message] = []
@@ -112,9 +119,10 @@
         """Return a key that is unique among the requests of all entries."""
         return (self.channel.peer_boot, self.offer.stream)
 
-    def start(self, commit: Commit, now: float) -> None:
+    def start(self, commit: Commit, server: Announcement, now: float) -> None:
         """Send the request to the server."""
         self.state = HomeRequestState.RUNNING
+        self.server = server
         self.state_since = now
         home = self.home
 
@@ -149,6 +157,9 @@
         self.outcome.append(message)
         self.channel.send(message)
 
+    def on_run_facts(self, facts: ServerFacts) -> None:
+        self.home.on_server_facts(self, facts)
+
     def on_run_answer(
         self, status: int, headers: Headers, body: bytes, complete: bool
     ) -> None:
--- a/src/flamingobank/sidecar/homes/server_client.py
+++ b/src/flamingobank/sidecar/homes/server_client.py
@@ -59,6 +59,10 @@
 class RunHandler(abc.ABC):
     """Receive the outcome of a request on a server."""
 
+    @abc.abstractmethod
+    def on_run_facts(self, facts: ServerFacts) -> None:
+        """Handle what the head of the server's answer states, before its body."""
+
     @abc.abstractmethod
     def on_run_answer(
         self, status: int, headers: Headers, body: bytes, complete: bool
@@ -120,6 +124,7 @@
         self._status = status
         self._headers = headers
         self.facts = self._client.dialect.read_server(status, headers, self._request_id)
+        self._handler.on_run_facts(self.facts)
         if not self.facts.not_run:
             self._buffer_timer = self._client.timers.call_at(
                 self._client.clock.now() + MAX_BUFFERING_S, self._start_streaming
--- a/src/flamingobank/sidecar/metrics.py
+++ b/src/flamingobank/sidecar/metrics.py
@@ -22,7 +22,9 @@
 GAUGES = {
     "configuration_version": "Version of the configuration in force, 0 before any.",
     "store_reading_age_seconds": "Age of the newest reading of the store in the fleet.",
+    "server_rate_limit": "Requests per second that the server takes, -1 without limit.",
 }
+NO_RATE_LIMIT = -1
 
 
 class SidecarMetrics:
@@ -67,6 +69,11 @@
         self._gauges["configuration_version"].set({}, version)
         self._gauges["store_reading_age_seconds"].set({}, round(reading_age_s, 3))
 
+    def set_rate_limit(self, limit_per_s: float | None) -> None:
+        """Set the rate of requests that the server beside takes; None for no limit."""
+        value = NO_RATE_LIMIT if limit_per_s is None else limit_per_s
+        self._gauges["server_rate_limit"].set({}, value)
+
     def observe_latency(self, seconds: float, kind: str) -> None:
         """Add one request's duration to the histogram."""
         self._latency.observe({"kind": kind}, seconds)
