Keep to the rate of requests that a server names

What callers and servers saw: a server that named 2.9 requests a second got 26 in 4 s (22 allowed), one that named 1.5 got 25 (14 allowed).

Cause: the header was passed on to callers and read by no one, so a home sent what the slots take, up to 13 requests a second to a server with four slots. With the notices logged the limits are constant for a server and seen within 0.5 s at 7 of 8 homes, so neither late nor changing notices explain the breaks; no limit is lost before the restart at 13 s.

Change: a token bucket at the home, which all requests to its server pass. It holds the requests of half a second at most and starts empty; an answer without the header ends the limit. Offers are refused when no token is left, forced ones wait if the rate lets them start in time, and those that more urgent requests delay beyond that are refused. While the rate is reached, reports to entries show no free slot. A home uses at most four slots until its server's first answer, since a restarted home does not know the limit; with a limit below MIN_RATE_PER_S one request in 4 s is sent, as only answers show that a limit is over.

--- a/features/support/home.py
+++ b/features/support/home.py
@@ -91,8 +91,9 @@
 class HomeHarness:
     """A home, its scripted server and the channel of one entry."""
 
-    def __init__(self, behaviour):
-        self.loop = TestLoop(VirtualClock(100.0))
+    def __init__(self, behaviour, loop=None, server=None):
+        """Start a home; a given server is one that ran before the home started."""
+        self.loop = loop or TestLoop(VirtualClock(100.0))
         dialect = PlatformDialect()
         clock, timers = self.loop.clock, self.loop.timers
         client = ServerClient(self.loop.poller, timers, clock, dialect)
@@ -115,7 +116,7 @@
                 address = unused.getsockname()
             self.server = None
         else:
-            self.server = ScriptedServer(self.loop, SCRIPTS[behaviour])
+            self.server = server or ScriptedServer(self.loop, SCRIPTS[behaviour])
             address = self.server.listener.address
         self.announce(1, Lifecycle.READY, address)
         self.address = address
--- a/src/flamingobank/sidecar/decisions/offer_admission.py
+++ b/src/flamingobank/sidecar/decisions/offer_admission.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+import math
 from dataclasses import dataclass
 
 from flamingobank.sidecar.links.messages import RefusalReason
@@ -46,6 +47,9 @@
     # Moving average of the duration of successful requests at the server, in seconds.
     mean_duration_s: float
     last_probe_at: float
+    # Seconds until the server's rate limit admits a request, and that limit.
+    limit_wait_s: float = 0.0
+    rate_per_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,12 +100,17 @@
         probing = state.running > 0 or now < state.last_probe_at + PROBE_INTERVAL_S
         if state.failure_probability > SUSPECT_FAILURE_PROBABILITY and probing:
             return OfferDecision(OfferVerdict.REFUSE, RefusalReason.SUSPECT)
-    if state.running < state.slots and not state.waiting:
+    has_slot = state.running < state.slots and not state.waiting
+    if has_slot and state.limit_wait_s <= 0:
         return GRANT
     if not forced:
         return OfferDecision(OfferVerdict.REFUSE, RefusalReason.BUSY)
-    rounds = (state.waiting_ahead + 1) / max(1, state.slots)
-    needed_s = (rounds + MIN_DURATION_SHARE) * state.mean_duration_s
+    rounds = 0 if has_slot else (state.waiting_ahead + 1) / max(1, state.slots)
+    wait_s = max(
+        rounds * state.mean_duration_s,
+        state.limit_wait_s + state.waiting_ahead / state.rate_per_s,
+    )
+    needed_s = wait_s + MIN_DURATION_SHARE * state.mean_duration_s
     if needed_s > compute_queue_limit(
         remaining_s, objective_remaining_s, state.mean_duration_s
     ):
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -7,11 +7,10 @@
 
 from collections.abc import Callable
 
-from flamingobank.core import Clock, Invariant, RequestId, check_invariant
+from flamingobank.core import Clock, RequestId
 from flamingobank.loop import Timers
 from flamingobank.sidecar.decisions.offer_admission import (
     SUSPECT_FAILURE_PROBABILITY,
-    AdmissionState,
     OfferVerdict,
     decide_offer,
 )
@@ -25,6 +24,7 @@
     HomeRequestOwner,
     HomeRequestState,
 )
+from flamingobank.sidecar.homes.server_capacity import ServerCapacity
 from flamingobank.sidecar.homes.server_client import (
     RunFailure,
     RunOutcome,
@@ -32,7 +32,6 @@
 )
 from flamingobank.sidecar.homes.server_health import ServerHealth
 from flamingobank.sidecar.homes.server_notices import ServerNotices
-from flamingobank.sidecar.homes.waiting_requests import WaitingRequests
 from flamingobank.sidecar.links.messages import (
     Cancel,
     Commit,
@@ -94,15 +93,15 @@
         # Offers are refused before this time, as departures that an earlier process
         # acknowledged may not have been received yet.
         self.serves_from = clock.now()
-        self._waiting = WaitingRequests()
-        self._slots_in_use = 0
-        self._last_probe_at = 0.0
+        self._capacity = ServerCapacity(self.server)
+        self._waiting = self._capacity.waiting
+        self._grant_timer = None
         self._sweep_scheduled = False
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is running, granted or waiting."""
-        return not self._slots_in_use and not self._waiting
+        return not self._capacity.in_use and not self._waiting
 
     def build_report(self) -> HomeReport:
         now = self.clock.now()
@@ -110,9 +109,9 @@
         return HomeReport(
             current.service if current is not None else "",
             round(self.server_estimate.read_failure_probability(now), 3),
-            self._slots_in_use,
+            self._capacity.count_reported(now),
             len(self._waiting),
-            self.server.slots,
+            self._capacity.slots,
             self._accepts_work(now),
         )
 
@@ -133,6 +132,7 @@
     def on_new_instance(self) -> None:
         """Discard the estimates and notices of the previous server."""
         self.notices.reset()
+        self._capacity.reset(self.clock.now())
         self.server_estimate.reset(self.clock.now())
 
     def leave(self) -> None:
@@ -175,7 +175,8 @@
                 request.orphaned_at = now
 
     def on_server_facts(self, request: HomeRequest, facts: ServerFacts) -> None:
-        self.notices.note(request.server, facts)
+        if self.notices.note(request.server, facts):
+            self._capacity.note_answer(self.notices.rate_limit_per_s, self.clock.now())
 
     def on_answered(self, request: HomeRequest, status: int) -> None:
         self.health.note_answer(request, status)
@@ -223,14 +224,11 @@
         if offer.repeated and not self.run_limiter.can_start_run(now):
             self._refuse(channel, offer.stream, RefusalReason.CALLS_SPENT)
             return
-        state = AdmissionState(
+        state = self._capacity.describe(
             self.server_estimate.read_failure_probability(now),
-            self._slots_in_use,
-            len(self._waiting),
-            self._waiting.count_ahead(offer.priority),
-            self.server.slots,
             self.server_estimate.mean_duration_s,
-            self._last_probe_at,
+            offer.priority,
+            now,
         )
         decision = decide_offer(
             offer.final_attempt,
@@ -255,20 +253,20 @@
 
     def _grant(self, request: HomeRequest) -> None:
         now = self.clock.now()
-        self._slots_in_use += 1
-        if (
-            self.server_estimate.read_failure_probability(now)
-            > SUSPECT_FAILURE_PROBABILITY
-        ):
-            self._last_probe_at = now
+        failure_probability = self.server_estimate.read_failure_probability(now)
+        self._capacity.take_slot(failure_probability > SUSPECT_FAILURE_PROBABILITY, now)
         request.state = HomeRequestState.GRANTED
         request.state_since = now
         request.channel.send(Granted(request.offer.stream))
 
     def _grant_waiting(self) -> None:
-        while self._waiting and self._slots_in_use < self.server.slots:
+        while self._waiting and self._capacity.has_slot:
             if not self.server.accepts_work or self.leaving:
                 return
+            wait_s = self._capacity.rate_limit.compute_wait_s(self.clock.now())
+            if wait_s > 0:
+                self._grant_later(wait_s)
+                return
             request = self._waiting.pop()
             if self._waiting and self.clock.now() > request.latest_start:
                 # The request would not be served in time here. It is refused, since
@@ -278,6 +276,14 @@
                 continue
             self._grant(request)
 
+    def _grant_later(self, wait_s: float) -> None:
+        """Grant waiting requests when the server's rate limit admits the next."""
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
+        self._grant_timer = self.timers.call_at(
+            self.clock.now() + wait_s, self._grant_waiting
+        )
+
     def _handle_commit(
         self, channel, request: HomeRequest | None, message: Commit
     ) -> None:
@@ -355,15 +361,13 @@
         if request.state is HomeRequestState.WAITING:
             self._waiting.remove(request)
         else:
-            self._slots_in_use -= 1
+            was_sent = request.state is HomeRequestState.RUNNING
+            self._capacity.free_slot(was_sent, self.clock.now())
             if request.repeated:
                 self.run_limiter.end_run()
         request.state = HomeRequestState.DONE
         request.commit = None
         request.state_since = self.clock.now()
-        check_invariant(
-            Invariant.SLOTS, self._slots_in_use >= 0, busy=self._slots_in_use
-        )
         self._grant_waiting()
 
     def _push_report(self) -> None:
@@ -379,6 +383,8 @@
     def _sweep(self) -> None:
         now = self.clock.now()
         self._sweep_scheduled = False
+        for request in self._capacity.list_too_late(now):
+            self._refuse_request(request, RefusalReason.BUSY)
         for key, request in list(self.requests.items()):
             if request.state is HomeRequestState.DONE:
                 if now > request.state_since + OUTCOME_RETENTION_S:
--- a/src/flamingobank/sidecar/homes/server_notices.py
+++ b/src/flamingobank/sidecar/homes/server_notices.py
@@ -21,21 +21,24 @@
         self.rate_limit_per_s = None
         self.leaving = False
 
-    def note(self, sender: Announcement, facts: ServerFacts) -> None:
-        """Note the head of an answer to a request that was sent to `sender`."""
+    def note(self, sender: Announcement, facts: ServerFacts) -> bool:
+        """Note the head of an answer to a request that was sent to `sender`.
+
+        Returns False if the answer may be another process's, and was not noted.
+        """
         if facts.misdirected or not (facts.signed or facts.not_run):
-            # Another process may have sent the answer.
-            return
+            return False
         current = self._server.current
         if (sender.instance, sender.started_ms) != (
             current.instance,
             current.started_ms,
         ):
-            return
+            return False
         self._note_rate_limit(facts)
         if facts.leaving and not self.leaving:
             self.leaving = True
             self._event_log.event("home:server-leaving", instance=sender.instance)
+        return True
 
     def _note_rate_limit(self, facts: ServerFacts) -> None:
         limit_per_s = facts.rate_limit_per_s
--- a/src/flamingobank/sidecar/homes/waiting_requests.py
+++ b/src/flamingobank/sidecar/homes/waiting_requests.py
@@ -1,6 +1,7 @@
 """Priority queue of the requests that wait for a slot of one server."""
 
 import itertools
+from collections.abc import Iterator
 
 from flamingobank.sidecar.homes.requests import HomeRequest
 
@@ -15,6 +16,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __iter__(self) -> Iterator[HomeRequest]:
+        """Yield the requests in the order in which they are served."""
+        return iter([request for _, _, request in self._entries])
+
     def add(self, request: HomeRequest) -> None:
         """Add a request behind all with the same or a more urgent priority."""
         self._entries.append((request.offer.priority, next(self._order), request))
