Take a notice of leaving in an answer for an announced departure

What servers would see: requests after they had named their leaving in an answer, when the announcement of it did not reach their home.

Cause: the header was read by no one.

Change: such an answer counts as a departure of the start of the server that the request was sent to: the home takes no offer, refuses waiting and granted requests as not run, tells peers before the answer is passed on, and saves its record, so that a restarted home knows it too. A later start of the server gets work again. An answer that another process may have sent does not count.

features/leaving_servers.feature: 7 of 10 scenarios fail without the change.

--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -185,6 +185,7 @@
         self.control.read_table = lambda: self.entry.table
         self.control.on_changed = self._publish_server
         self.control.keep_departure = self._save_departure
+        self.home.on_server_left = self._spread_departure
         self.links.listen(settings.peers, peer_message_handler)
         self.callers = self._serve(settings.callers, self.entry.take, self._get_limits)
         self.shutdown = Shutdown(
@@ -347,6 +348,12 @@
             return
         self.gossip.publish(serving=serving, service=service, departures=departures)
 
+    def _spread_departure(self) -> None:
+        """Make a departure known to peers at once, and to later processes here."""
+        self._publish_server()
+        self.gossip.send_updates()
+        self._save_departure(lambda: None)
+
     def _save_departure(self, on_saved: Callable[[], None]) -> None:
         self.store_sync.save_departure(on_saved)
 
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -115,6 +115,10 @@
         """Tell some peers how old the newest reading of the store is."""
         self._send_digests()
 
+    def send_updates(self) -> None:
+        """Send recently changed records to some peers now."""
+        self._send_digests()
+
     def add_records(self, records: list[PeerRecord]) -> None:
         """Merge records from another source and compare tables with some peers.
 
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -18,7 +18,11 @@
 from flamingobank.sidecar.dialect import Dialect, ServerFacts
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.crash_reports import CrashReports
-from flamingobank.sidecar.fleet.server_state import AnnouncedServer
+from flamingobank.sidecar.fleet.server_state import (
+    AnnouncedServer,
+    Announcement,
+    Departure,
+)
 from flamingobank.sidecar.homes.requests import (
     HomeRequest,
     HomeRequestOwner,
@@ -74,6 +78,9 @@
         self.dialect = dialect
         self.server = AnnouncedServer()
         self.leaving = False
+        # Called when the server's own answer says that it leaves, before that answer is
+        # passed on. Announced departures are handled where they arrive.
+        self.on_server_left: Callable[[], None] = lambda: None
         self.requests: dict[tuple[str, int], HomeRequest] = {}
         self.run_limiter = run_limiter
         self._event_log = event_log
@@ -177,6 +184,15 @@
     def on_server_facts(self, request: HomeRequest, facts: ServerFacts) -> None:
         if self.notices.note(request.server, facts):
             self._capacity.note_answer(self.notices.rate_limit_per_s, self.clock.now())
+            if facts.leaving:
+                self._note_leaving(request.server)
+
+    def _note_leaving(self, server: Announcement) -> None:
+        """Stop sending work to a server whose answer says that it leaves."""
+        departure = Departure(server.instance, server.started_ms)
+        if self.server.take_departure(departure):
+            self.on_server_changed()
+            self.on_server_left()
 
     def on_answered(self, request: HomeRequest, status: int) -> None:
         self.health.note_answer(request, status)
