Let the soak's servers name rate limits and leave unannounced

In the soak a server now names a limit of 1, 2 or 5 requests a second for some seconds, or says in answers only that it leaves, while processes are killed, stopped and paused and links fail.

--- a/features/steps/rate_limits_steps.py
+++ b/features/steps/rate_limits_steps.py
@@ -15,6 +15,7 @@
     RefusalReason,
     Refused,
 )
+from tools.soak.windows import count_most
 
 RANDOMISED = settings(derandomize=True, database=None, deadline=None, max_examples=300)
 WINDOW_S = 4.0
@@ -27,15 +28,6 @@
     return 1.5 * WINDOW_S * limit_per_s + 5
 
 
-def _find_most_in_window(times):
-    most, first = 0, 0
-    for last, time in enumerate(times):
-        while times[first] <= time - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 @when("requests arrive at random at random rate limits")
 def step_random_requests(context):
     context.windows = []
@@ -54,7 +46,7 @@
             while limit.compute_wait_s(now) == 0:
                 limit.take(now)
                 admitted.append(now)
-        most = _find_most_in_window(admitted)
+        most = count_most(admitted, WINDOW_S)
         assert most <= _count_allowed(limit_per_s), (most, limit_per_s)
 
     context.check = run
@@ -70,7 +62,7 @@
         for time in context.arrivals
         if time >= context.arrivals[0] + STABILITY_WINDOW_S
     ]
-    most = _find_most_in_window(times)
+    most = count_most(times, WINDOW_S)
     assert most <= _count_allowed(context.limit), (most, context.limit)
 
 
--- a/src/flamingobank_standins/platform/server.py
+++ b/src/flamingobank_standins/platform/server.py
@@ -75,6 +75,13 @@
         self.instance = ""
         self.draining = False
         self.drain_acknowledged_at: float | None = None
+        # Requests per second that the answers name as the limit; None for no limit.
+        self.rate_limit_per_s: float | None = None
+        self.rate_limit_ended_at: float | None = None
+        # The answers say that this instance leaves; its heartbeats may not.
+        self.leaving = False
+        # Instance ID and time of each request that arrived, also of refused ones.
+        self.arrivals: list[tuple[str, float]] = []
         # Request ID, instance ID and start time of each executed request.
         self.runs: list[tuple[str, str, float]] = []
         self._poller = poller
@@ -98,10 +105,23 @@
         self.instance = f"i-{self._rng.getrandbits(32):08x}"
         self.draining = False
         self.drain_acknowledged_at = None
+        self.end_rate_limit()
+        self.leaving = False
         self._sequence = 0
         self._incarnation = max(self._incarnation + 1, time.time_ns() // 1_000_000)
         self._send_heartbeat()
 
+    def name_rate_limit(self, limit_per_s: float) -> None:
+        """Name a rate limit in the answers from now on."""
+        self.rate_limit_per_s = limit_per_s
+        self.rate_limit_ended_at = None
+
+    def end_rate_limit(self) -> None:
+        """Name no rate limit any more."""
+        if self.rate_limit_per_s is not None:
+            self.rate_limit_per_s = None
+            self.rate_limit_ended_at = self._clock.now()
+
     def drain(self) -> None:
         """Announce in the heartbeats that this instance is draining."""
         self.draining = True
@@ -151,8 +171,10 @@
             headers = [(b"instance-id", self.instance.encode())]
             request.answer(421, headers, b"")
             return
+        self.arrivals.append((self.instance, self._clock.now()))
         if self._running >= SLOTS or self.mode is ServerMode.SHEDDING:
-            request.answer(503, [(b"not-executed", b"1")], b"")
+            headers = [(b"not-executed", b"1"), *self._list_notices()]
+            request.answer(503, headers, b"")
             return
         request_id = request.get_header(b"request-id")
         self.runs.append((request_id, self.instance, self._clock.now()))
@@ -162,6 +184,15 @@
             self._clock.now() + work_s, lambda: self._finish(request, request_id)
         )
 
+    def _list_notices(self) -> Headers:
+        """Return the headers with which the server speaks about itself."""
+        headers = []
+        if self.rate_limit_per_s is not None:
+            headers.append((b"server-limit", b"%.1f" % self.rate_limit_per_s))
+        if self.leaving:
+            headers.append((b"server-leaving", b"1"))
+        return headers
+
     def _finish(self, request: CallerRequest, request_id: str) -> None:
         self._running -= 1
         if self.mode is ServerMode.HANGING:
@@ -173,5 +204,6 @@
         headers = [
             (b"request-id", request_id.encode()),
             (b"server-seal", f"{self.instance}.{request_id}".encode()),
+            *self._list_notices(),
         ]
         request.answer(500 if failed else 200, headers, request_id.encode())
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,10 +10,18 @@
 from tools.soak.machines import Machine
 from tools.soak.proxy import ProxyMode
 from tools.soak.run import Soak
+from tools.soak.windows import count_most
 
 # Seconds after the acknowledgement of a drain in which the server may still get
 # requests.
 DRAIN_GRACE_S = 2.0
+# A server that names a rate limit may get at most LIMIT_RATIO times what it allows, and
+# LIMIT_EXTRA requests, in LIMIT_WINDOW_S; from LIMIT_SETTLE_S after it first named it.
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLE_S = 3.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
+LIMITS_PER_S = (1.0, 2.0, 5.0)
 # Largest jump of a clock in seconds, forward or backward.
 CLOCK_JUMP_S = 20.0
 
@@ -105,6 +113,55 @@
     soak.call_later(DRAIN_GRACE_S + seconds, check_and_restart)
 
 
+def name_rate_limit(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Let a server name a rate limit for a while, and check that it is kept."""
+    server = machine.server
+    instance, limit_per_s = server.instance, soak.rng.choice(LIMITS_PER_S)
+    server.name_rate_limit(limit_per_s)
+    settled_at = soak.loop.clock.now() + LIMIT_SETTLE_S
+
+    def check_and_end() -> None:
+        if server.instance == instance:
+            server.end_rate_limit()
+        ended_at = server.rate_limit_ended_at or soak.loop.clock.now()
+        times = [
+            time
+            for arrived_at, time in server.arrivals
+            if arrived_at == instance and settled_at <= time <= ended_at
+        ]
+        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * limit_per_s + LIMIT_EXTRA
+        most = count_most(times, LIMIT_WINDOW_S)
+        if most > allowed:
+            soak.violations.append(
+                f"{instance} with a limit of {limit_per_s} a second got {most} "
+                f"requests in {LIMIT_WINDOW_S} s, {allowed} are allowed"
+            )
+
+    soak.call_later(LIMIT_SETTLE_S + LIMIT_WINDOW_S + seconds, check_and_end)
+
+
+def leave_unannounced(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Let a server say that it leaves in answers only; check that it gets no more."""
+    server = machine.server
+    instance = server.instance
+    server.leaving = True
+
+    def check_and_restart() -> None:
+        seen_at = soak.leaving_seen_at.get(instance)
+        if seen_at is not None:
+            sent_at = {call.request_id: call.sent_at for call in soak.calls}
+            for request_id, run_by, _ in server.runs:
+                late = sent_at.get(request_id, 0.0) > seen_at + DRAIN_GRACE_S
+                if run_by == instance and late:
+                    soak.violations.append(
+                        f"{request_id} was executed by {instance}, which had left"
+                    )
+        if server.instance == instance:
+            server.restart()
+
+    soak.call_later(2 * DRAIN_GRACE_S + seconds, check_and_restart)
+
+
 # Faults that are listed twice are chosen twice as often.
 FAULTS = (
     kill_process,
@@ -120,4 +177,6 @@
     impair_server,
     impair_server,
     replace_server,
+    name_rate_limit,
+    leave_unannounced,
 )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -41,6 +41,8 @@
         self.unsafe = unsafe
         self.status = 0
         self.seal = ""
+        # The server says in its answer that it leaves.
+        self.leaving = False
         self.ended = False
         self.sent_at = soak.loop.clock.now()
         self.body = b""
@@ -50,6 +52,7 @@
         self.status = status
         found = {name.lower(): value for name, value in headers}
         self.seal = found.get(b"server-seal", b"").decode()
+        self.leaving = b"server-leaving" in found
 
     def on_answer_part(self, data: bytes) -> None:
         self.body += data
@@ -94,6 +97,8 @@
             for number in range(machines)
         ]
         self.calls: list[SoakCall] = []
+        # When a caller first got an answer in which an instance said that it leaves.
+        self.leaving_seen_at: dict[str, float] = {}
         self.requests_per_s = REQUESTS_PER_S
         self.violations: list[str] = []
         self.fault_names: list[str] = []
@@ -140,6 +145,9 @@
     def check_response(self, call: SoakCall) -> None:
         """Record that a call has ended and check its response."""
         call.ended = True
+        if call.leaving:
+            instance = call.seal.partition(".")[0]
+            self.leaving_seen_at.setdefault(instance, self.loop.clock.now())
         if call.status and call.seal and call.request_id not in call.seal:
             self.violations.append(f"{call.request_id} got the response {call.seal}")
         if call.status == 200 and call.body != call.request_id.encode():
@@ -247,8 +255,9 @@
         self.store.mode = StoreMode.SERVING
         for machine in self.machines:
             machine.server.mode = ServerMode.WORKING
+            machine.server.end_rate_limit()
             machine.proxy.set_mode(ProxyMode.PASSING)
-            if machine.server.draining:
+            if machine.server.draining or machine.server.leaving:
                 machine.server.restart()
             machine.send_signal(signal.SIGCONT)
             machine.start()
