Do not press a store that is unavailable to all

What the store would see: when it turned everybody away, each process took it for unwatched and soon called it with certainty, again after each failed call.

Cause: the growing probability of a takeover does not tell lost watchers from a lost store. Change: it does not grow in a process whose last call failed.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -39,3 +39,15 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Guards against a fleet that presses an unavailable store once it looks unwatched.
+  Scenario Outline: A store that is unavailable to all is called rarely
+    Given 90 processes that follow the store, with the random seed <seed>
+    When the store is unavailable for 8 seconds
+    Then a process calls it once to notice that, and once in each further 2 of the 8 seconds
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -3,14 +3,18 @@
 import random
 
 from behave import given, then, when
-from expression import Ok
+from expression import Error, Ok
 
 from features.steps.sidecar_decisions_steps import make_route
 from features.steps.sidecar_fleet_steps import GossipingNode
 from features.support.loop import TestLoop
 from flamingobank.core import ServiceName, VirtualClock
 from flamingobank.sidecar.event_log import EventLog
-from flamingobank.sidecar.fleet.fleet_store import FleetStore, TableReading
+from flamingobank.sidecar.fleet.fleet_store import (
+    FleetStore,
+    FleetStoreError,
+    TableReading,
+)
 from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
 from flamingobank.sidecar.fleet.store_sync import StoreSync
 from flamingobank.sidecar.metrics import SidecarMetrics
@@ -28,6 +32,7 @@
     def __init__(self, loop):
         self.loop = loop
         self.version = 1
+        self.unavailable = False
         self._waiting = []
 
     def change(self):
@@ -42,7 +47,9 @@
         self._waiting.append(answer)
 
     def read(self):
-        """Return the table of the current version."""
+        """Return the table of the current version, or an error."""
+        if self.unavailable:
+            return Error(FleetStoreError.UNAVAILABLE)
         services = frozenset([ServiceName("orders")])
         table = RoutingTable(self.version, (make_route(),), services, RequestLimits())
         return Ok(TableReading(table, self.version))
@@ -68,7 +75,7 @@
 
     def await_table(self, revision, wait_s, callback):
         """Return the table as soon as it is newer, or nothing after the wait."""
-        if self.store.version > revision:
+        if self.store.version > revision or self.store.unavailable:
             self.read_table(callback)
             return
         answered = []
@@ -95,7 +102,7 @@
         self._answer_later(ANSWER_S, lambda: callback(Ok(None)))
 
     def _read_since(self, revision):
-        if self.store.version > revision:
+        if self.store.version > revision or self.store.unavailable:
             return self.store.read()
         return Ok(TableReading(None, revision))
 
@@ -251,5 +258,22 @@
     assert not late, f"{len(late)} of {len(_list_running(context))} are late: {late}"
 
 
+@when("the store is unavailable for {seconds:d} seconds")
+def step_unavailable(context, seconds):
+    context.store.unavailable = True
+    before = sum(process.store.calls for process in context.processes)
+    _advance(context, seconds)
+    after = sum(process.store.calls for process in context.processes)
+    context.calls_per_process = (after - before) / len(context.processes)
+
+
+@then(
+    "a process calls it once to notice that, and once in each further 2 of the "
+    "{seconds:d} seconds"
+)
+def step_rarely_called(context, seconds):
+    assert context.calls_per_process <= 1 + (seconds - 1) / 2
+
+
 def _list_running(context):
     return [process for process in context.processes if process.running]
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -208,9 +208,7 @@
         self._schedule_takeover(now + TAKEOVER_INTERVAL_S / 2)
         if self.stopping or self._call_pending or now < self._retry_at:
             return
-        growth = TAKEOVER_GROWTH**self._takeover_decisions
-        probability = growth * TAKEOVER_READERS / (len(self._peers) + 1)
-        if self._rng.random() >= probability:
+        if self._rng.random() >= self._compute_takeover_probability():
             self._takeover_decisions += 1
             return
         self._takeover_decisions = 0
@@ -219,6 +217,14 @@
         )
         self._read(TAKEOVER_WAIT_S)
 
+    def _compute_takeover_probability(self) -> float:
+        probability = TAKEOVER_READERS / (len(self._peers) + 1)
+        if not self._store_available:
+            # The last call of this process failed, so the store may be unavailable to
+            # all, and more calls would not help.
+            return probability
+        return probability * TAKEOVER_GROWTH**self._takeover_decisions
+
     def _on_reading(self, result: Result[TableReading, FleetStoreError]) -> None:
         self._call_pending = False
         now = self._clock.now()
