Refuse a delayed request only while it waits

Refusing one delayed request frees its place, which may grant a slot to another of those found delayed; that one would have been refused after its grant. It would not have run, and its entry would have offered it elsewhere, but the grant was lost. Found by reading, not seen in a run; no test plays the moment between the two.

--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -18,11 +18,7 @@
 from flamingobank.sidecar.dialect import Dialect, ServerFacts
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.crash_reports import CrashReports
-from flamingobank.sidecar.fleet.server_state import (
-    AnnouncedServer,
-    Announcement,
-    Departure,
-)
+from flamingobank.sidecar.fleet.server_state import AnnouncedServer, Departure
 from flamingobank.sidecar.homes.requests import (
     HomeRequest,
     HomeRequestOwner,
@@ -185,12 +181,12 @@
         if self.notices.note(request.server, facts):
             self._capacity.note_answer(self.notices.rate_limit_per_s, self.clock.now())
             if facts.leaving:
-                self._note_leaving(request.server)
+                self._note_leaving(request)
 
-    def _note_leaving(self, server: Announcement) -> None:
-        """Stop sending work to a server whose answer says that it leaves."""
-        departure = Departure(server.instance, server.started_ms)
-        if self.server.take_departure(departure):
+    def _note_leaving(self, request: HomeRequest) -> None:
+        """Stop sending work to the server that answered a request with its leaving."""
+        server = request.server
+        if self.server.take_departure(Departure(server.instance, server.started_ms)):
             self.on_server_changed()
             self.on_server_left()
 
@@ -400,7 +396,9 @@
         now = self.clock.now()
         self._sweep_scheduled = False
         for request in self._capacity.list_too_late(now):
-            self._refuse_request(request, RefusalReason.BUSY)
+            # Refusing one may grant another of them a slot.
+            if request.state is HomeRequestState.WAITING:
+                self._refuse_request(request, RefusalReason.BUSY)
         for key, request in list(self.requests.items()):
             if request.state is HomeRequestState.DONE:
                 if now > request.state_since + OUTCOME_RETENTION_S:
