--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -155,7 +155,9 @@
 
     def _decode(self, call: StoreCall, answer: Answer) -> Result[dict, FleetStoreError]:
         if isinstance(answer, CallFailed):
-            self._log_failure(call, answer.reason)
+            self._log_failure(
+                call, answer.reason, reused_connection=answer.reused_connection
+            )
             return Error(FleetStoreError.UNAVAILABLE)
         if answer.status == STATUS_GONE:
             self._log_failure(call, "history since the revision is no longer stored")
@@ -206,9 +208,12 @@
             self._event_log.warn("store:malformed", error=repr(error))
             return None
 
-    def _log_failure(self, call: StoreCall, reason: str) -> None:
+    def _log_failure(self, call: StoreCall, reason: str, **details: object) -> None:
         self._event_log.event(
-            "store:call-failed", call=f"{call.method} {call.target}", reason=reason
+            "store:call-failed",
+            call=f"{call.method} {call.target}",
+            reason=reason,
+            **details,
         )
 
 
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -130,6 +130,7 @@
         )
         self.table_sync = RoutingTableSync(
             self.clock,
+            self.timers,
             event_log,
             self.links,
             self.entry,
--- a/src/flamingobank/sidecar/routing_table_sync.py
+++ b/src/flamingobank/sidecar/routing_table_sync.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from flamingobank.core import Clock
+from flamingobank.loop import TimerHandle, Timers
 from flamingobank.sidecar.callers.entry import Entry
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.peers import PeerRecord
@@ -14,6 +15,9 @@
 # Many peers report a new version at the same time. After a request to one of them, no
 # other is sent for this time.
 MIN_PULL_INTERVAL_S = 0.3
+# A peer that has not sent its table after this time is taken to be out of reach. Over
+# a working link the table arrives within a few milliseconds.
+PULL_TIMEOUT_S = 0.3
 
 
 class RoutingTableSync:
@@ -22,17 +26,20 @@
     def __init__(
         self,
         clock: Clock,
+        timers: Timers,
         event_log: EventLog,
         links: LinkPool,
         entry: Entry,
         on_applied: Callable[[int], None],
     ) -> None:
         self._clock = clock
+        self._timers = timers
         self._event_log = event_log
         self._links = links
         self._entry = entry
         self._on_applied = on_applied
         self._pulled_at = float("-inf")
+        self._pull_timeout: TimerHandle | None = None
 
     @property
     def version(self) -> int:
@@ -66,6 +73,9 @@
             "configuration:requested", version=version, peer=peer.node
         )
         self._links.get(peer.address).send(TablePull())
+        self._pull_timeout = self._timers.call_at(
+            now + PULL_TIMEOUT_S, lambda: self._on_pull_timeout(peer, version)
+        )
 
     def answer_pull(self, channel: MessageChannel) -> None:
         """Send the current table to a peer, if there is one."""
@@ -74,9 +84,16 @@
 
     def take(self, message: TableUpdate, source: str) -> None:
         """Decode and apply a table that a peer sent."""
+        if self._pull_timeout is not None:
+            self._pull_timeout.cancel()
         try:
             table = unpack_table(message.table)
         except (ValueError, TypeError) as error:
             self._event_log.warn("configuration:malformed", error=str(error))
             return
         self.apply(table, source)
+
+    def _on_pull_timeout(self, peer: PeerRecord, version: int) -> None:
+        self._event_log.event(
+            "configuration:unanswered", version=version, peer=peer.node
+        )
--- a/src/flamingobank/store/calls.py
+++ b/src/flamingobank/store/calls.py
@@ -46,6 +46,8 @@
 
     reason: str
     sent: bool
+    # The connection had carried an earlier call.
+    reused_connection: bool = False
 
 
 Answer = StoreAnswer | CallFailed
--- a/src/flamingobank/store/transport.py
+++ b/src/flamingobank/store/transport.py
@@ -40,7 +40,11 @@
 
     def send(self, call: StoreCall, on_answer: Callable[[Answer], None]) -> None:
         """Send a call; report its answer or failure once, within its timeout."""
-        exchange = StoreExchange(self, self._take_connection(), on_answer)
+        connection = self._take_idle_connection()
+        reused = connection is not None
+        if connection is None:
+            connection = HttpClientConnection(self._poller, self._address)
+        exchange = StoreExchange(self, connection, reused, on_answer)
         exchange.timeout = self._timers.call_at(
             self._clock.now() + call.timeout_s, exchange.on_timeout
         )
@@ -59,12 +63,12 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _take_connection(self) -> HttpClientConnection:
+    def _take_idle_connection(self) -> HttpClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.idle:
                 return connection
-        return HttpClientConnection(self._poller, self._address)
+        return None
 
 
 class StoreExchange(AnswerHandler):
@@ -74,10 +78,12 @@
         self,
         transport: LoopTransport,
         connection: HttpClientConnection,
+        reused: bool,
         on_answer: Callable[[Answer], None],
     ) -> None:
         self.connection = connection
         self.timeout = None
+        self._reused = reused
         self._transport = transport
         self._on_answer = on_answer
         self._status = 0
@@ -105,7 +111,7 @@
             self._transport.release(self.connection)
 
     def on_answer_failed(self, reason: str, sent: bool) -> None:
-        self._finish(CallFailed(reason, sent))
+        self._finish(CallFailed(reason, sent, self._reused))
 
     def on_timeout(self) -> None:
         """Cancel the call when its timeout is over."""
@@ -114,7 +120,7 @@
     def _abort(self, reason: str) -> None:
         sent = self.connection.connected
         self.connection.cancel()
-        self._finish(CallFailed(reason, sent))
+        self._finish(CallFailed(reason, sent, self._reused))
 
     def _finish(self, answer: Answer) -> bool:
         """Report the answer unless one was reported; tell whether this was done."""
