Check the link to a peer that does not answer a request for the configuration

Cause: a link without open requests of callers is not checked.

Change: a request for the table that is not answered within 0.3 s makes the link suspect, as an offer without an answer does: it is pinged, and replaced after another 0.5 s of silence.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -18,3 +18,10 @@
       | a process that is no watcher | 1    |
       | a process that is no watcher | 2    |
       | a process that is no watcher | 3    |
+
+  # Guards against requests for the configuration that are sent over a silent link again
+  # and again.
+  Scenario: The link to the peer that announces a newer configuration is silent
+    Given a process that has got its configuration from a peer
+    When their link goes silent and the peer announces a newer version each 0.4 seconds
+    Then the process has the newer version within 2 seconds
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -4,7 +4,17 @@
 
 from behave import given, then, when
 
+from features.steps.sidecar_decisions_steps import make_record, make_route
+from features.support.loop import LOCAL, TestLoop
 from features.support.store_follower import StoreFollower, StoreWorld
+from flamingobank.core import ServiceName, VirtualClock
+from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
+from flamingobank.sidecar.links.channels import PeerObserver
+from flamingobank.sidecar.links.links import LinkObserver, LinkPool
+from flamingobank.sidecar.links.messages import PROTOCOL_VERSION, Hello
+from flamingobank.sidecar.routing_table_sync import RoutingTableSync
+from tools.soak.proxy import LinkProxy, ProxyMode
 
 PEERS = [f"n{number}" for number in range(25)]
 # Time in which a process has read the store and its connections are idle or watching.
@@ -39,3 +49,91 @@
 def step_has_change(context, seconds):
     context.world.advance(seconds)
     assert context.follower.version == 2, context.follower.versions
+
+
+class StubEntry:
+    """The part of an entry that holds the routing table."""
+
+    def __init__(self):
+        self.table = None
+
+
+class TableNode(LinkObserver, PeerObserver):
+    """A process that exchanges routing tables with a peer over a link."""
+
+    def __init__(self, loop, name):
+        self.links = LinkPool(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            random.Random(name),
+            EventLog(name),
+            Hello(PROTOCOL_VERSION, name, f"{name}-boot"),
+        )
+        self.links.observer = self
+        self.address = self.links.listen(LOCAL, self)
+        self.sync = RoutingTableSync(
+            loop.clock,
+            loop.timers,
+            EventLog(name),
+            self.links,
+            StubEntry(),
+            lambda version: None,
+        )
+
+    def on_control_message(self, link, message):
+        """Take a table that the peer sent."""
+        self.sync.take(message, "peer")
+
+    def on_peer_message(self, channel, message):
+        """Answer a request for the table."""
+        self.sync.answer_pull(channel)
+
+    def on_channel_closed(self, channel):
+        """Do nothing."""
+
+    def apply(self, version):
+        """Put a version of the table in force."""
+        services = frozenset([ServiceName("orders")])
+        table = RoutingTable(version, (make_route(),), services, RequestLimits())
+        self.sync.apply(table, "store")
+
+
+@given("a process that has got its configuration from a peer")
+def step_table_from_peer(context):
+    loop = context.loop = TestLoop(VirtualClock(100.0))
+    context.peer = TableNode(loop, "peer")
+    context.peer.apply(1)
+    context.process = TableNode(loop, "own")
+    context.proxy = LinkProxy(
+        loop.poller,
+        loop.timers,
+        loop.clock,
+        random.Random(1),
+        LOCAL,
+        context.peer.address,
+    )
+    context.record = make_record("peer", address=context.proxy.address)
+    context.process.sync.note_version(context.record, 1)
+    loop.run_until(lambda: context.process.sync.version == 1, "first table")
+    loop.advance(5)
+
+
+@when("their link goes silent and the peer announces a newer version each 0.4 seconds")
+def step_link_silent(context):
+    for link in context.proxy.links:
+        link.mode = ProxyMode.SILENT
+    context.peer.apply(2)
+    context.announce_s = 0.4
+
+
+@then("the process has the newer version within {seconds:d} seconds")
+def step_newer_version(context, seconds):
+    started_at = context.loop.clock.now()
+    announce_at = started_at
+    while context.loop.clock.now() < started_at + seconds:
+        if context.loop.clock.now() >= announce_at:
+            announce_at += context.announce_s
+            context.process.sync.note_version(context.record, 2)
+        context.loop.advance(0.02, turns=8)
+    assert context.process.sync.version == 2
--- a/src/flamingobank/sidecar/routing_table_sync.py
+++ b/src/flamingobank/sidecar/routing_table_sync.py
@@ -97,3 +97,5 @@
         self._event_log.event(
             "configuration:unanswered", version=version, peer=peer.node
         )
+        # Idle links are not checked, and this one may have gone silent.
+        self._links.get(peer.address).suspect()
