--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -13,6 +13,7 @@
 from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
     FleetStoreError,
+    StoreEpoch,
     TableReading,
 )
 from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
@@ -59,6 +60,7 @@
     """One process's calls to the store, which end when the process vanishes."""
 
     def __init__(self, store):
+        self.epoch = StoreEpoch(0)
         self.store = store
         self.cut = False
         self.calls = 0
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -13,6 +13,7 @@
 from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
     FleetStoreError,
+    StoreEpoch,
     TableReading,
 )
 from flamingobank.sidecar.fleet.gossip import PeerGossip
@@ -129,6 +130,7 @@
     """A store that answers calls after 4 ms, or with errors while it is unavailable."""
 
     def __init__(self, loop):
+        self.epoch = StoreEpoch(0)
         self.loop = loop
         self.records = {}
         self.calls = []
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -13,13 +13,14 @@
     FleetStore,
     FleetStoreError,
     PeersCallback,
+    StoreEpoch,
     TableCallback,
     TableReading,
 )
 from flamingobank.sidecar.fleet.peers import PeerRecord, pack_record, unpack_record
 from flamingobank.sidecar.fleet.routes import RoutingTable
 from flamingobank.store import Transport
-from flamingobank.store.calls import Answer, CallFailed, StoreCall
+from flamingobank.store.calls import Answer, CallFailed, StoreAnswer, StoreCall
 
 OBJECTS_PATH = "/flamingobank/objects"
 CONFIGURATION_KIND = "config"
@@ -39,6 +40,10 @@
     TypeError,
     ValueError,
 )
+# Rises when the store comes back from an older copy. A store without restores may leave
+# it out.
+EPOCH_HEADER = "store-era"
+MAX_EPOCH = 2**63
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 
@@ -47,6 +52,7 @@
     """Read the configuration and keep one object for each sidecar."""
 
     def __init__(self, transport: Transport, event_log: EventLog) -> None:
+        self.epoch = StoreEpoch(0)
         self._transport = transport
         self._event_log = event_log
 
@@ -161,6 +167,7 @@
             if answer.reused_connection:
                 return Error(FleetStoreError.CONNECTION_LOST)
             return Error(FleetStoreError.UNAVAILABLE)
+        self._note_epoch(answer)
         if answer.status == STATUS_GONE:
             self._log_failure(call, "history since the revision is no longer stored")
             return Error(FleetStoreError.HISTORY_GONE)
@@ -179,6 +186,13 @@
             return Error(FleetStoreError.MALFORMED)
         return Ok(document)
 
+    def _note_epoch(self, answer: StoreAnswer) -> None:
+        epoch = _read_epoch(answer)
+        if epoch <= self.epoch:
+            return
+        self._event_log.event("store:epoch", epoch=epoch, former_epoch=self.epoch)
+        self.epoch = epoch
+
     def _decode_reading(
         self, document: dict, list_objects: Callable[[dict], list]
     ) -> Result[TableReading, FleetStoreError]:
@@ -219,6 +233,14 @@
         )
 
 
+def _read_epoch(answer: StoreAnswer) -> StoreEpoch:
+    """Return the epoch that an answer names, 0 if it names none."""
+    text = answer.headers.get(EPOCH_HEADER, "")
+    if not text.isascii() or not text.isdigit():
+        return StoreEpoch(0)
+    return StoreEpoch(min(int(text[:20]), MAX_EPOCH))
+
+
 def _list_items(document: dict) -> list:
     items = document.get("items") or []
     if not isinstance(items, list):
--- a/src/flamingobank/sidecar/fleet/fleet_store.py
+++ b/src/flamingobank/sidecar/fleet/fleet_store.py
@@ -4,12 +4,17 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NewType
 
 from expression import Result
 
 from flamingobank.sidecar.fleet.peers import PeerRecord
 from flamingobank.sidecar.fleet.routes import RoutingTable
 
+# Number of an unbroken history of the store. A restore from an older copy begins the
+# next one, in which revisions of the former are given out again.
+StoreEpoch = NewType("StoreEpoch", int)
+
 
 class FleetStoreError(enum.Enum):
     """Why a call to the store failed."""
@@ -44,6 +49,9 @@
 class FleetStore(abc.ABC):
     """Call the store asynchronously; each callback is called once with the result."""
 
+    # The newest epoch that an answer has named.
+    epoch: StoreEpoch
+
     @abc.abstractmethod
     def read_table(self, callback: TableCallback) -> None:
         """Read the current configuration."""
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -292,6 +292,7 @@
         if result.is_error():
             self._count_error(result.error)
             return
+        self._event_log.event("store:record-saved", epoch=self._store.epoch)
         # Processes that start together may list the records before the others have
         # written theirs. Of any two, the one that wrote later finds the other's record
         # by listing once more.
