Count only written lines towards the log's limits

What operators saw: under load a process's log lacked configuration:applied, store:takeover and store:call-failed lines. Request lines above their limit were dropped but still counted, so 400 of them in a second silenced everything else until the next second.

The scenario failed before.

--- a/features/event_log.feature
+++ b/features/event_log.feature
@@ -21,3 +21,11 @@
     Given an event log that counts its lines
     When 1000 decisions on requests are logged within a second
     Then 200 are written and 800 are counted as dropped
+
+  # Guards against request lines that are dropped and still use up the limit, so that the
+  # log of a busy process lacks the changes of its configuration.
+  Scenario: A change of state is logged while lines about requests are dropped
+    Given an event log that counts its lines
+    When 1000 decisions on requests are logged within a second
+    And a configuration is applied in the same second
+    Then the line about the configuration is written
--- a/features/steps/event_log_steps.py
+++ b/features/steps/event_log_steps.py
@@ -108,3 +108,14 @@
     written = [line for line in context.lines if line.get("node") == "flooded"]
     assert len(written) == 200, len(written)
     assert context.event_log.dropped == 800
+
+
+@when("a configuration is applied in the same second")
+def step_log_configuration(context):
+    context.event_log.event("configuration:applied", version=7)
+
+
+@then("the line about the configuration is written")
+def step_configuration_logged(context):
+    kinds = [line.get("message_type") for line in context.lines]
+    assert "configuration:applied" in kinds
--- a/src/flamingobank/sidecar/event_log.py
+++ b/src/flamingobank/sidecar/event_log.py
@@ -73,10 +73,10 @@
             if second != self._current_second:
                 self._current_second = second
                 self._lines_in_second = 0
-        self._lines_in_second += 1
-        if self._lines_in_second > limit:
+        if self._lines_in_second >= limit:
             self.dropped += 1
             return False
+        self._lines_in_second += 1
         return True
 
 
