Write the records of sidecars again after the store has lost them

After a restore, a process that starts later does not find its peers in the store, and a process on a machine whose server has left does not find the departure that was acknowledged; only gossip tells it, if it reaches a peer that remembers (DRAIN).

Cause: a process remembered that its record was saved, whatever the store had lost since. Most processes do not call the store at all after their start, so they could not notice either.

Change: a process remembers the epoch in which it saved its record, and saves it again in a new one. A process that reads the store in a new epoch lists the peers, and tells those whose process or departures the listing lacks by a datagram (UNSAVED); they write their records again within 0.3 s, at most once in 2 s. Each later listing (10 s) does the same, so a record that an older write has replaced late comes back too.

Conclusion: class of fault: what another system holds for us is taken as held for good.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -18,3 +18,18 @@
       | a process that is no watcher | 1    |
       | a process that is no watcher | 2    |
       | a process that is no watcher | 3    |
+
+  # Guards against records of running processes that stay lost, so that processes that
+  # start later do not find them. Entries are to be back about 2 seconds after the return.
+  Scenario: Records are lost with the store's newest writes
+    Given a store that was copied before 8 processes saved their records
+    When it is away for half a second and comes back from that copy
+    Then the store has the records of all processes after 2 seconds
+
+  # Guards against an acknowledged departure that a later process on the machine does
+  # not find in the store.
+  Scenario: An acknowledged departure is lost with the store's newest writes
+    Given 8 processes that saved their records, and a copy of the store
+    And one that is no watcher then acknowledges and saves a departure
+    When it is away for half a second and comes back from that copy
+    Then the store has the departure after 2 seconds
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,10 +1,15 @@
 """Test what processes do after the store came back from an older copy."""
 
-from behave import when
+from behave import given, then, when
 
+from features.support.store_follower import GossipingFollower, StoreWorld
+from flamingobank.core import InstanceId
+from flamingobank.platform.store import PEER_KIND
+from flamingobank.sidecar.fleet.peers import unpack_record
 from flamingobank_standins.platform.store import StoreMode
 
 AWAY_S = 1.0
+DEPARTURE = (InstanceId("i-1"), 100)
 
 
 @when("the store loses a change, and another one gets the same revision")
@@ -20,3 +25,74 @@
     world.store.restore(copy)
     world.change_configuration()
     context.expected_version = 3
+
+
+@given("a store that was copied before {count:d} processes saved their records")
+def step_copied_before(context, count):
+    context.world = StoreWorld()
+    context.copy = context.world.store.take_copy()
+    _start_processes(context, count)
+
+
+@given("{count:d} processes that saved their records, and a copy of the store")
+def step_copied_after(context, count):
+    context.world = StoreWorld()
+    _start_processes(context, count)
+    context.copy = context.world.store.take_copy()
+
+
+def _start_processes(context, count):
+    context.processes = [
+        GossipingFollower(context.world, f"n{number}") for number in range(count)
+    ]
+    for process in context.processes:
+        process.sync.start()
+    context.world.advance(4)
+    assert sorted(_list_saved(context)) == [f"n{number}" for number in range(count)]
+
+
+@given("one that is no watcher then acknowledges and saves a departure")
+def step_departure(context):
+    others = [p for p in context.processes if not p.sync.is_watcher()]
+    context.leaving = others[0]
+    saved = []
+    context.leaving.gossip.publish(departures=(DEPARTURE,))
+    context.leaving.sync.save_departure(lambda: saved.append(True))
+    context.world.advance(0.5)
+    assert saved and _has_departure(context)
+
+
+@when("it is away for half a second and comes back from that copy")
+def step_comes_back(context):
+    store = context.world.store
+    store.mode = StoreMode.RESETTING
+    context.world.advance(0.5)
+    store.restore(context.copy)
+    store.mode = StoreMode.SERVING
+
+
+@then("the store has the records of all processes after {seconds:d} seconds")
+def step_records_back(context, seconds):
+    context.world.advance(seconds)
+    names = sorted(process.table.local_record.node for process in context.processes)
+    assert sorted(_list_saved(context)) == names, _list_saved(context)
+
+
+@then("the store has the departure after {seconds:d} seconds")
+def step_departure_back(context, seconds):
+    context.world.advance(seconds)
+    assert _has_departure(context)
+
+
+def _list_saved(context):
+    return [
+        process.table.local_record.node
+        for process in context.processes
+        if context.world.store.find(PEER_KIND, process.table.local_record.node)
+    ]
+
+
+def _has_departure(context):
+    node = context.leaving.table.local_record.node
+    saved = context.world.store.find(PEER_KIND, node)
+    return DEPARTURE in unpack_record(saved["record"]).departures
--- a/features/support/store_follower.py
+++ b/features/support/store_follower.py
@@ -1,12 +1,14 @@
 """Run processes that follow a configuration store over loopback sockets."""
 
 import random
+from dataclasses import replace
 
 from features.steps.sidecar_decisions_steps import make_record
 from features.support.loop import LOCAL, TestLoop
 from flamingobank.core import VirtualClock
 from flamingobank.platform.store import ObjectStore
 from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.gossip import PeerGossip
 from flamingobank.sidecar.fleet.peers import PeerTable
 from flamingobank.sidecar.fleet.store_sync import StoreSync
 from flamingobank.sidecar.metrics import SidecarMetrics
@@ -98,3 +100,31 @@
     def version(self):
         """Return the version in force, 0 before any."""
         return max(self.versions, default=0)
+
+
+class GossipingFollower(StoreFollower):
+    """A process that follows the store and gossips with the others."""
+
+    def __init__(self, world, name):
+        super().__init__(world, name)
+        loop = world.loop
+        self.gossip = PeerGossip(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            random.Random(name),
+            EventLog(name),
+            self.table,
+            LOCAL,
+        )
+        address = self.gossip._endpoint.address
+        self.table.local_record = replace(self.table.local_record, address=address)
+        self.table.update_local()
+        self.sync.on_peers = self.gossip.add_records
+        self.sync.on_newer_reading = self.gossip.announce_reading
+        self.sync.on_unsaved_peers = self.gossip.report_unsaved
+        self.gossip.on_unsaved = self.sync.save_again
+        self.gossip.get_reading_age_s = lambda: self.sync.reading_age_s
+        self.gossip.on_digest = lambda peer, version, age_s: self.sync.note_reading_age(
+            age_s
+        )
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -179,6 +179,8 @@
         self.store_sync.on_newer_reading = self.gossip.announce_reading
         self.store_sync.on_table = lambda table: self.table_sync.apply(table, "store")
         self.store_sync.on_peers = self._on_peers
+        self.store_sync.on_unsaved_peers = self.gossip.report_unsaved
+        self.gossip.on_unsaved = self.store_sync.save_again
         self.gossip.get_reading_age_s = lambda: self.store_sync.reading_age_s
         self.control = AnnouncementHandler(
             self.clock, self.home, event_log, self.metrics, decode_call
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -52,6 +52,8 @@
     RECORDS = 3
     # The fingerprint of a request that probably crashed a server.
     CRASH = 4
+    # The store lacks the receiver's current record.
+    UNSAVED = 5
 
 
 class PeerGossip:
@@ -76,6 +78,7 @@
         self.on_crash: Callable[[Fingerprint, InstanceId, CrashId], bool] = (
             lambda fingerprint, instance, crash_id: False
         )
+        self.on_unsaved: Callable[[], None] = lambda: None
         # Returns the age in seconds of the fleet's newest known reading of the store.
         self.get_reading_age_s: Callable[[], float] = lambda: MAX_READING_AGE_S
         self.version = 0
@@ -141,6 +144,11 @@
                 peer.address, DatagramKind.CRASH, fingerprint, instance, crash_id
             )
 
+    def report_unsaved(self, peers: list[PeerRecord]) -> None:
+        """Tell peers that the store lacks their current records."""
+        for peer in peers:
+            self._send(peer.address, DatagramKind.UNSAVED)
+
     def leave(self) -> None:
         """Notify all peers that this process stops."""
         self.publish(left=True, serving=False)
@@ -249,6 +257,8 @@
                 self._answer_compare(fields[0], address)
             elif kind is DatagramKind.RECORDS:
                 self._merge_records(fields[0])
+            elif kind is DatagramKind.UNSAVED:
+                self.on_unsaved()
             else:
                 fingerprint, instance, crash_id = fields
                 self.on_crash(
--- a/src/flamingobank/sidecar/fleet/peers.py
+++ b/src/flamingobank/sidecar/fleet/peers.py
@@ -169,6 +169,20 @@
                     self._homes.setdefault(record.service, []).append(record)
         return self._homes.get(service, [])
 
+    def list_unsaved(self, stored: list[PeerRecord]) -> list[PeerRecord]:
+        """Return the peers whose process or departures are not in stored records."""
+        stored_by_node = {record.node: record for record in stored}
+        unsaved = []
+        for record in self.list_peers():
+            saved = stored_by_node.get(record.node)
+            if (
+                saved is None
+                or saved.incarnation < record.incarnation
+                or not set(record.departures) <= set(saved.departures)
+            ):
+                unsaved.append(record)
+        return unsaved
+
     def list_all(self) -> list[PeerRecord]:
         """Return all records, including the local one and those that have left."""
         return [self.local_record, *self._records.values()]
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -17,6 +17,7 @@
 from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
     FleetStoreError,
+    StoreEpoch,
     StorePosition,
     TableReading,
 )
@@ -52,6 +53,12 @@
 INITIAL_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 2.0
 SAVE_TIMEOUT_S = 1.0
+# Several watchers may report the local record as missing from the store while it is
+# being written. Reports are ignored this long after a write.
+MIN_SAVE_AGAIN_INTERVAL_S = 2.0
+# A restored store lacks the records of many processes, which write them at random times
+# within this span.
+SAVE_AGAIN_SPREAD_S = 0.3
 
 
 class StoreSync:
@@ -71,6 +78,8 @@
         """Keep a change of the configuration within `propagation_s` of its writing."""
         self.on_table: Callable[[RoutingTable], None] = lambda table: None
         self.on_peers: Callable[[list[PeerRecord]], None] = lambda records: None
+        # Called with the peers whose current records a listing lacks.
+        self.on_unsaved_peers: Callable[[list[PeerRecord]], None] = lambda records: None
         # Called for a reading that peers should learn of, by this sidecar or another.
         self.on_newer_reading: Callable[[], None] = lambda: None
         self.stopping = False
@@ -93,8 +102,11 @@
         self._retry_at = 0.0
         self._list_requested = False
         self._list_at = 0.0
-        self._peers_were_listed = False
-        self._record_saved = False
+        # The epochs of the store in which the peers were last listed and the local
+        # record was written, None before the first time.
+        self._listed_epoch: StoreEpoch | None = None
+        self._saved_epoch: StoreEpoch | None = None
+        self._saved_at: float | None = None
         self._save_pending = False
         self._ranked_digest: int | None = None
         self._is_watcher = False
@@ -127,6 +139,17 @@
             self._peers.local_record, SAVE_TIMEOUT_S / 2, lambda result: on_done()
         )
 
+    def save_again(self) -> None:
+        """Write the local record, which a peer did not find in the store."""
+        now = self._clock.now()
+        # Before the first write there is nothing to repeat.
+        if self._saved_at is None or now < self._saved_at + MIN_SAVE_AGAIN_INTERVAL_S:
+            return
+        self._saved_epoch = None
+        self._timers.call_at(
+            now + self._rng.uniform(0, SAVE_AGAIN_SPREAD_S), self._save_if_needed
+        )
+
     def retire_local_record(self) -> None:
         """Remove the local record from the store.
 
@@ -164,12 +187,8 @@
             return
         if not self._list_requested or (now >= self._list_at and self.is_watcher()):
             self._list_peers()
-        elif (
-            self._peers_were_listed
-            and not self._record_saved
-            and not self._save_pending
-        ):
-            self._save()
+        else:
+            self._save_if_needed()
         if self._position is None or self.is_watcher():
             self._read(self._choose_wait_s())
 
@@ -246,6 +265,9 @@
         if reading.table is not None:
             self.on_table(reading.table)
         self._note_reading(now)
+        if self._listed_epoch not in (None, reading.position.epoch):
+            # The restored store may lack records, and have those of former processes.
+            self._list_peers()
         self._check()
 
     def _on_error(self, error: FleetStoreError, now: float) -> None:
@@ -283,28 +305,39 @@
             self._count_error(result.error)
             self._list_requested = False
             return
-        self._peers_were_listed = True
+        is_first = self._listed_epoch is None
+        self._listed_epoch = self._store.epoch
         self._list_at = self._clock.now() + LIST_INTERVAL_S
         self.on_peers(result.ok)
-        if not self._record_saved:
-            self._save()
-
-    def _save(self) -> None:
+        if not is_first:
+            # At the start of a fleet, many have not written their records yet.
+            self.on_unsaved_peers(self._peers.list_unsaved(result.ok))
+        self._save_if_needed()
+
+    def _save_if_needed(self) -> None:
+        # An earlier process's record is read before it is overwritten.
+        if self.stopping or self._save_pending or self._listed_epoch is None:
+            return
+        if self._saved_epoch == self._store.epoch:
+            return
         self._save_pending = True
         self._count("save")
         self._store.save_peer(self._peers.local_record, SAVE_TIMEOUT_S, self._on_saved)
 
     def _on_saved(self, result: Result[None, FleetStoreError]) -> None:
         self._save_pending = False
-        self._record_saved = result.is_ok()
         if result.is_error():
             self._count_error(result.error)
             return
-        self._event_log.event("store:record-saved", epoch=self._store.epoch)
-        # Processes that start together may list the records before the others have
-        # written theirs. Of any two, the one that wrote later finds the other's record
-        # by listing once more.
-        self._list_peers()
+        is_first = self._saved_at is None
+        self._saved_epoch = self._store.epoch
+        self._saved_at = self._clock.now()
+        self._event_log.event("store:record-saved", epoch=self._saved_epoch)
+        if is_first:
+            # Processes that start together may list the records before the others have
+            # written theirs. Of any two, the one that wrote later finds the other's
+            # record by listing once more.
+            self._list_peers()
 
     def _count(self, operation: str) -> None:
         self._metrics.count("store_calls_total", operation=operation, outcome="sent")
