Retire the record of a process that has left when the store still has it as running

After a restore the records of processes that had left are back. Peers know for 30 s that they have left; after that, each listing makes them peers again that take no connection, that requests may be offered to, and that rank as watchers.

Cause: only a process itself removes its record, once, when it stops.

Change: whoever lists the peers retires a record whose process it knows to have left since: it is removed, or written as left if it has departures of a server. It also retires what a removal that failed has left behind.

What remains: a listing that crosses the start of the next process on the same machine may remove the new record; that process is told so after the next listing, within 10 s. Records of machines that were lost without a word still stay.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -39,3 +39,16 @@
     Given 8 processes that saved their records, and a copy of the store
     When it is away for 1 second, and one that is no watcher acknowledges a departure
     Then the store has the departure after 2 seconds
+
+  # Guards against the record of a process that has left, which a restore brings back as
+  # one of a process that runs.
+  Scenario Outline: A process has left since the store was copied
+    Given 8 processes that saved their records, and a copy of the store
+    And one that is no watcher then leaves, after <departures>
+    When it is away for half a second and comes back from that copy
+    Then the store has <record> after 2 seconds
+
+    Examples:
+      | departures                | record                                 |
+      | no departure              | no record of it                        |
+      | a departure of its server | its record as left, with the departure |
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -58,8 +58,7 @@
 
 
 def _acknowledge_departure(context):
-    others = [p for p in context.processes if not p.sync.is_watcher()]
-    context.leaving = others[0]
+    context.leaving = _find_non_watcher(context)
     answered = []
     context.leaving.gossip.publish(departures=(DEPARTURE,))
     context.leaving.sync.save_departure(lambda: answered.append(True))
@@ -108,6 +107,41 @@
 
 
 def _has_departure(context):
+    saved = _find_saved(context)
+    return saved is not None and DEPARTURE in saved.departures
+
+
+@given("one that is no watcher then leaves, after {departures}")
+def step_leaves(context, departures):
+    if departures == "a departure of its server":
+        _acknowledge_departure(context)
+    else:
+        context.leaving = _find_non_watcher(context)
+    context.leaving.sync.stopping = True
+    context.leaving.gossip.leave()
+    context.leaving.sync.retire_local_record()
+    context.world.advance(0.5)
+    context.leaving.gossip._endpoint.close()
+
+
+@then("the store has no record of it after {seconds:d} seconds")
+def step_no_record(context, seconds):
+    context.world.advance(seconds)
+    assert _find_saved(context) is None
+
+
+@then("the store has its record as left, with the departure after {seconds:d} seconds")
+def step_left_record(context, seconds):
+    context.world.advance(seconds)
+    assert _find_saved(context).left
+    assert _has_departure(context)
+
+
+def _find_saved(context):
     node = context.leaving.table.local_record.node
     saved = context.world.store.find(PEER_KIND, node)
-    return DEPARTURE in unpack_record(saved["record"]).departures
+    return unpack_record(saved["record"]) if saved is not None else None
+
+
+def _find_non_watcher(context):
+    return next(p for p in context.processes if not p.sync.is_watcher())
--- a/src/flamingobank/sidecar/fleet/peers.py
+++ b/src/flamingobank/sidecar/fleet/peers.py
@@ -183,6 +183,13 @@
                 unsaved.append(record)
         return unsaved
 
+    def find_left(self, stored: PeerRecord) -> PeerRecord | None:
+        """Return the newer record of a stored process that has left since, if known."""
+        known = self._records.get(stored.node)
+        if known is None or not known.left or known.version <= stored.version:
+            return None
+        return known
+
     def list_all(self) -> list[PeerRecord]:
         """Return all records, including the local one and those that have left."""
         return [self.local_record, *self._records.values()]
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -161,13 +161,7 @@
 
         A record with departures is kept and saved instead, for the next process.
         """
-        local_record = self._peers.local_record
-        if local_record.departures:
-            self._count("save")
-            self._store.save_peer(local_record, SAVE_TIMEOUT_S, lambda result: None)
-            return
-        self._count("remove")
-        self._store.remove_peer(local_record, lambda result: None)
+        self._retire(self._peers.local_record)
 
     def is_watcher(self) -> bool:
         """Return whether this sidecar is one of those that watch the store."""
@@ -315,11 +309,29 @@
         self._listed_epoch = self._store.epoch
         self._list_at = self._clock.now() + LIST_INTERVAL_S
         self.on_peers(result.ok)
+        # A restore brings back records of processes that have left, and nobody else
+        # would retire them again.
+        for record in result.ok:
+            left_record = self._peers.find_left(record)
+            if left_record is not None:
+                self._retire(left_record)
         if not is_first:
             # At the start of a fleet, many have not written their records yet.
             self.on_unsaved_peers(self._peers.list_unsaved(result.ok))
         self._save_if_needed()
 
+    def _retire(self, record: PeerRecord) -> None:
+        if record.departures:
+            self._count("save")
+            self._store.save_peer(record, SAVE_TIMEOUT_S, self._on_retired)
+            return
+        self._count("remove")
+        self._store.remove_peer(record, self._on_retired)
+
+    def _on_retired(self, result: Result[None, FleetStoreError]) -> None:
+        if result.is_error():
+            self._count_error(result.error)
+
     def _save_if_needed(self) -> None:
         # An earlier process's record is read before it is overwritten.
         if self.stopping or self._save_pending or self._listed_epoch is None:
