Bound the fields of records, heartbeats and configurations where they are decoded

Here: no process ended, as exceptions are caught by the loop, but the rest of the listing was lost each time (struct.error for an incarnation of 2 to the 64, UnicodeEncodeError for a lone surrogate, OverflowError for port 70000 at each datagram), records with a host name were looked up while the loop waited, a record with the address of a peer and a far start dropped that peer, and all of them travelled on by gossip.

Cause: unpack_record converted values (int(), str(), bool()) instead of checking them, and nothing had bounds.

Change: the type that decodes checks: text that can be sent and is short, numbers within what hash and wire hold, an IPv4 address with a port, flags that are flags, at most 64 departures, an incarnation before the year 2248, and the object's name equal to the record's. Gossip uses the same decoder. Heartbeats and the configuration's version have bounds too.

Conclusion: class of fault: a conversion in place of a check at the edge.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -41,6 +41,21 @@
     When heartbeats with single values replaced at random arrive
     Then each is an announcement with every field valid or an error
 
+  # Guards against an address that is looked up while the loop waits, and against text
+  # that cannot be passed on to peers.
+  Scenario Outline: A heartbeat with an odd value announces no server
+    When a heartbeat arrives whose <field> is <value>
+    Then it announces no server
+
+    Examples:
+      | field   | value                 |
+      | address | machine.example:8080  |
+      | address | 10.128.0.9:70000      |
+      | address | 10.128.0.9:-4         |
+      | service | a lone surrogate      |
+      | service | 100000 characters     |
+      | slots   | a number of 30 digits |
+
   Scenario: A deregistration names the server that leaves
     When a deregistration of instance "i-7f" arrives
     Then it is a departure of "i-7f"
--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -76,3 +76,26 @@
   Scenario: Every call to the store ends, whatever the store answers
     When the store answers calls with random documents
     Then each call gave its result once
+
+  # Guards against one odd entry that makes the processes which list the records end, or
+  # lose the rest of the listing.
+  Scenario Outline: One odd entry among the records in the store does not affect the others
+    Given a store that lists an entry with <oddity> between the records of two peers
+    When a process lists the records and merges and gossips them
+    Then it knows exactly the two peers, and can send to them
+
+    Examples:
+      | oddity                              |
+      | an incarnation of 2 to the 64       |
+      | an incarnation of 2 to the 63 less 1 |
+      | a negative revision                 |
+      | port 70000                          |
+      | port -4                             |
+      | a host name instead of an address   |
+      | a lone surrogate in its node        |
+      | a node of 100000 characters         |
+      | another node than its name          |
+      | a text instead of true              |
+      | 1000 departures                     |
+      | no name                             |
+      | no object                           |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -250,6 +250,27 @@
     )
 
 
+ODD_VALUES = {
+    "a lone surrogate": "\ud800",
+    "100000 characters": "x" * 100_000,
+    "a number of 30 digits": 10**29,
+}
+
+
+@when("a heartbeat arrives whose {field} is {value}")
+def step_odd_heartbeat(context, field, value):
+    heartbeat = copy.deepcopy(HEARTBEAT)
+    part = heartbeat if field == "address" else heartbeat["info"]
+    assert field in part
+    part[field] = ODD_VALUES.get(value, value)
+    context.result = _call("i-7f", "heartbeat", heartbeat)
+
+
+@then("it announces no server")
+def step_no_server(context):
+    assert context.result.is_error()
+
+
 @then("each is an announcement with every field valid or an error")
 def step_valid_or_error(context):
     errors = 0
--- a/src/flamingobank/platform/announcements.py
+++ b/src/flamingobank/platform/announcements.py
@@ -12,6 +12,7 @@
 _CALL_PATH = re.compile(
     r"^/flamingobank/instances/([^/]{1,200})/(heartbeat|deregister)$"
 )
+MAX_NAME_CHARACTERS = 250
 MAX_SLOTS = 10_000
 MAX_WARMUP_S = 3600
 
@@ -91,6 +92,8 @@
 
 def _read_string(document: dict, name: str) -> str:
     value = document[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} is {value!r}, expected a non-empty string")
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARACTERS:
+        raise ValueError(f"{name} is {value!r:.80}, expected a short string")
+    # Raises UnicodeEncodeError, a ValueError, for text that cannot be sent to peers.
+    value.encode()
     return value
--- a/src/flamingobank/platform/configuration.py
+++ b/src/flamingobank/platform/configuration.py
@@ -14,6 +14,8 @@
 DEFAULT_TIMEOUT_S = 60.0
 DEFAULT_MAX_ATTEMPTS = 2
 DEFAULT_PRIORITY = 1
+# Versions have eight hexadecimal digits.
+MAX_VERSION = 2**32 - 1
 
 
 def decode_configuration(document: object) -> Result[RoutingTable, str]:
@@ -39,6 +41,8 @@
         elif kind == "limits":
             limits = _decode_limits(body)
     version = int(document["version"], 16)
+    if not 0 <= version <= MAX_VERSION:
+        raise ValueError(f"version is {version}, expected 0 to {MAX_VERSION}")
     return RoutingTable(version, tuple(routes), frozenset(services), limits)
 
 
--- a/src/flamingobank/platform/settings.py
+++ b/src/flamingobank/platform/settings.py
@@ -1,5 +1,6 @@
 """Read the platform's settings file into the sidecar's settings."""
 
+import socket
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -41,8 +42,13 @@
     """Parse an address HOST:PORT; raises ValueError for any other text."""
     host, _, port = text.rpartition(":")
     number = int(port)
-    if not host or not 0 < number < 65536:
-        raise ValueError(f"address is {text!r}, expected HOST:PORT")
+    if not 0 < number < 65536:
+        raise ValueError(f"address is {text!r:.80}, expected HOST:PORT")
+    try:
+        # A name would be looked up while the event loop waits.
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError as error:
+        raise ValueError(f"host is {host!r:.80}, expected an IPv4 address") from error
     return host, number
 
 
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -230,10 +230,13 @@
 
     def _decode_peer(self, item: dict) -> PeerRecord | None:
         try:
-            return unpack_record(item["specification"]["record"])
+            record = unpack_record(item["specification"]["record"])
+            if item["metadata"]["name"] != record.node:
+                raise ValueError(f"the record of {record.node} has another's name")
         except MALFORMED_ERRORS as error:
-            self._event_log.warn("store:malformed", error=repr(error))
+            self._event_log.warn("store:malformed", error=f"{error!r:.200}")
             return None
+        return record
 
     def _log_failure(self, call: StoreCall, reason: str, **details: object) -> None:
         self._event_log.event(
--- a/src/flamingobank/sidecar/fleet/peers.py
+++ b/src/flamingobank/sidecar/fleet/peers.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import socket
 import struct
 from dataclasses import dataclass, replace
 
@@ -14,6 +15,16 @@
 from flamingobank.loop import Address
 
 HASH_BYTES = 6
+FIELD_COUNT = 9
+# Bounds of the fields of a record from outside this process.
+MAX_NAME_CHARACTERS = 250
+MAX_PORT = 65_535
+# Incarnations are in milliseconds since 1970; this one is in the year 2248.
+MAX_INCARNATION = 2**43
+MAX_REVISION = 2**63
+# The bound that announcements of servers have.
+MAX_START_MS = 2**63
+MAX_DEPARTURES = 64
 # A record of a process that left is kept this long, so that every peer receives it.
 LEFT_RETENTION_S = 30.0
 
@@ -58,24 +69,68 @@
     ]
 
 
-def unpack_record(values: list) -> PeerRecord:
+def unpack_record(values: object) -> PeerRecord:
     """Return the record of packed fields; raises ValueError when they are malformed."""
-    try:
-        node, incarnation, revision, address, domain, service, *rest = values
-        serving, left, departures = rest
-        return PeerRecord(
-            NodeId(str(node)),
-            int(incarnation),
-            int(revision),
-            (str(address[0]), int(address[1])),
-            FailureDomain(str(domain)),
-            ServiceName(str(service)),
-            bool(serving),
-            bool(left),
-            tuple((InstanceId(str(i)), int(started)) for i, started in departures),
+    if not isinstance(values, list | tuple) or len(values) != FIELD_COUNT:
+        raise ValueError(
+            f"peer record is {values!r:.80}, expected {FIELD_COUNT} fields"
         )
-    except (TypeError, IndexError) as error:
-        raise ValueError(f"peer record is malformed: {error}") from error
+    node, incarnation, revision, address, domain, service, *rest = values
+    serving, left, departures = rest
+    if not isinstance(departures, list | tuple) or len(departures) > MAX_DEPARTURES:
+        raise ValueError(f"departures are {departures!r:.80}, expected a short list")
+    return PeerRecord(
+        NodeId(_check_name(node)),
+        _check_number(incarnation, 0, MAX_INCARNATION),
+        _check_number(revision, 0, MAX_REVISION),
+        _check_address(address),
+        FailureDomain(_check_name(domain)),
+        ServiceName(_check_name(service)),
+        _check_flag(serving),
+        _check_flag(left),
+        tuple(_check_departure(departure) for departure in departures),
+    )
+
+
+def _check_name(value: object) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARACTERS:
+        raise ValueError(f"name is {value!r:.80}, expected a short text")
+    # Raises UnicodeEncodeError, a ValueError, for text that cannot be sent.
+    value.encode()
+    return value
+
+
+def _check_number(value: object, minimum: int, maximum: int) -> int:
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise ValueError(f"number is {value!r:.80}, expected {minimum} to {maximum}")
+    return value
+
+
+def _check_flag(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"flag is {value!r:.80}, expected true or false")
+    return value
+
+
+def _check_address(value: object) -> Address:
+    if not isinstance(value, list | tuple) or len(value) != 2:
+        raise ValueError(f"address is {value!r:.80}, expected a host and a port")
+    host, port = value
+    try:
+        socket.inet_pton(socket.AF_INET, _check_name(host))
+    except OSError as error:
+        raise ValueError(f"host is {host!r:.80}, expected an IPv4 address") from error
+    return (host, _check_number(port, 1, MAX_PORT))
+
+
+def _check_departure(value: object) -> tuple[InstanceId, int]:
+    if not isinstance(value, list | tuple) or len(value) != 2:
+        raise ValueError(f"departure is {value!r:.80}, expected instance and start")
+    instance, started_ms = value
+    return (
+        InstanceId(_check_name(instance)),
+        _check_number(started_ms, 0, MAX_START_MS),
+    )
 
 
 def hash_record(record: PeerRecord) -> bytes:
@@ -227,6 +282,9 @@
         """
         if record.version <= self.local_record.version:
             return False
+        if record.incarnation >= MAX_INCARNATION:
+            # Peers would take a higher one for malformed.
+            return False
         self._set_local(
             replace(self.local_record, incarnation=record.incarnation + 1, revision=1)
         )
