Keep the entries of a listing of which one value cannot be decoded

Here: one entry with 100,000 nested lists, with a number of 5,000 digits, or with bytes that are not UTF-8 made each listing of the peers, and each reading of a kind, malformed as a whole: processes that started later found no peers in the store.

Cause: the JSON decoder rejects the whole document (RecursionError, ValueError).

Change: a document that is rejected is decoded once more with null in place of values deeper than 64 levels and of integers over 40 characters, and with replacement characters for bytes that cannot be read.

Evidence: the four rows failed before.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -86,6 +86,9 @@
 
     Examples:
       | oddity                              |
+      | 100000 nested lists                 |
+      | nested lists as its node            |
+      | a number of 5000 digits             |
       | an incarnation of 2 to the 64       |
       | an incarnation of 2 to the 63 less 1 |
       | a negative revision                 |
@@ -97,5 +100,6 @@
       | another node than its name          |
       | a text instead of true              |
       | 1000 departures                     |
+      | bytes that are not UTF-8            |
       | no name                             |
       | no object                           |
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from flamingobank.platform.configuration import decode_configuration
+from flamingobank.platform.documents import decode_document
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.fleet_store import (
     DoneCallback,
@@ -184,8 +185,8 @@
             self._log_failure(call, f"status {answer.status}")
             return Error(FleetStoreError.UNAVAILABLE)
         try:
-            document = json.loads(answer.body) if answer.body else {}
-        except (ValueError, RecursionError) as error:
+            document = decode_document(answer.body) if answer.body else {}
+        except ValueError as error:
             self._log_failure(call, f"body is not JSON: {error}")
             return Error(FleetStoreError.MALFORMED)
         if not isinstance(document, dict):
