End a listing of the peers whose pages do not get further

What could be seen: a page whose last entry has no usable name made the listing malformed, or raised an exception (UnicodeEncodeError for a lone surrogate) in place of a result, after which the process never listed the peers again. A store that gives the same page again and again was asked without end.

Change: the listing goes on from the last name that can be sent, and ends when that is not behind the one before.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -103,3 +103,8 @@
       | bytes that are not UTF-8            |
       | no name                             |
       | no object                           |
+
+  Scenario: A listing whose last name cannot be used to continue still ends
+    Given a store that lists one page again and again
+    When a process lists the records
+    Then it gets the records of the page
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -139,7 +139,6 @@
                 return
             try:
                 items = _list_items(result.ok)
-                last = items[-1]["metadata"]["name"] if items else ""
             except MALFORMED_ERRORS as error:
                 self._event_log.warn("store:malformed", error=repr(error))
                 callback(Error(FleetStoreError.MALFORMED))
@@ -148,8 +147,11 @@
                 record = self._decode_peer(item)
                 if record is not None:
                     records.append(record)
-            if result.ok.get("has-more") and items:
-                self._list_page(str(last), records, callback)
+            last_name = _find_last_name(items)
+            # Names are listed in order, so a page that does not get further would come
+            # again and again.
+            if result.ok.get("has-more") and last_name > after:
+                self._list_page(last_name, records, callback)
                 return
             callback(Ok(records))
 
@@ -263,6 +265,18 @@
     return items
 
 
+def _find_last_name(items: list) -> str:
+    """Return the last name of a page that can be sent to continue, "" if none can."""
+    for item in reversed(items):
+        try:
+            name = item["metadata"]["name"]
+            name.encode()
+        except MALFORMED_ERRORS:
+            continue
+        return name
+    return ""
+
+
 def _list_changed(document: dict) -> list:
     return [
         event["object"]
