Do not repeat a request on the connection on which the server refused it

Cause: answers are told apart by the request's id alone. A request that was refused may be offered to the same home again; if it takes the same connection, a late copy of the refusal has the same id.

Change: the client of the server remembers the requests that were refused on each connection, and sends such a request on another one. A copy that arrives while the connection is idle closes it, as before.

--- a/src/flamingobank/sidecar/homes/server_client.py
+++ b/src/flamingobank/sidecar/homes/server_client.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
+from weakref import WeakKeyDictionary
 
 from flamingobank.core import Clock, InstanceId, RequestId
 from flamingobank.loop import (
@@ -19,6 +20,8 @@
 # The server is on this machine, so a slower connect is taken as failed.
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_CONNECTIONS = 8
+# A connection on which the server has refused more requests is not used again.
+MAX_REFUSED_REQUESTS = 100
 DEFAULT_KEEP_ALIVE_S = 5.0
 # Idle connections are used for this share of the server's keep-alive time only, as the
 # server may close one just as a request is sent.
@@ -149,6 +152,8 @@
             return
         self._done = True
         self._stop_timers()
+        if self.facts.not_run:
+            self._client.note_refusal(self.connection, self._request_id)
         self._client.release_connection(self.connection, self.facts)
         if self._streaming:
             self._handler.on_run_part(b"", complete=True)
@@ -262,6 +267,10 @@
         self._poller = poller
         self._address: Address | None = None
         self._instance = InstanceId("")
+        # The requests that the server refused on each connection.
+        self._refused: WeakKeyDictionary[HttpClientConnection, set[RequestId]] = (
+            WeakKeyDictionary()
+        )
         # Idle connections, each with the time until which it may be used again and the
         # time since which it is idle.
         self._idle: list[tuple[HttpClientConnection, float, float]] = []
@@ -290,7 +299,10 @@
     ) -> ServerRun:
         """Run a request on an idle connection or on a new one."""
         run = ServerRun(self, request_id, handler)
-        run.start(self._acquire_connection(idempotent), encode(self._instance))
+        connection = self._take_idle_connection(request_id, idempotent)
+        if connection is None:
+            connection = HttpClientConnection(self._poller, self._address)
+        run.start(connection, encode(self._instance))
         return run
 
     def check_process(self, callback: Callable[[bool], None]) -> None:
@@ -325,15 +337,36 @@
         now = self.clock.now()
         self._idle.append((connection, now + keep_alive_s * KEEP_ALIVE_SHARE, now))
 
-    def _acquire_connection(self, idempotent: bool) -> HttpClientConnection:
+    def note_refusal(
+        self, connection: HttpClientConnection, request_id: RequestId
+    ) -> None:
+        """Remember that the server refused a request on a connection."""
+        refused = self._refused.setdefault(connection, set())
+        refused.add(request_id)
+        if len(refused) > MAX_REFUSED_REQUESTS:
+            connection.reusable = False
+
+    def _take_idle_connection(
+        self, request_id: RequestId, idempotent: bool
+    ) -> HttpClientConnection | None:
         now = self.clock.now()
-        while self._idle:
-            connection, deadline, idle_since = self._idle.pop()
+        # A late copy of the refusal would be taken for the answer to the repeat.
+        skipped = [
+            entry
+            for entry in self._idle
+            if request_id in self._refused.get(entry[0], ())
+        ]
+        candidates = [entry for entry in self._idle if entry not in skipped]
+        taken = None
+        while candidates:
+            connection, deadline, idle_since = candidates.pop()
             if not connection.idle or now >= deadline:
                 connection.close()
                 continue
             if not idempotent and now > idle_since + RUN_ONCE_MAX_IDLE_S:
-                self._idle.append((connection, deadline, idle_since))
+                candidates.append((connection, deadline, idle_since))
                 break
-            return connection
-        return HttpClientConnection(self._poller, self._address)
+            taken = connection
+            break
+        self._idle = skipped + candidates
+        return taken
