Do not believe a refusal without the request's id on a connection that carried others

Here a 503 with Not-Executed and without a Request-Id was taken for the answer to whatever request was in progress, also where the connection had carried another one: 'not run' for a request that the server may be running.

Change: such a refusal on a reused connection leaves the outcome unknown, and the connection is not used again. On a new connection it can only mean the one request, and is believed.

--- a/src/flamingobank/platform/headers.py
+++ b/src/flamingobank/platform/headers.py
@@ -95,13 +95,15 @@
         """Decode the head of a server's answer."""
         values_by_name = {name.lower(): value for name, value in headers}
         echoed = values_by_name.get(REQUEST_ID)
+        echoes_id = echoed == request_id.encode("latin-1")
         misdirected = status == STATUS_MISDIRECTED
         running, waiting = _parse_load(values_by_name.get(SERVER_LOAD))
         return ServerFacts(
             not_run=NOT_EXECUTED in values_by_name or misdirected,
             misdirected=misdirected,
             signed=SERVER_SEAL in values_by_name,
-            foreign=echoed is not None and echoed != request_id.encode("latin-1"),
+            foreign=echoed is not None and not echoes_id,
+            echoes_id=echoes_id,
             names_rate_limit=SERVER_LIMIT in values_by_name,
             rate_limit_per_s=_parse_number(values_by_name.get(SERVER_LIMIT)),
             leaving=values_by_name.get(SERVER_LEAVING, b"").strip() == b"1",
--- a/src/flamingobank/sidecar/dialect.py
+++ b/src/flamingobank/sidecar/dialect.py
@@ -28,6 +28,8 @@
     signed: bool
     # The answer carries the id of another request.
     foreign: bool
+    # The answer carries the id of this request.
+    echoes_id: bool
     # The server names the rate of requests that it takes from all callers together.
     names_rate_limit: bool
     # That rate in requests per second; None if it is not named or cannot be decoded.
--- a/src/flamingobank/sidecar/homes/server_client.py
+++ b/src/flamingobank/sidecar/homes/server_client.py
@@ -104,12 +104,16 @@
         self._size = 0
         self._streaming = False
         self._done = False
+        self._reused_connection = False
         self._buffer_timer = None
         self._connect_timer = None
 
-    def start(self, connection: HttpClientConnection, request: bytes) -> None:
+    def start(
+        self, connection: HttpClientConnection, request: bytes, reused: bool
+    ) -> None:
         """Send the request and start the connect timeout on a new connection."""
         self.connection = connection
+        self._reused_connection = reused
         connection.identify = self._is_own_answer
         connection.send(request, self)
         if not connection.connected:
@@ -154,12 +158,15 @@
         self._stop_timers()
         if self.facts.not_run:
             self._client.note_refusal(self.connection, self._request_id)
+            if self._judge_refusal() is RunOutcome.UNKNOWN:
+                # The answer to this request may still come.
+                self.connection.reusable = False
         self._client.release_connection(self.connection, self.facts)
         if self._streaming:
             self._handler.on_run_part(b"", complete=True)
             return
         if self.facts.not_run:
-            self._fail(RunOutcome.NOT_RUN, f"server answered {self._status}")
+            self._fail(self._judge_refusal(), f"server answered {self._status}")
             return
         if not self.facts.signed and self._status < 300:
             # The server signs its answers, so a success status without its signature
@@ -193,7 +200,7 @@
         self._done = True
         self._stop_timers()
         self.connection.cancel()
-        outcome = RunOutcome.NOT_RUN if self.facts.not_run else RunOutcome.UNKNOWN
+        outcome = self._judge_refusal() if self.facts.not_run else RunOutcome.UNKNOWN
         self._fail(
             outcome,
             f"unsigned or refusing answer exceeds {MAX_BUFFERED_BYTES} bytes",
@@ -205,6 +212,15 @@
             RunFailure(outcome, True, False, reason, misdirected, broken)
         )
 
+    def _judge_refusal(self) -> RunOutcome:
+        """Return what a refusal says of this request.
+
+        Without the request's id it may be a copy of one of an earlier request.
+        """
+        if self.facts.echoes_id or not self._reused_connection:
+            return RunOutcome.NOT_RUN
+        return RunOutcome.UNKNOWN
+
     def _is_own_answer(self, status: int, headers: Headers) -> bool:
         return not self._client.dialect.read_server(
             status, headers, self._request_id
@@ -300,9 +316,10 @@
         """Run a request on an idle connection or on a new one."""
         run = ServerRun(self, request_id, handler)
         connection = self._take_idle_connection(request_id, idempotent)
+        reused = connection is not None
         if connection is None:
             connection = HttpClientConnection(self._poller, self._address)
-        run.start(connection, encode(self._instance))
+        run.start(connection, encode(self._instance), reused)
         return run
 
     def check_process(self, callback: Callable[[bool], None]) -> None:
--- a/src/flamingobank_standins/platform/server.py
+++ b/src/flamingobank_standins/platform/server.py
@@ -166,17 +166,18 @@
         connection.send(head.encode() + data, HeartbeatResponseHandler(on_done))
 
     def _handle_request(self, request: CallerRequest) -> None:
+        request_id = request.get_header(b"request-id")
+        echo = [(b"request-id", request_id.encode())]
         expected = request.get_header(b"expected-instance")
         if expected and expected != self.instance:
-            headers = [(b"instance-id", self.instance.encode())]
+            headers = [*echo, (b"instance-id", self.instance.encode())]
             request.answer(421, headers, b"")
             return
         self.arrivals.append((self.instance, self._clock.now()))
         if self._running >= SLOTS or self.mode is ServerMode.SHEDDING:
-            headers = [(b"not-executed", b"1"), *self._list_notices()]
+            headers = [*echo, (b"not-executed", b"1"), *self._list_notices()]
             request.answer(503, headers, b"")
             return
-        request_id = request.get_header(b"request-id")
         self.runs.append((request_id, self.instance, self._clock.now()))
         self._running += 1
         work_s = self._rng.uniform(0.01, 0.06)
