Let the soak restore the store and silence connections for good

Connections to the store now pass a proxy. New check: the newest configuration is in force on all machines at the end.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -22,6 +22,8 @@
 LIMIT_RATIO = 1.5
 LIMIT_EXTRA = 5
 LIMITS_PER_S = (1.0, 2.0, 5.0)
+# Time for which a store is away before it comes back from a copy.
+RESTORE_S = 0.4
 # Largest jump of a clock in seconds, forward or backward.
 CLOCK_JUMP_S = 20.0
 
@@ -78,6 +80,31 @@
     soak.store.compact_history()
 
 
+def restore_store(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Let the store come back from a copy some seconds old, after a moment away.
+
+    The operator then writes the newest configuration again.
+    """
+    copy = soak.store.take_copy()
+
+    def go_away() -> None:
+        soak.store.mode = StoreMode.RESETTING
+        soak.call_later(RESTORE_S, come_back)
+
+    def come_back() -> None:
+        soak.store.restore(copy)
+        soak.store.mode = StoreMode.SERVING
+        soak.write_configuration()
+
+    soak.call_later(seconds, go_away)
+
+
+def silence_connections(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Lose what is sent on the open connections to the store and to one sidecar."""
+    soak.store_proxy.silence_open_links()
+    machine.proxy.silence_open_links()
+
+
 def change_configuration(soak: Soak, machine: Machine, seconds: float) -> None:
     """Write the configuration to the store with a higher version."""
     soak.version += soak.rng.randint(1, 5)
@@ -173,6 +200,8 @@
     jump_clock,
     impair_store,
     compact_store_history,
+    restore_store,
+    silence_connections,
     change_configuration,
     impair_server,
     impair_server,
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -145,6 +145,14 @@
             if self._rng.random() < AFFECTED_LINK_SHARE:
                 self._apply_fault(link)
 
+    def silence_open_links(self) -> None:
+        """Discard what is sent on the open links from now on, for good."""
+        for link in self.links:
+            link.mode = ProxyMode.SILENT
+        self.affected_link_count += len(self.links)
+        # The end of another fault must not reset them.
+        self.links.clear()
+
     def _apply_fault(self, link: ProxiedLink) -> None:
         self.affected_link_count += 1
         if self._mode is ProxyMode.RESET:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,7 +13,7 @@
 from flamingobank_standins.platform.store import PlatformStore, StoreMode
 from tools.soak.loop import SoakLoop
 from tools.soak.machines import Machine
-from tools.soak.proxy import ProxyMode
+from tools.soak.proxy import LinkProxy, ProxyMode
 
 WARMUP_S = 3.0
 # Ranges of the time between two faults and of the duration of a fault.
@@ -83,13 +83,22 @@
         self.store = PlatformStore(
             self.loop.poller, self.loop.timers, self.loop.clock, store_address
         )
+        # Between the processes and the store.
+        self.store_proxy = LinkProxy(
+            self.loop.poller,
+            self.loop.timers,
+            self.loop.clock,
+            self.rng,
+            (f"127.77.{self.subnet}.252", 8090),
+            self.store.address,
+        )
         self.version = 1
         self.write_configuration()
         self.machines = [
             Machine(
                 self.loop,
                 self.rng,
-                self.store.address,
+                self.store_proxy.address,
                 directory,
                 f"127.77.{self.subnet}.{number + 1}",
                 number,
@@ -310,6 +319,10 @@
                         f"{machine.name} applied no newer version than {version}"
                     )
                 version = entry["version"]
+        if version != self.version:
+            self.violations.append(
+                f"{machine.name} has version {version} at the end, not {self.version}"
+            )
 
 
 Fault = Callable[[Soak, Machine, float], None]
