Read a write back whose answer does not tell its outcome

What could be seen: a write to the project's store that was answered 200 with a body that is no object ended as malformed.

Cause: any answer but the known refusals ended the write at once; only a lost answer was followed by a read.

Change: only a known refusal (400, 401, 403, 404, 405, 428, and 409, 413) ends a write. After any other answer the object is read, as after a lost one, and what stays unknown is told as unknown.

The random histories of writes now draw such answers: 'random store writes end with a result that stays true' failed with them before and passes now.

--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -134,7 +134,17 @@
 
 CALL_FAULTS = st.lists(
     st.sampled_from(
-        ["ok", "ok", "lost", "dropped", "late", "unsent", "away", "throttled"]
+        [
+            "ok",
+            "ok",
+            "lost",
+            "garbled",
+            "dropped",
+            "late",
+            "unsent",
+            "away",
+            "throttled",
+        ]
     ),
     max_size=14,
 )
@@ -213,6 +223,8 @@
         self.record_state()
         if fault == "lost":
             return CallFailed("closed", sent=True)
+        if fault == "garbled":
+            return StoreAnswer(200, {}, b"<html>")
         return to_answer(reply)
 
 
--- a/src/flamingobank/store/operations.py
+++ b/src/flamingobank/store/operations.py
@@ -41,6 +41,9 @@
 # Keeps the delays between the attempts of an operation well below its deadline.
 ATTEMPT_MAX_DELAY_S = 2.0
 
+# Answers that say that the store did not execute the call.
+REJECTING_STATUSES = (400, 401, 403, 404, 405, 428)
+
 
 @dataclass(frozen=True, slots=True)
 class SendCall:
@@ -125,7 +128,7 @@
     def reject(self, answer: StoreAnswer) -> Finished:
         """End the operation after an answer that it cannot handle."""
         detail = f"answer {answer.status} {answer.body[:200]!r}"
-        known = answer.status in (400, 401, 403, 404, 405, 428)
+        known = answer.status in REJECTING_STATUSES
         kind = StoreErrorKind.REJECTED if known else StoreErrorKind.MALFORMED
         return Finished(Error(self.fail(kind, detail)))
 
--- a/src/flamingobank/store/values.py
+++ b/src/flamingobank/store/values.py
@@ -79,7 +79,7 @@
     TOO_LARGE = "too-large"
     COMPACTED = "compacted"
     REJECTED = "rejected"
-    # The answer has an unexpected status or content; a write may have taken effect.
+    # The answer to a read has an unexpected status or content.
     MALFORMED = "malformed"
     # The store returned a lower revision than one it returned earlier.
     REVERTED = "reverted"
--- a/src/flamingobank/store/writes.py
+++ b/src/flamingobank/store/writes.py
@@ -24,7 +24,13 @@
     decode_object,
     is_revision,
 )
-from flamingobank.store.operations import Finished, Operation, SendCall, Step
+from flamingobank.store.operations import (
+    REJECTING_STATUSES,
+    Finished,
+    Operation,
+    SendCall,
+    Step,
+)
 from flamingobank.store.resolution import Resolution, resolve_delete, resolve_put
 from flamingobank.store.values import (
     Removed,
@@ -111,8 +117,17 @@
             return self._decide_absent(answer)
         if answer.status == 409:
             return self._decide_conflict(decode_object(value))
+        if answer.status not in REJECTING_STATUSES:
+            return self._read_outcome(answer, now)
         return self._reject_write(answer)
 
+    def _read_outcome(self, answer: StoreAnswer, now: float) -> Step:
+        """Read the object after an answer that does not tell the write's outcome."""
+        self.ambiguous = True
+        self._reading = True
+        detail = f"answer {answer.status} {answer.body[:200]!r}"
+        return self.retry(self.fail(StoreErrorKind.MALFORMED, detail), now)
+
     def _decide_absent(self, answer: StoreAnswer) -> Step:
         if not self.ambiguous:
             return Finished(
