Keep the outcome unknown when a replica refuses after the loss of a keeper

Cause: the merged disposition of the attempts was kept for the deadline only; the replica's refusal was passed on as it was.

Change: the refusal is told with the merged disposition. A keeper that cannot be reached stays unknown in any case, as the key may have been used before. The scenario failed before.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -47,3 +47,9 @@
     Given a keyed request whose keeper was lost after it was sent
     When its deadline comes before the next attempt
     Then it is not refused as not run
+
+  # Guards against "not run" for a request that a lost keeper may have run.
+  Scenario: A replica refuses a keyed request after its keeper was lost
+    Given a keyed request whose keeper was lost after it was sent
+    When the replica refuses it as not run
+    Then it is not refused as not run
--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -583,6 +583,12 @@
     context.exchange._on_deadline()
 
 
+@when("the replica refuses it as not run")
+def step_replica_refuses(context):
+    refusal = Refusal(Disposition.NOT_RUN, RefusalCause.NO_CAPACITY, 1.0, "full")
+    context.exchange.on_refused(refusal, None)
+
+
 @then("it is not refused as not run")
 def step_not_refused(context):
     (refusal,) = context.refusals
--- a/src/flamingobank/node/callers/keyed_exchange.py
+++ b/src/flamingobank/node/callers/keyed_exchange.py
@@ -1,5 +1,7 @@
 """Send a request with an issued key to its keeper, or to the keeper's replicas."""
 
+from dataclasses import replace
+
 from flamingobank.core import Disposition, NodeId, Refusal, RefusalCause
 from flamingobank.idempotency import IssuedKey
 from flamingobank.node.callers.caller_exchange import CallerExchange
@@ -51,10 +53,12 @@
             return
         if refusal.reason in KEEPER_LOST_REASONS:
             detail = "the keeper of the key cannot be reached"
-            refusal = Refusal(
-                Disposition.UNKNOWN, RefusalCause.KEEPER_LOST, 1.0, detail
+            self._refuse(
+                Refusal(Disposition.UNKNOWN, RefusalCause.KEEPER_LOST, 1.0, detail)
             )
-        self._refuse(refusal)
+            return
+        # A replica knows only what the keeper has sent it.
+        self._refuse(replace(refusal, disposition=self._disposition))
 
     def _attempt(self, refusal: Refusal | None) -> None:
         if self._ended:
