--- a/src/flamingobank/node/daemon.py
+++ b/src/flamingobank/node/daemon.py
@@ -195,6 +195,7 @@
         StatusPages(
             self.read_status,
             self.metrics,
+            self._update_metrics,
             settings.node_id,
             self.announcements.set_draining,
         ).register(self)
@@ -208,8 +209,7 @@
             self.configuration.load_fixed(items)
 
     def read_status(self) -> dict:
-        """Update the metrics and return the status of this node for operators."""
-        self._update_metrics()
+        """Return the status of this node for operators."""
         self.members.request_revisions()
         return describe_node(self)
 
--- a/src/flamingobank/node/status.py
+++ b/src/flamingobank/node/status.py
@@ -30,6 +30,7 @@
         self,
         read_status: Callable[[], dict],
         metrics: NodeMetrics,
+        update_metrics: Callable[[], None],
         node: NodeId,
         set_draining: Callable[[str, bool], bool],
     ) -> None:
@@ -38,6 +39,7 @@
         self._set_draining = set_draining
         self._read_status = read_status
         self._metrics = metrics
+        self._update_metrics = update_metrics
 
     @handler("request")
     def _on_request(self, event, request: CallerRequest, response: CallerResponse):
@@ -51,6 +53,7 @@
             response.body = json.dumps(fields)
             return response
         if request.path == "/metrics":
+            self._update_metrics()
             body, headers = self._metrics.render()
             response.headers["Content-Type"] = headers["Content-Type"]
             response.body = body
