--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -59,6 +59,32 @@
     Then each is applied or logged as malformed
     And no datagram makes the newest reading of the store newer than now
 
+  # Guards against memory that a peer fills with one message without end. A process may
+  # use 300 MB.
+  Scenario Outline: A peer that sends <what> without end on a link is cut off
+    Given a link that a peer has opened
+    When the peer sends <what> without end
+    Then the link is closed before it has taken 150 MB
+
+    Examples:
+      | what         |
+      | one text     |
+      | one list     |
+      | nested lists |
+
+  # Guards against a call to the store that collects bytes without end.
+  Scenario Outline: A store that answers <what> without end is cut off
+    Given a client of a store that answers <what> without end
+    When it calls the store
+    Then the call fails, and the client has taken at most 8 MB
+
+    Examples:
+      | what       |
+      | one header |
+      | headers    |
+      | a body     |
+      | a chunk    |
+
   Scenario: An error in one message does not lose the messages after it
     Given a link whose receiver fails on the first message
     When three messages arrive in one piece
