--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -148,9 +148,8 @@
                 if record is not None:
                     records.append(record)
             last_name = _find_last_name(items)
-            # Names are listed in order, so a page that does not get further would come
-            # again and again.
-            if result.ok.get("has-more") and last_name > after:
+            # A page that ends where it began would come again and again.
+            if result.ok.get("has-more") and last_name not in ("", after):
                 self._list_page(last_name, records, callback)
                 return
             callback(Ok(records))
--- a/src/flamingobank/sidecar/fleet/peers.py
+++ b/src/flamingobank/sidecar/fleet/peers.py
@@ -24,7 +24,7 @@
 MAX_REVISION = 2**63
 # The bound that announcements of servers have.
 MAX_START_MS = 2**63
-MAX_DEPARTURES = 64
+MAX_RECORD_DEPARTURES = 64
 # A record of a process that left is kept this long, so that every peer receives it.
 LEFT_RETENTION_S = 30.0
 
@@ -77,7 +77,10 @@
         )
     node, incarnation, revision, address, domain, service, *rest = values
     serving, left, departures = rest
-    if not isinstance(departures, list | tuple) or len(departures) > MAX_DEPARTURES:
+    if (
+        not isinstance(departures, list | tuple)
+        or len(departures) > MAX_RECORD_DEPARTURES
+    ):
         raise ValueError(f"departures are {departures!r:.80}, expected a short list")
     return PeerRecord(
         NodeId(_check_name(node)),
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -101,6 +101,7 @@
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._retry_at = 0.0
         self._list_requested = False
+        self._list_pending = False
         self._list_at = 0.0
         # The epochs of the store in which the peers were last listed and the local
         # record was written, None before the first time.
@@ -295,12 +296,16 @@
             self._event_log.event("store:regained")
 
     def _list_peers(self) -> None:
+        if self._list_pending:
+            return
+        self._list_pending = True
         self._list_requested = True
         self._list_at = self._clock.now() + LIST_INTERVAL_S
         self._count("list")
         self._store.list_peers(self._on_peers)
 
     def _on_peers(self, result: Result[list[PeerRecord], FleetStoreError]) -> None:
+        self._list_pending = False
         if result.is_error():
             self._count_error(result.error)
             self._list_requested = False
