Ask the same peer again on a new connection when its link is silent

Cause: after an unanswered request for the table the link was only checked, and the next request went to whichever peer was heard from next: seven in turn, each over another silent link, 0.3 s each.

Change: a link without open requests on which nothing has arrived since the request is closed, and the same peer is asked at once on a new connection. A link with open requests is checked as before.

The scenario (20 silent links, 1 second) failed before.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -25,3 +25,10 @@
     Given a process that has got its configuration from a peer
     When their link goes silent and the peer announces a newer version each 0.4 seconds
     Then the process has the newer version within 2 seconds
+
+  # Guards against requests for the configuration that try one silent link after the
+  # other. Half of the bound is for reading the store, half for spreading the change.
+  Scenario: The links to all peers are silent
+    Given a process that has links to 20 peers
+    When all links go silent and a peer announces a newer version each 0.2 seconds
+    Then the process has the newer version within 1 second
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -1,6 +1,7 @@
 """Test how connections that have gone silent are noticed and replaced."""
 
 import random
+from itertools import cycle
 
 from behave import given, then, when
 
@@ -12,7 +13,7 @@
 from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
 from flamingobank.sidecar.links.channels import PeerObserver
 from flamingobank.sidecar.links.links import LinkObserver, LinkPool
-from flamingobank.sidecar.links.messages import PROTOCOL_VERSION, Hello
+from flamingobank.sidecar.links.messages import PROTOCOL_VERSION, Hello, TablePull
 from flamingobank.sidecar.routing_table_sync import RoutingTableSync
 from tools.soak.proxy import LinkProxy, ProxyMode
 
@@ -100,41 +101,70 @@
         self.sync.apply(table, "store")
 
 
-@given("a process that has got its configuration from a peer")
-def step_table_from_peer(context):
+def _connect(context, count):
+    """Start a process and peers with the same table, and a link to each peer."""
     loop = context.loop = TestLoop(VirtualClock(100.0))
-    context.peer = TableNode(loop, "peer")
-    context.peer.apply(1)
     context.process = TableNode(loop, "own")
-    context.proxy = LinkProxy(
-        loop.poller,
-        loop.timers,
-        loop.clock,
-        random.Random(1),
-        LOCAL,
-        context.peer.address,
-    )
-    context.record = make_record("peer", address=context.proxy.address)
-    context.process.sync.note_version(context.record, 1)
+    context.peers, context.proxies, context.records = [], [], []
+    for number in range(count):
+        peer = TableNode(loop, f"peer-{number}")
+        peer.apply(1)
+        proxy = LinkProxy(
+            loop.poller,
+            loop.timers,
+            loop.clock,
+            random.Random(number),
+            LOCAL,
+            peer.address,
+        )
+        context.peers.append(peer)
+        context.proxies.append(proxy)
+        context.records.append(make_record(f"peer-{number}", address=proxy.address))
+        context.process.links.get(proxy.address).send(TablePull())
     loop.run_until(lambda: context.process.sync.version == 1, "first table")
-    loop.advance(5)
+    loop.advance(5, turns=20)
+
+
+def _silence(context):
+    for proxy in context.proxies:
+        assert proxy.links
+        for link in proxy.links:
+            link.mode = ProxyMode.SILENT
+    for peer in context.peers:
+        peer.apply(2)
+
+
+@given("a process that has got its configuration from a peer")
+def step_table_from_peer(context):
+    _connect(context, 1)
+
+
+@given("a process that has links to {count:d} peers")
+def step_links_to_peers(context, count):
+    _connect(context, count)
 
 
 @when("their link goes silent and the peer announces a newer version each 0.4 seconds")
 def step_link_silent(context):
-    for link in context.proxy.links:
-        link.mode = ProxyMode.SILENT
-    context.peer.apply(2)
+    _silence(context)
     context.announce_s = 0.4
 
 
+@when("all links go silent and a peer announces a newer version each 0.2 seconds")
+def step_links_silent(context):
+    _silence(context)
+    context.announce_s = 0.2
+
+
+@then("the process has the newer version within {seconds:d} second")
 @then("the process has the newer version within {seconds:d} seconds")
 def step_newer_version(context, seconds):
     started_at = context.loop.clock.now()
+    announcing = cycle(context.records)
     announce_at = started_at
     while context.loop.clock.now() < started_at + seconds:
         if context.loop.clock.now() >= announce_at:
             announce_at += context.announce_s
-            context.process.sync.note_version(context.record, 2)
+            context.process.sync.note_version(next(announcing), 2)
         context.loop.advance(0.02, turns=8)
     assert context.process.sync.version == 2
--- a/src/flamingobank/sidecar/links/links.py
+++ b/src/flamingobank/sidecar/links/links.py
@@ -118,6 +118,20 @@
             self._probe_deadline = self._links.clock.now() + PROBE_TIMEOUT_S
             self._channel.send(Ping())
 
+    def replace_if_silent(self, since: float) -> bool:
+        """Close a connection without requests on which nothing arrived since a time.
+
+        Returns whether it was closed; the next message opens another one.
+        """
+        if self.state is not LinkState.UP or self.last_data_at >= since:
+            return False
+        if self.handlers:
+            # Open requests may only be slow, so the peer gets time for a sign of life.
+            self.suspect()
+            return False
+        self.close("silent")
+        return True
+
     def open_stream(self, stream: int, handler: StreamHandler) -> None:
         """Register the handler for the messages of one request."""
         if not self.handlers:
--- a/src/flamingobank/sidecar/routing_table_sync.py
+++ b/src/flamingobank/sidecar/routing_table_sync.py
@@ -74,7 +74,7 @@
         )
         self._links.get(peer.address).send(TablePull())
         self._pull_timeout = self._timers.call_at(
-            now + PULL_TIMEOUT_S, lambda: self._on_pull_timeout(peer, version)
+            now + PULL_TIMEOUT_S, lambda: self._on_pull_timeout(peer, version, now)
         )
 
     def answer_pull(self, channel: MessageChannel) -> None:
@@ -93,9 +93,12 @@
             return
         self.apply(table, source)
 
-    def _on_pull_timeout(self, peer: PeerRecord, version: int) -> None:
+    def _on_pull_timeout(self, peer: PeerRecord, version: int, sent_at: float) -> None:
         self._event_log.event(
             "configuration:unanswered", version=version, peer=peer.node
         )
-        # Idle links are not checked, and this one may have gone silent.
-        self._links.get(peer.address).suspect()
+        # Idle links are not checked, and this one may have gone silent. The others may
+        # have too, so the same peer is asked again on a new connection.
+        link = self._links.get(peer.address)
+        if link.replace_if_silent(sent_at) and version > self.version:
+            link.send(TablePull())
