Ignore SIGHUP until the settings are read for the first time

Cause: the default action of SIGHUP is to end the process, and the handler is installed when all components are built.

Change: it is ignored before anything else is imported; the settings are read later than that, and again each second. SIGTERM in that time ends the process at once, as before: it has read no request.

--- a/src/flamingobank/platform/__main__.py
+++ b/src/flamingobank/platform/__main__.py
@@ -2,10 +2,15 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
-from flamingobank._lean_import import import_circuits
+# SIGHUP asks for the settings to be read again. Until they are read for the first time
+# it has nothing to do, and its default action would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from flamingobank._lean_import import import_circuits  # noqa: E402
 
 import_circuits()
 
