Show that waiting requests get no answer when their sidecar is stopped

Cause: a process that stops ends 0.4 s before the end of the grace period and closes the connections of requests that are still open, also of those that no server has begun and that could be refused truthfully.

Done: a script in which three requests that are sent 1.5 s after SIGTERM wait for a slot of a busy server. It takes the place of the case of one broken answer that ends the other requests of its connection: this one needs planned work only.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,11 +1,9 @@
-"""A spoiled answer takes the other requests of its connection with it.
-
-Callers send two requests on one kept connection. The answer to the second, which is not
-sent before the first, breaks off; the first is still being served by a sound server.
-"""
+"""Requests that wait for a slot get no answer when their sidecar is stopped."""
 
 import asyncio
+import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
@@ -16,105 +14,90 @@
     Fleet,
     Outcome,
     Server,
-    encode_answer,
     make_route,
     run_case,
 )
 
-# The rule allows three.
-PAIRS = 6
-# With one spoiled answer in this many, the share of spoiled answers is 2 %.
-ANSWERS_PER_SPOILED = 50
-STATUS_WORK_S = 1.8
-READ_BYTES = 9000
-# The server sends the first half of its answer, and the rest after this time.
-PAUSE_S = 0.8
+SLOTS = 4
+WAITING = 3
+GRACE_S = 6.0
+BUDGET_MS = 10_000
+TIMEOUT_S = 5.0
+SLOW_WORK_S = 8.0
+SLOW_AT_S = 1.0
+SENT_AT_S = 1.5
 
 
-async def ask_pair(fleet: Fleet, machine, number: int) -> tuple[Outcome, Outcome]:
-    """Send a request, and on the same connection two more at once."""
+async def ask(fleet: Fleet, machine, path: str) -> Outcome:
+    """Send one request and read its answer or the end of its connection."""
     reader, writer = await asyncio.open_connection(machine.host, OUTBOUND)
-    first_id, data = fleet.encode_request("/status/quick", 3000)
+    request_id, data = fleet.encode_request(path, BUDGET_MS)
+    fleet.record.note(f"sent {request_id} GET {path} to {machine.name}")
     writer.write(data)
-    opening = Outcome(first_id)
-    await fleet.read_answer(reader, opening)
-    if opening.status != 200:
-        raise CannotRunError("the first request of the connection failed")
-    outcomes = []
-    requests = b""
-    for path in (f"/status/slow{number}", f"/read/paused{number}"):
-        request_id, data = fleet.encode_request(path, 3000)
-        fleet.record.note(f"sent {request_id} GET {path} on a kept connection")
-        outcomes.append(Outcome(request_id))
-        requests += data
-    writer.write(requests)
-    for outcome in outcomes:
-        try:
-            await fleet.read_answer(reader, outcome)
-        except ConnectionError as error:
-            fleet.record.note(f"no answer to {outcome.request_id}: {error!r}")
+    outcome = Outcome(request_id)
+    try:
+        await fleet.read_answer(reader, outcome)
+    except ConnectionError as error:
+        fleet.record.note(f"no answer to {request_id}: {error!r}")
     writer.close()
-    return outcomes[0], outcomes[1]
+    return outcome
 
 
 async def play(fleet: Fleet) -> list[str]:
-    entry = fleet.add_machine("graz-a", "orders")
+    stopped = fleet.add_machine("graz-a", "orders")
     home = fleet.add_machine("graz-b", "patterns")
-    fields = {"timeout-s": 5, "target-latency-s": 2.5}
+    other = fleet.add_machine("leoben", "orders")
     await fleet.configure(
         12,
         [
-            make_route("status", "safe", "orders", **fields),
-            make_route("read", "safe", "patterns", **fields),
+            make_route(
+                "read",
+                "safe",
+                "patterns",
+                **{"timeout-s": TIMEOUT_S, "target-latency-s": 2.5},
+            )
         ],
         ["orders", "patterns"],
     )
     await fleet.start()
-    orders = Server(fleet.record, "orders", entry.host, "i-orders")
-    orders.work = lambda request: (
-        STATUS_WORK_S if "/status/slow" in request.start_line else 0.01
+    server = Server(fleet.record, "patterns", home.host, "i-patterns", SLOTS)
+    server.work = lambda request: (
+        SLOW_WORK_S if "/read/slow" in request.start_line else 0.8
     )
-    patterns = Server(fleet.record, "patterns", home.host, "i-patterns")
-    patterns.work = lambda request: 0.01
-
-    async def answer_read(writer, request, headers) -> bool:
-        data = encode_answer(200, headers, b"p" * READ_BYTES)
-        if "/read/paused" not in request.start_line:
-            writer.write(data)
-            return True
-        half = len(data) - READ_BYTES // 2
-        writer.write(data[:half])
-        await asyncio.sleep(PAUSE_S)
-        if TROUBLE:
-            fleet.record.note(f"answer to {request.get('request-id')} breaks off")
-            return False
-        writer.write(data[half:])
-        return True
-
-    patterns.answer = answer_read
-    for server in (orders, patterns):
-        await server.start()
+    await server.start()
     for machine in fleet.machines:
         await machine.wait_ready()
-    for server in (orders, patterns):
-        server.send_heartbeats()
-    await fleet.wait_serving(entry, "/read/0", "GET")
-    await fleet.wait_serving(entry, "/status/0", "GET")
-    unanswered = []
-    for number in range(PAIRS):
-        for _ in range(ANSWERS_PER_SPOILED):
-            await fleet.ask(entry, "/read/0", 3000)
-        slow, _ = await ask_pair(fleet, entry, number)
-        if not any(run[0] == slow.request_id for run in orders.runs):
-            raise CannotRunError("the request was not passed on to its server")
-        if slow.status == 0:
-            unanswered.append(slow.request_id)
-    if len(unanswered) <= 3:
-        return []
-    return [
-        f"LOST: {len(unanswered)} of {PAIRS} requests that a sound server ran "
-        "ended with their connection"
+    server.send_heartbeats()
+    for machine in (stopped, other):
+        await fleet.wait_serving(machine, "/read/0", "GET")
+    await asyncio.sleep(3.0)
+    stopped_at = time.monotonic()
+    if TROUBLE:
+        stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(SLOW_AT_S)
+    slow = [
+        asyncio.create_task(ask(fleet, other, f"/read/slow{number}"))
+        for number in range(SLOTS)
     ]
+    await asyncio.sleep(SENT_AT_S - SLOW_AT_S)
+    waiting = [
+        asyncio.create_task(ask(fleet, stopped, f"/read/{number + 1}"))
+        for number in range(WAITING)
+    ]
+    outcomes = await asyncio.gather(*waiting)
+    ended_at = time.monotonic() - stopped_at
+    await asyncio.gather(*slow)
+    ran = {run[0] for run in server.runs}
+    lost = [
+        outcome
+        for outcome in outcomes
+        if outcome.status == 0 and outcome.request_id not in ran
+    ]
+    if ended_at > SENT_AT_S + TIMEOUT_S and lost:
+        raise CannotRunError("the route's timeout was reached")
+    if not lost:
+        return []
+    return [f"LOST: {len(lost)} of {WAITING} requests that never ran got no answer"]
 
 
 run_case(__file__, play)
