Say that a request never arrived only if its home can know

Cause: a home dropped an outcome 6 s after its end, whatever the deadline of the request, and inferred from the missing record that the request never arrived. The entry then sent it to another home. Runs cancelled at their deadline were dropped at once, with the same effect.

Ruled out: a new link that is taken for that of a restarted home; this ends in "outcome unknown", as the boot id differs.

Change: outcomes are kept until the request's deadline, after which its entry asks no more, and within 16 MiB. For each entry process the home also keeps the number of the newest request whose outcome it dropped. Entries number their requests in rising order, so the home says "never received" only for a request above that number, and "unknown" otherwise. This doesn't rest on any clock, so no suspension can break it. Each such question is logged.

--- /dev/null
+++ b/features/steps/resumed_requests_steps.py
@@ -0,0 +1,188 @@
+"""Check what a home says of requests whose entry asks for the outcome."""
+
+from behave import given, then, when
+
+from features.support.home import SCRIPTS, HomeHarness, RecordingChannel, answer
+from flamingobank.sidecar.homes.run_history import MAX_PROCESSES, RunHistory
+from flamingobank.sidecar.links.messages import (
+    Answer,
+    Commit,
+    Failed,
+    Granted,
+    Offer,
+    RefusalReason,
+    Refused,
+    Resume,
+)
+
+
+def _make_harness(respond):
+    SCRIPTS["test"] = respond
+    harness = HomeHarness("test")
+    del SCRIPTS["test"]
+    return harness
+
+
+def _offer(harness, stream, remaining_s):
+    offer = Offer(
+        stream, "orders", False, True, 1, remaining_s, remaining_s, True, False
+    )
+    harness.home.receive(harness.channel, offer)
+    assert harness.channel.list_kind(Granted), harness.channel.messages
+
+
+def _commit(harness, stream, remaining_s, channel=None):
+    headers = [(b"host", b"x.example"), (b"request-id", b"r1")]
+    message = Commit(
+        stream, "r1", "POST", b"/a/x", headers, b"", remaining_s, "patterns"
+    )
+    harness.home.receive(channel or harness.channel, message)
+
+
+def _run(harness, stream, remaining_s):
+    """Run a request until its outcome has been sent."""
+    harness.channel.messages.clear()
+    _offer(harness, stream, remaining_s)
+    _commit(harness, stream, remaining_s)
+    harness.run_until_sent(Answer | Failed)
+
+
+def _reconnect(harness):
+    """Break the link of the entry; return the channel of its next link."""
+    harness.home.on_channel_closed(harness.channel)
+    return RecordingChannel(harness.channel.peer_boot)
+
+
+def _wait(harness, seconds):
+    for _ in range(round(seconds / 0.1)):
+        harness.loop.advance(0.1, turns=1)
+
+
+def _resume(harness, channel, stream):
+    channel.messages.clear()
+    harness.home.receive(channel, Resume(stream))
+    assert len(channel.messages) == 1, channel.messages
+    return channel.messages[0]
+
+
+@given("a home whose server answered an unsafe request with {left:g} s left")
+def step_answered(context, left):
+    context.harness = _make_harness(
+        lambda connection, head: connection.connection.write(answer())
+    )
+    _run(context.harness, 1, left)
+
+
+@given(
+    "a home whose server got an unsafe request with {left:g} s left and never answers"
+)
+def step_unanswered(context, left):
+    harness = context.harness = _make_harness(lambda connection, head: None)
+    _offer(harness, 1, left)
+    _commit(harness, 1, left)
+    harness.loop.run_until(lambda: harness.server.requests, "the server got it")
+
+
+@given(
+    "a home whose server answered {count:d} unsafe requests with {size:d} bytes and "
+    "{left:g} s left"
+)
+def step_answered_many(context, count, size, left):
+    body = b"x" * size
+    context.harness = _make_harness(
+        lambda connection, head: connection.connection.write(answer(body=body))
+    )
+    context.streams = list(range(1, count + 1))
+    for stream in context.streams:
+        _run(context.harness, stream, left)
+        context.harness.loop.advance(0.01)
+    _wait(context.harness, 0.5)
+
+
+@when("the link breaks and the entry asks for the outcome {after:g} s later")
+def step_ask(context, after):
+    channel = _reconnect(context.harness)
+    _wait(context.harness, after)
+    context.told = _resume(context.harness, channel, 1)
+
+
+@when("the link breaks after the next grant and the entry asks for that request")
+def step_ask_lost(context):
+    harness = context.harness
+    context.old_channel = harness.channel
+    _offer(harness, 2, 10.0)
+    channel = _reconnect(harness)
+    context.told = _resume(harness, channel, 2)
+
+
+@when("the request arrives on the old link")
+def step_arrives(context):
+    _commit(context.harness, 2, 10.0, context.old_channel)
+    _wait(context.harness, 1.0)
+
+
+@when("the link breaks and the entry asks for all outcomes")
+def step_ask_all(context):
+    channel = _reconnect(context.harness)
+    context.all_told = [
+        _resume(context.harness, channel, stream) for stream in context.streams
+    ]
+
+
+@then('the entry is told that the answer is "{body}"')
+def step_told_answer(context, body):
+    assert isinstance(context.told, Answer), context.told
+    assert context.told.body == body.encode(), context.told
+
+
+@then("the entry is told that the outcome is unknown")
+def step_told_unknown(context):
+    assert isinstance(context.told, Failed), context.told
+    assert not context.told.not_run and context.told.arrived, context.told
+
+
+@then("the entry is told that the request was never received")
+def step_told_never_received(context):
+    assert isinstance(context.told, Refused), context.told
+    assert context.told.reason == RefusalReason.NEVER_RECEIVED.value, context.told
+
+
+@then("the server has run {count:d} request")
+def step_has_run(context, count):
+    assert len(context.harness.server.requests) == count
+
+
+@then("at most {limit:d} bytes of outcomes are kept")
+def step_kept(context, limit):
+    kept = sum(request.kept_bytes for request in context.harness.home.requests.values())
+    assert 0 < kept <= limit, kept
+
+
+@then("the entry is told the answers of the latest and that the others are unknown")
+def step_told_latest(context):
+    told = context.all_told
+    answers = [message for message in told if isinstance(message, Answer)]
+    assert 0 < len(answers) < len(told), told
+    assert told[-len(answers) :] == answers
+    for message in told[: -len(answers)]:
+        assert isinstance(message, Failed) and not message.not_run, message
+
+
+@given("a history of runs with requests of {count:d} entries that were forgotten")
+def step_history(context, count):
+    assert count > MAX_PROCESSES
+    context.history = RunHistory()
+    context.boots = [f"boot{number}" for number in range(count)]
+    for boot in context.boots:
+        context.history.note_grant(boot)
+        context.history.note_forgotten(boot, 7)
+
+
+@then("every one of these requests may have run")
+def step_all_may(context):
+    assert all(context.history.may_have_run(boot, 7) for boot in context.boots)
+
+
+@then("a request that is newer than the forgotten one of its entry has not run")
+def step_newer(context):
+    assert not context.history.may_have_run(context.boots[-1], 8)
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -1,8 +1,8 @@
 """Run the requests of entries on the server of this machine.
 
 All requests to the server pass through its home. The home tracks the server's slots,
-estimates its health from request outcomes and keeps outcomes for OUTCOME_RETENTION_S,
-so that an entry can still fetch them after its link broke.
+estimates its health from request outcomes and keeps each outcome until the request's
+deadline, so that an entry can still fetch it after its link broke.
 """
 
 from collections.abc import Callable
@@ -24,6 +24,7 @@
     HomeRequestOwner,
     HomeRequestState,
 )
+from flamingobank.sidecar.homes.run_history import RunHistory
 from flamingobank.sidecar.homes.server_capacity import ServerCapacity
 from flamingobank.sidecar.homes.server_client import (
     RunFailure,
@@ -48,8 +49,8 @@
 )
 from flamingobank.sidecar.metrics import SidecarMetrics
 
-# Entries ask for an outcome as soon as their link is restored.
-OUTCOME_RETENTION_S = 6.0
+# Outcomes beyond this are forgotten before their deadlines, oldest first.
+MAX_KEPT_OUTCOME_BYTES = 16 * 1_048_576
 SWEEP_INTERVAL_S = 0.2
 
 
@@ -78,6 +79,7 @@
         # passed on. Announced departures are handled where they arrive.
         self.on_server_left: Callable[[], None] = lambda: None
         self.requests: dict[tuple[str, int], HomeRequest] = {}
+        self._run_history = RunHistory()
         self.run_limiter = run_limiter
         self._event_log = event_log
         self._metrics = metrics
@@ -265,6 +267,7 @@
 
     def _grant(self, request: HomeRequest) -> None:
         now = self.clock.now()
+        self._run_history.note_grant(request.channel.peer_boot)
         failure_probability = self.server_estimate.read_failure_probability(now)
         self._capacity.take_slot(failure_probability > SUSPECT_FAILURE_PROBABILITY, now)
         request.state = HomeRequestState.GRANTED
@@ -327,7 +330,7 @@
             self._cancel(request, "request was lost when its link broke")
             request = None
         if request is None:
-            self._refuse_never_received(channel, stream)
+            self._describe_unknown_request(channel, stream)
             return
         if request.streaming:
             # Parts of the answer were lost with the link and are not kept.
@@ -342,6 +345,22 @@
         for message in request.outcome:
             channel.send(message)
 
+    def _describe_unknown_request(self, channel, stream: int) -> None:
+        """Tell an entry about a request that is not, or no longer, known here."""
+        may_have_run = self._run_history.may_have_run(channel.peer_boot, stream)
+        self._event_log.event(
+            "home:resume-unknown",
+            peer=channel.peer_boot,
+            stream=stream,
+            may_have_run=may_have_run,
+        )
+        if not may_have_run:
+            self._refuse_never_received(channel, stream)
+            return
+        channel.send(
+            Failed(stream, False, True, "outcome was forgotten", self.build_report())
+        )
+
     def _refuse_never_received(self, channel, stream: int) -> None:
         """Tell an entry that its request has no grant here and so never runs here."""
         self._refuse(channel, stream, RefusalReason.NEVER_RECEIVED)
@@ -399,10 +418,11 @@
             # Refusing one may grant another of them a slot.
             if request.state is HomeRequestState.WAITING:
                 self._refuse_request(request, RefusalReason.BUSY)
-        for key, request in list(self.requests.items()):
+        for request in list(self.requests.values()):
             if request.state is HomeRequestState.DONE:
-                if now > request.state_since + OUTCOME_RETENTION_S:
-                    del self.requests[key]
+                # The entry ends the request at its deadline and asks no more.
+                if now > request.deadline:
+                    self._forget(request)
                 continue
             if request.state is HomeRequestState.WAITING:
                 if now > request.deadline:
@@ -410,8 +430,35 @@
                 continue
             timeout_reason = request.find_timeout_reason(now)
             if timeout_reason is not None:
+                self._note_forgotten(request)
                 self._cancel(request, timeout_reason)
                 continue
             request.resume_reading()
+        self._limit_kept_outcomes()
         if self.requests:
             self._schedule_sweep(now)
+
+    def _limit_kept_outcomes(self) -> None:
+        ended = [
+            request
+            for request in self.requests.values()
+            if request.state is HomeRequestState.DONE
+        ]
+        excess_bytes = sum(request.kept_bytes for request in ended)
+        excess_bytes -= MAX_KEPT_OUTCOME_BYTES
+        if excess_bytes <= 0:
+            return
+        for request in sorted(ended, key=lambda request: request.state_since):
+            self._forget(request)
+            excess_bytes -= request.kept_bytes
+            if excess_bytes <= 0:
+                return
+
+    def _forget(self, request: HomeRequest) -> None:
+        self._note_forgotten(request)
+        del self.requests[request.key]
+
+    def _note_forgotten(self, request: HomeRequest) -> None:
+        """Remember that a request was sent to the server, but not its outcome."""
+        if request.run is not None:
+            self._run_history.note_forgotten(*request.key)
--- a/src/flamingobank/sidecar/homes/requests.py
+++ b/src/flamingobank/sidecar/homes/requests.py
@@ -40,6 +40,8 @@
 # A running request is cancelled this long after its deadline. Servers end requests at
 # the deadline themselves, and their answers need some time to arrive.
 DEADLINE_SLACK_S = 1.0
+# Memory of an ended request besides the body of its answer.
+KEPT_REQUEST_BYTES = 2048
 
 
 class HomeRequestState(enum.Enum):
@@ -119,6 +121,14 @@
         """Return a key that is unique among the requests of all entries."""
         return (self.channel.peer_boot, self.offer.stream)
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return about how much memory the kept outcome takes."""
+        bodies = [
+            message.body for message in self.outcome if isinstance(message, Answer)
+        ]
+        return KEPT_REQUEST_BYTES + sum(len(body) for body in bodies)
+
     def start(self, commit: Commit, server: Announcement, now: float) -> None:
         """Send the request to the server."""
         self.state = HomeRequestState.RUNNING
