Compare the service of a request with that of its server until it starts

Cause: the home compared the services at the offer only. Between the offer and the start another server may announce itself to the same home.

Ruled out: an old connection that the new server answers; connections are opened anew when the address or the instance changes.

Change: one predicate is asked at the offer, at the grant and at the start. Waiting requests of the former service are refused as not run at once.

--- a/features/support/home.py
+++ b/features/support/home.py
@@ -125,13 +125,21 @@
         """Announce another instance, with a later start, to the home."""
         self.announce(1, Lifecycle.READY, instance=instance, started=200)
 
-    def announce(self, sequence, lifecycle, address=None, instance="i-1", started=100):
+    def announce(
+        self,
+        sequence,
+        lifecycle,
+        address=None,
+        instance="i-1",
+        started=100,
+        service="orders",
+    ):
         """Announce the server to its home."""
         announcement = Announcement(
             InstanceId(instance),
             started,
             sequence,
-            ServiceName("orders"),
+            ServiceName(service),
             address or self.address,
             "v1",
             4,
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from flamingobank.core import Clock, RequestId
+from flamingobank.core import Clock, RequestId, ServiceName
 from flamingobank.loop import Timers
 from flamingobank.sidecar.decisions.offer_admission import (
     SUSPECT_FAILURE_PROBABILITY,
@@ -132,6 +132,11 @@
             self.client.set_server(current.address, current.instance)
         if not self.server.accepts_work:
             self._refuse_waiting()
+        for request in self._waiting:
+            # Refusing one may end others of them.
+            is_waiting = request.state is HomeRequestState.WAITING
+            if is_waiting and not self._serves(request.offer.service):
+                self._refuse_request(request, RefusalReason.NO_SERVER)
         self._push_report()
 
     def on_new_instance(self) -> None:
@@ -224,12 +229,10 @@
 
     def _handle_offer(self, channel, offer: Offer) -> None:
         now = self.clock.now()
-        current = self.server.current
         if self.leaving:
             self._refuse(channel, offer.stream, RefusalReason.LEAVING)
             return
-        unavailable = now < self.serves_from or not self.server.accepts_work
-        if unavailable or current.service != offer.service:
+        if now < self.serves_from or not self._serves(offer.service):
             self._refuse(channel, offer.stream, RefusalReason.NO_SERVER)
             return
         if self.server_estimate.is_down(now):
@@ -265,6 +268,14 @@
             return
         self._grant(request)
 
+    def _serves(self, service: ServiceName) -> bool:
+        """Return whether the server accepts work and is one of a service.
+
+        A server of another service may be announced at any time between the offer and
+        the start of a request.
+        """
+        return self.server.accepts_work and self.server.current.service == service
+
     def _grant(self, request: HomeRequest) -> None:
         now = self.clock.now()
         self._run_history.note_grant(request.channel.peer_boot)
@@ -283,6 +294,9 @@
                 self._grant_later(wait_s)
                 return
             request = self._waiting.pop()
+            if not self._serves(request.offer.service):
+                self._refuse_request(request, RefusalReason.NO_SERVER)
+                continue
             if self._waiting and self.clock.now() > request.latest_start:
                 # The request would not be served in time here. It is refused, since
                 # another home may still serve it in time, and the next waiting request
@@ -310,8 +324,7 @@
         request.request_id = RequestId(message.request_id)
         request.commit = message
         request.deadline = now + message.remaining_s
-        if not self.server.accepts_work:
-            # The server stopped accepting work between the grant and the request.
+        if not self._serves(request.offer.service):
             self._refuse_request(request, RefusalReason.NO_SERVER)
             return
         if request.offer.repeated:
