Check the calls of a repeated run again when it starts

What callers saw: nothing yet; found by looking for the cause of the fault before (a check made when work is accepted, and not when it starts). A home admits a repeated run only if the retry budget has enough left for the run's own calls.

Change: the budget is asked again when the request arrives for its slot. A refusal there is one as not run.

Evidence: a scenario in features/sidecar_network.feature: of three runs that were granted, two are refused after the first one's calls used up the budget.

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -137,6 +137,12 @@
     When the retry budget is used up for the calls of a repeated run
     Then a repeated request is refused and a first one is granted
 
+  # Guards against repeated runs that were all accepted before the first of them started.
+  Scenario: The retry budget is spent between the offer and the start of a repeated run
+    Given a home with a server that never answers
+    When 3 repeated requests are granted, and the calls of the first use up the budget
+    Then the other two are refused as not run when their requests arrive
+
   Scenario: A grant that ran out while its home was paused is no longer used
     Given a home with a server that answers "ok"
     When the home is paused for 5 seconds between the grant and the request
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -345,6 +345,31 @@
     context.home.offer(2)
 
 
+@when("3 repeated requests are granted, and the calls of the first use up the budget")
+def step_granted_before_spent(context):
+    home = context.home
+    for stream in (1, 2, 3):
+        home.offer(stream, repeated=True)
+    assert len(home.channel.list_kind(Granted)) == 3
+    home.commit(1)
+    for _ in range(100):
+        home.home.run_limiter.note_request("patterns", 100.0)
+    home.commit(2)
+    home.commit(3)
+
+
+@then("the other two are refused as not run when their requests arrive")
+def step_refused_at_start(context):
+    refused = context.home.channel.list_kind(Refused)
+    assert [(message.stream, message.reason) for message in refused] == [
+        (2, "calls-spent"),
+        (3, "calls-spent"),
+    ]
+    for _ in range(5):
+        context.home.loop.turn()
+    assert len(context.home.server.requests) == 1
+
+
 @then("a repeated request is refused and a first one is granted")
 def step_repeat_refused(context):
     (refused,) = context.home.channel.list_kind(Refused)
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -328,6 +328,9 @@
             self._refuse_request(request, RefusalReason.NO_SERVER)
             return
         if request.offer.repeated:
+            if not self.run_limiter.can_start_run(now):
+                self._refuse_request(request, RefusalReason.CALLS_SPENT)
+                return
             request.repeated = True
             self.run_limiter.start_run()
         self._metrics.count("server_requests_total")
