Apply a notice of leaving whether or not the home knows the server

Cause: a notice without a start, about a server that the process had not heard of, was neither applied nor kept, and was confirmed at once, as it "changed nothing". A heartbeat that came late then made the server a target. A notice with a start was applied, but only in memory: the write to the store was skipped for the same reason, so the next process did not know of it.

Change: a departure binds an instance's starts up to one: the start that the notice names, or the wall-clock time at which it arrived. It is applied, published and written whatever the process knew before. Server and home are on one machine and read one clock; if that was set back, a start that lies in the future of the notice's home is no proof of a new one. Each confirmation is logged (control:departure).

--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -533,7 +533,7 @@
 @given('a server "{instance}" that started at {started:d} and announced {sequence:d}')
 def step_server(context, instance, started, sequence):
     context.server = AnnouncedServer()
-    context.server.take(make_announcement(instance, started, sequence), 0.0)
+    context.server.take(make_announcement(instance, started, sequence), 0.0, started)
 
 
 @given(
@@ -547,15 +547,15 @@
 @when('"{instance}" started at {started:d} announces {sequence:d} as {state}')
 def step_announce(context, instance, started, sequence, state):
     announcement = make_announcement(instance, started, sequence, Lifecycle(state))
-    context.server.take(announcement, 1.0)
+    context.server.take(announcement, 1.0, 1000)
 
 
 @when("it departs and a late announcement with sequence {sequence:d} arrives")
 def step_depart(context, sequence):
     current = context.server.current
-    context.server.take_departure(Departure(current.instance, None))
+    context.server.take_departure(Departure(current.instance, None), 200)
     context.server.take(
-        make_announcement(current.instance, current.started_ms, sequence), 2.0
+        make_announcement(current.instance, current.started_ms, sequence), 2.0, 200
     )
 
 
@@ -567,7 +567,7 @@
 
 @then('a new start of "{instance}" at {started:d} gets work')
 def step_new_start(context, instance, started):
-    context.server.take(make_announcement(instance, started, 1), 3.0)
+    context.server.take(make_announcement(instance, started, 1), 3.0, started)
     assert context.server.accepts_work
 
 
@@ -634,8 +634,8 @@
     context.server = AnnouncedServer()
     names = [f"{letter}{number}" for letter in "za" for number in range(1, 10)]
     for started, name in enumerate(names):
-        context.server.take(make_announcement(name, started, 1), 0.0)
-        context.server.take_departure(Departure(InstanceId(name), started))
+        context.server.take(make_announcement(name, started, 1), 0.0, started)
+        context.server.take_departure(Departure(InstanceId(name), started), started)
 
 
 @then('the {count:d} departures that it publishes are those of "a2" to "a9"')
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -15,6 +15,8 @@
 from flamingobank.sidecar.links.messages import Commit, Offer
 from flamingobank.sidecar.metrics import SidecarMetrics
 
+# The wall-clock time of announcements, later than the starts of all servers.
+WALL_MS = 1_000_000
 SIGNED_ANSWER = (
     b"HTTP/1.1 %d X\r\nServer-Seal: s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
 )
@@ -146,7 +148,7 @@
             lifecycle,
             0.0,
         )
-        self.home.server.take(announcement, self.loop.clock.now())
+        self.home.server.take(announcement, self.loop.clock.now(), WALL_MS)
         self.home.on_server_changed()
 
     def offer(self, stream, idempotent=True, forced=False, repeated=False):
--- a/src/flamingobank/core/__init__.py
+++ b/src/flamingobank/core/__init__.py
@@ -1,6 +1,11 @@
 """Ids, clocks, outcomes and invariants that all packages share."""
 
-from flamingobank.core.clock import Clock, MonotonicClock, VirtualClock
+from flamingobank.core.clock import (
+    Clock,
+    MonotonicClock,
+    VirtualClock,
+    read_wall_ms,
+)
 from flamingobank.core.hashing import hash_text, rank_by_rendezvous
 from flamingobank.core.ids import (
     BootId,
@@ -43,4 +48,5 @@
     "check_invariant",
     "hash_text",
     "rank_by_rendezvous",
+    "read_wall_ms",
 ]
--- a/src/flamingobank/core/clock.py
+++ b/src/flamingobank/core/clock.py
@@ -41,3 +41,8 @@
     def advance(self, seconds: float) -> None:
         """Advance the clock by a number of seconds; a negative number has no effect."""
         self._now += max(0.0, seconds)
+
+
+def read_wall_ms() -> int:
+    """Return the wall-clock time in Unix milliseconds; it may be set back."""
+    return time.time_ns() // 1_000_000
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -3,13 +3,18 @@
 import os
 import random
 import signal
-import time
 from collections.abc import Callable
 
 from circuits import handler
 from expression import Result
 
-from flamingobank.core import BootId, InvariantError, MonotonicClock, NodeId
+from flamingobank.core import (
+    BootId,
+    InvariantError,
+    MonotonicClock,
+    NodeId,
+    read_wall_ms,
+)
 from flamingobank.loop import Address, LoopComponent, Poller, Timers
 from flamingobank.sidecar.callers.entry import Entry
 from flamingobank.sidecar.decisions.retry_budget import RepeatedRunLimiter, RetryBudget
@@ -183,12 +188,12 @@
         self.gossip.on_unsaved = self.store_sync.save_again
         self.gossip.get_reading_age_s = lambda: self.store_sync.reading_age_s
         self.control = AnnouncementHandler(
-            self.clock, self.home, event_log, self.metrics, decode_call
+            self.clock, read_wall_ms, self.home, event_log, self.metrics, decode_call
         )
         self.control.read_table = lambda: self.entry.table
         self.control.on_changed = self._publish_server
-        self.control.keep_departure = self._save_departure
-        self.home.on_server_left = self._spread_departure
+        self.control.keep_departures = self._keep_departures
+        self.home.on_server_left = lambda: self._keep_departures(lambda: None)
         self.links.listen(settings.peers, peer_message_handler)
         self.callers = self._serve(settings.callers, self.entry.take, self._get_limits)
         self.shutdown = Shutdown(
@@ -253,7 +258,7 @@
         settings = self.settings
         return PeerRecord(
             node=settings.node_id,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=read_wall_ms(),
             revision=1,
             address=settings.peers,
             failure_domain=settings.failure_domain,
@@ -351,14 +356,11 @@
             return
         self.gossip.publish(serving=serving, service=service, departures=departures)
 
-    def _spread_departure(self) -> None:
-        """Make a departure known to peers at once, and to later processes here."""
+    def _keep_departures(self, on_kept: Callable[[], None]) -> None:
+        """Make departures known to peers at once, and to later processes here."""
         self._publish_server()
         self.gossip.send_updates()
-        self._save_departure(lambda: None)
-
-    def _save_departure(self, on_saved: Callable[[], None]) -> None:
-        self.store_sync.save_departure(on_saved)
+        self.store_sync.save_departure(on_kept)
 
 
 def handle_hangup(sidecar: Sidecar) -> None:
--- a/src/flamingobank/sidecar/fleet/server_state.py
+++ b/src/flamingobank/sidecar/fleet/server_state.py
@@ -2,8 +2,11 @@
 
 A server announces itself to the home on its machine. Announcements may arrive late,
 twice or from an earlier start; the latest start and the highest sequence number win.
-Once the home has acknowledged that a server leaves, the server gets no more work until
-it starts again.
+
+A notice that a server leaves holds whether or not the home knows the server. It binds
+the start that it names and all earlier ones of that instance. A notice that names no
+start binds the starts up to its arrival, so a server that starts again gets work. The
+server and its home are on one machine and read the same wall clock.
 """
 
 import enum
@@ -13,6 +16,8 @@
 from flamingobank.loop import Address
 
 DEFAULT_SLOTS = 4
+# A late announcement comes from one of the last servers of the machine.
+MAX_KNOWN_DEPARTURES = 64
 
 
 class Lifecycle(enum.Enum):
@@ -55,7 +60,10 @@
         self.current: Announcement | None = None
         self.announced_at = 0.0
         self.warmed_up_at = 0.0
-        self._departed: set[tuple[InstanceId, int]] = set()
+        # The latest start of each departed instance that its notices bind.
+        self._departed: dict[InstanceId, int] = {}
+        # Those of them whose start was not named, so that the wall clock tells it.
+        self._bound_by_clock: set[InstanceId] = set()
 
     @property
     def slots(self) -> int:
@@ -69,18 +77,26 @@
         return (
             current is not None
             and current.lifecycle is Lifecycle.READY
-            and (current.instance, current.started_ms) not in self._departed
+            and not self.has_departed(current.instance, current.started_ms)
         )
 
-    def take(self, announcement: Announcement, now: float) -> bool:
-        """Apply an announcement.
+    def has_departed(self, instance: InstanceId, started_ms: int) -> bool:
+        """Return whether a notice of leaving binds a start of an instance."""
+        return started_ms <= self._departed.get(instance, -1)
+
+    def take(self, announcement: Announcement, now: float, wall_ms: int) -> bool:
+        """Apply an announcement that arrived at the wall-clock time `wall_ms`.
 
         Returns whether the server, its start or whether it accepts work changed.
         """
         current = self.current
         key = (announcement.instance, announcement.started_ms)
         if announcement.lifecycle is not Lifecycle.READY:
-            self._departed.add(key)
+            self._bind(*key)
+        elif announcement.started_ms > wall_ms and key[0] in self._bound_by_clock:
+            # The clock was set back, so this start may be older than the notice. A
+            # server that has started again goes on announcing itself.
+            return False
         if current is not None:
             if announcement.started_ms < current.started_ms:
                 return False
@@ -94,30 +110,41 @@
         changed = current is None or key != (current.instance, current.started_ms)
         return changed or before != self.accepts_work
 
-    def take_departure(self, departure: Departure) -> bool:
-        """Stop sending work to a server; return whether it accepted work before."""
+    def take_departure(self, departure: Departure, wall_ms: int) -> bool:
+        """Stop sending work to a server that leaves, known or not.
+
+        `wall_ms` is the wall-clock time of the notice. Returns whether the home sent
+        work to the server before.
+        """
         instance, started_ms = departure.instance, departure.started_ms
         current = self.current
-        if current is None or current.instance != instance:
-            if started_ms is not None:
-                self._departed.add((instance, started_ms))
-            return False
-        if started_ms is not None and started_ms != current.started_ms:
-            self._departed.add((instance, started_ms))
-            return False
         before = self.accepts_work
-        self._departed.add((instance, current.started_ms))
-        return before
+        if started_ms is None:
+            self._bound_by_clock.add(instance)
+            started_ms = wall_ms
+            if current is not None and current.instance == instance:
+                started_ms = max(started_ms, current.started_ms)
+        self._bind(instance, started_ms)
+        return before and not self.accepts_work
 
     def recall_departures(self, departures: set[tuple[InstanceId, int]]) -> None:
         """Add the departures that an earlier process acknowledged."""
-        self._departed |= departures
+        for instance, started_ms in departures:
+            self._bind(instance, started_ms)
+
+    def _bind(self, instance: InstanceId, started_ms: int) -> None:
+        """Bind an instance's starts up to one to a notice that it leaves."""
+        self._departed[instance] = max(started_ms, self._departed.get(instance, -1))
+        while len(self._departed) > MAX_KNOWN_DEPARTURES:
+            oldest = min(self._departed, key=self._departed.__getitem__)
+            del self._departed[oldest]
+            self._bound_by_clock.discard(oldest)
 
     def list_latest_departures(self, count: int) -> tuple[tuple[InstanceId, int], ...]:
-        """Return instance and start of the servers that started last, oldest first.
+        """Return the last departed instances, each with its latest start that is bound.
 
         Older ones are left out: a machine has one server at a time, so a late message
         is most likely one of the latest servers.
         """
-        by_start = sorted(self._departed, key=lambda departure: departure[::-1])
+        by_start = sorted(self._departed.items(), key=lambda departure: departure[::-1])
         return tuple(by_start[-count:])
--- a/src/flamingobank/sidecar/homes/announcements.py
+++ b/src/flamingobank/sidecar/homes/announcements.py
@@ -12,7 +12,7 @@
 from flamingobank.core import Clock
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.routes import RoutingTable
-from flamingobank.sidecar.fleet.server_state import Announcement, Departure
+from flamingobank.sidecar.fleet.server_state import Announcement, Departure, Lifecycle
 from flamingobank.sidecar.homes.home import Home
 from flamingobank.sidecar.http.caller_request import CallerRequest
 from flamingobank.sidecar.metrics import SidecarMetrics
@@ -27,6 +27,7 @@
     def __init__(
         self,
         clock: Clock,
+        read_wall_ms: Callable[[], int],
         home: Home,
         event_log: EventLog,
         metrics: SidecarMetrics,
@@ -34,11 +35,12 @@
     ) -> None:
         self.read_table: Callable[[], RoutingTable | None] = lambda: None
         self.on_changed: Callable[[], None] = lambda: None
-        # Writes the server's departures to the store for a later sidecar process on
-        # this machine, and calls back when the write has succeeded or failed. The
-        # default writes nothing; the daemon replaces it.
-        self.keep_departure: Callable[[Callable[[], None]], None] = lambda done: done()
+        # Sends the departures to peers, writes them to the store for a later sidecar
+        # process on this machine, and calls back when the write has succeeded or
+        # failed. The default writes nothing; the daemon replaces it.
+        self.keep_departures: Callable[[Callable[[], None]], None] = lambda done: done()
         self._clock = clock
+        self._read_wall_ms = read_wall_ms
         self._home = home
         self._event_log = event_log
         self._metrics = metrics
@@ -55,7 +57,7 @@
             return
         call = decoded.ok
         if isinstance(call, Departure):
-            changed = self._home.server.take_departure(call)
+            changed = self._home.server.take_departure(call, self._read_wall_ms())
             leaving = True
         else:
             if not self._names_known_service(call):
@@ -67,36 +69,59 @@
                 )
                 request.answer(400, JSON_HEADERS, b"{}")
                 return
-            changed, leaving = self._apply(call)
+            changed = self._apply(call)
+            leaving = call.lifecycle is not Lifecycle.READY
         self._metrics.count("announcements_total", outcome="accepted")
-        if not changed:
-            request.answer(200, JSON_HEADERS, b"{}")
-            return
-        self._event_log.event(
-            "control:server",
-            instance=call.instance,
-            started_ms=call.started_ms,
-            accepts_work=self._home.server.accepts_work,
-            leaving=leaving,
-        )
-        self._home.on_server_changed()
-        self.on_changed()
+        if changed:
+            self._event_log.event(
+                "control:server",
+                instance=call.instance,
+                started_ms=call.started_ms,
+                accepts_work=self._home.server.accepts_work,
+                leaving=leaving,
+            )
+            self._home.on_server_changed()
+            self.on_changed()
         if leaving:
-            self.keep_departure(lambda: request.answer(200, JSON_HEADERS, b"{}"))
+            self._confirm_departure(request, call, changed)
             return
         request.answer(200, JSON_HEADERS, b"{}")
 
-    def _apply(self, announcement: Announcement) -> tuple[bool, bool]:
+    def _confirm_departure(
+        self,
+        request: CallerRequest,
+        call: Announcement | Departure,
+        changed: bool,
+    ) -> None:
+        """Answer a notice of leaving once the departure is kept.
+
+        This does not depend on whether the notice changed anything here: a process that
+        has just started may not know the server yet.
+        """
+
+        def confirm() -> None:
+            self._event_log.event(
+                "control:departure",
+                instance=call.instance,
+                started_ms=call.started_ms,
+                stopped_work=changed,
+            )
+            request.answer(200, JSON_HEADERS, b"{}")
+
+        self.keep_departures(confirm)
+
+    def _apply(self, announcement: Announcement) -> bool:
         server = self._home.server
         before = server.current
-        changed = server.take(announcement, self._clock.now())
+        changed = server.take(announcement, self._clock.now(), self._read_wall_ms())
         current = server.current
-        if before is None or (before.instance, before.started_ms) != (
-            current.instance,
-            current.started_ms,
+        if current is not None and (
+            before is None
+            or (before.instance, before.started_ms)
+            != (current.instance, current.started_ms)
         ):
             self._home.on_new_instance()
-        return changed, changed and not server.accepts_work
+        return changed
 
     def _names_known_service(self, announcement: Announcement) -> bool:
         table = self.read_table()
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -193,7 +193,8 @@
     def _note_leaving(self, request: HomeRequest) -> None:
         """Stop sending work to the server that answered a request with its leaving."""
         server = request.server
-        if self.server.take_departure(Departure(server.instance, server.started_ms)):
+        departure = Departure(server.instance, server.started_ms)
+        if self.server.take_departure(departure, server.started_ms):
             self.on_server_changed()
             self.on_server_left()
 
