Confirm a departure only when the store has it

Cause: StoreSync.save_departure called back whether or not the write had succeeded, and the server was answered 200. A repeated notice was confirmed as it changed nothing, also if the first write had failed. A process that got a notice before it had read its predecessor's record overwrote that record, with the departures in it. Two writes could overtake each other.

Change: RecordWriter keeps the local record in the store, one call at a time and after the predecessor's record was read. If not, the notice is answered 503, so the server asks again; its work stops at once all the same, and the record is written when the store answers. Repeated notices cost no call.

A scenario of restored_store.feature asserted that a departure is acknowledged while the store is away, which is the fault. It now asserts that it is not, and as before that the store has it 2 s after its return.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -69,3 +69,42 @@
   # Guards against any other order of notices, announcements and replaced processes.
   Scenario: Random orders of starts, notices, late announcements and replaced processes
     Then in 300 random histories no departed start gets work, and each new start does
+
+  # Guards against a confirmation that is given although the store has no record of it, so
+  # that a later process does not know of the departure.
+  Scenario Outline: A notice of leaving is confirmed only when the store has it
+    Given a process whose store is <store>
+    When its server leaves
+    Then its server gets no more work at once
+    And its server is answered <status> within a second
+    When the store answers again for 3 seconds and the server leaves once more
+    Then its server is answered 200 within a second
+    And the store has the departure
+
+    Examples:
+      | store                            | status |
+      | serving                          | 200    |
+      | busy                             | 503    |
+      | silent                           | 503    |
+      | resetting                        | 503    |
+      | not read by the process so far   | 503    |
+
+  # Guards against a write of the former record that ends after that of the departure.
+  Scenario: The record is being written when the server leaves
+    Given a process whose first write to the store takes 0.3 seconds
+    When its server leaves while that write is on its way
+    Then its server is answered 200 within a second
+    And the store has the departure
+
+  # Guards against departures of an earlier process that are overwritten before they are read.
+  Scenario: The server leaves before the process has read its predecessor's record
+    Given a process whose predecessor saved a departure, and a store that is slow to list
+    When its server leaves
+    Then its server is answered 200 within a second
+    And the store has both departures
+
+  # Guards against a call to the store for each repeated notice.
+  Scenario: A draining server repeats its notice
+    Given a process whose store is serving
+    When its server announces 10 times that it drains
+    Then each is answered 200, and the record is written once
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -34,11 +34,13 @@
     When it is away for half a second and comes back from that copy
     Then the store has the departure after 2 seconds
 
-  # Guards against a departure whose write failed and is not repeated.
-  Scenario: The store is away while a departure is acknowledged
+  # Guards against a departure that is confirmed although its write failed, and against
+  # a write that is not repeated.
+  Scenario: The store is away while a server leaves
     Given 8 processes that saved their records, and a copy of the store
-    When it is away for 1 second, and one that is no watcher acknowledges a departure
-    Then the store has the departure after 2 seconds
+    When it is away for 2 seconds, and a server of one that is no watcher leaves
+    Then the departure is not confirmed within a second
+    And the store has the departure after 2 seconds
 
   # Guards against the record of a process that has left, which a restore brings back as
   # one of a process that runs.
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -6,10 +6,14 @@
 from hypothesis import given as given_data, settings, strategies as st
 
 from features.support.home import HomeHarness
+from features.support.store_follower import GossipingFollower, StoreWorld
 from flamingobank.platform.announcements import decode_call
+from flamingobank.platform.store import PEER_KIND
 from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.peers import unpack_record
 from flamingobank.sidecar.homes.announcements import AnnouncementHandler
 from flamingobank.sidecar.metrics import SidecarMetrics
+from flamingobank_standins.platform.store import StoreMode
 
 ADDRESS = "127.0.0.1:8080"
 # The start that a home knows of before a scenario begins.
@@ -57,9 +61,9 @@
         )
         self.control.keep_departures = self._keep
 
-    def _keep(self, on_kept):
+    def _keep(self, on_done):
         self.published = self.home.server.list_latest_departures(PUBLISHED)
-        on_kept()
+        on_done(True)
 
     def call(self, instance, action, document):
         """Deliver a call and return it with its answer."""
@@ -237,3 +241,171 @@
             history.check()
 
     check()
+
+
+class DepartingProcess:
+    """A process with a home that follows the store through its real client."""
+
+    def __init__(self, world):
+        self.world = world
+        self.follower = GossipingFollower(world, "n1")
+        self.home = HomeHarness("never answers", world.loop).home
+        self.control = AnnouncementHandler(
+            self.home.clock,
+            lambda: 5000,
+            self.home,
+            EventLog("n1"),
+            SidecarMetrics({"node": "n1"}),
+            decode_call,
+        )
+        self.control.keep_departures = self._keep
+        self.follower.gossip.on_previous_record = self._recall
+
+    def _recall(self, record):
+        self.home.server.recall_departures(set(record.departures))
+        self._publish()
+
+    def _publish(self):
+        departures = self.home.server.list_latest_departures(PUBLISHED)
+        self.follower.gossip.publish(departures=departures)
+
+    def _keep(self, on_done):
+        self._publish()
+        self.follower.sync.record_writer.save_departures(on_done)
+
+    def leave(self):
+        """Deliver the server's notice of leaving."""
+        call = RecordingCall("i-1", "deregister", None)
+        self.control.take(call)
+        return call
+
+    def drain(self, sequence):
+        """Deliver a heartbeat of the draining server."""
+        document = {
+            "born": 100,
+            "address": ADDRESS,
+            "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": "draining", "sequence": sequence},
+        }
+        call = RecordingCall("i-1", "heartbeat", document)
+        self.control.take(call)
+        return call
+
+    def list_saved(self):
+        """Return the instances whose departures the store has."""
+        saved = self.world.store.find(PEER_KIND, "n1")
+        if saved is None:
+            return []
+        record = unpack_record(saved["record"])
+        return sorted(instance for instance, _ in record.departures)
+
+
+STORE_MODES = {
+    "busy": StoreMode.BUSY,
+    "silent": StoreMode.SILENT,
+    "resetting": StoreMode.RESETTING,
+}
+
+
+@given("a process whose store is {state}")
+def step_process(context, state):
+    context.world = StoreWorld()
+    if state == "not read by the process so far":
+        context.world.store.mode = StoreMode.BUSY
+    context.process = DepartingProcess(context.world)
+    context.process.follower.sync.start()
+    context.world.advance(2)
+    if state in STORE_MODES:
+        context.world.store.mode = STORE_MODES[state]
+
+
+@given("a process whose first write to the store takes {seconds:f} seconds")
+def step_slow_write(context, seconds):
+    context.world = StoreWorld()
+    context.world.store.delays_s = {"PUT": seconds, "POST": seconds}
+    context.process = DepartingProcess(context.world)
+    context.process.follower.sync.start()
+
+
+@when("its server leaves while that write is on its way")
+def step_leaves_meanwhile(context):
+    store = context.world.store
+    calls = store.calls
+    for _ in range(20):
+        context.world.advance(0.02)
+        if store.calls > calls + 2:
+            break
+    assert not context.process.list_saved()
+    context.call = context.process.leave()
+    store.delays_s = {}
+
+
+@given(
+    "a process whose predecessor saved a departure, and a store that is slow to list"
+)
+def step_predecessor(context):
+    context.world = StoreWorld()
+    former = DepartingProcess(context.world)
+    former.follower.sync.start()
+    former.home.server.recall_departures({("i-0", 50)})
+    context.world.advance(1)
+    former._publish()
+    former.follower.sync.record_writer.save_if_needed()
+    context.world.advance(1)
+    assert former.list_saved() == ["i-0"]
+    former.follower.sync.stopping = True
+    former.follower.gossip._endpoint.close()
+    context.world.store.delays_s = {"GET": 0.4}
+    context.process = DepartingProcess(context.world)
+    table = context.process.follower.table
+    table.update_local(incarnation=table.local_record.incarnation + 1)
+    context.process.follower.sync.start()
+
+
+@when("its server leaves")
+def step_server_leaves(context):
+    context.call = context.process.leave()
+
+
+@then("its server gets no more work at once")
+def step_no_more_work(context):
+    assert not context.process.home.server.accepts_work
+
+
+@then("its server is answered {status:d} within a second")
+def step_answered(context, status):
+    context.world.advance(0.9)
+    assert context.call.status == status, context.call.status
+
+
+@when("the store answers again for {seconds:g} seconds and the server leaves once more")
+def step_store_back(context, seconds):
+    context.world.store.mode = StoreMode.SERVING
+    context.world.advance(seconds)
+    context.call = context.process.leave()
+
+
+@then("the store has the departure")
+def step_saved(context):
+    assert context.process.list_saved() == ["i-1"]
+
+
+@then("the store has both departures")
+def step_both_saved(context):
+    assert context.process.list_saved() == ["i-0", "i-1"]
+
+
+@when("its server announces {count:d} times that it drains")
+def step_repeats(context, count):
+    store = context.world.store
+    context.calls = []
+    context.revision = store._revision
+    for sequence in range(1, count + 1):
+        context.calls.append(context.process.drain(sequence))
+        context.world.advance(0.2)
+
+
+@then("each is answered 200, and the record is written once")
+def step_written_once(context):
+    assert [call.status for call in context.calls] == [200] * len(context.calls)
+    assert context.world.store._revision == context.revision + 1
--- a/features/support/store_follower.py
+++ b/features/support/store_follower.py
@@ -123,7 +123,7 @@
         self.sync.on_peers = self.gossip.add_records
         self.sync.on_newer_reading = self.gossip.announce_reading
         self.sync.on_unsaved_peers = self.gossip.report_unsaved
-        self.gossip.on_unsaved = self.sync.save_again
+        self.gossip.on_unsaved = self.sync.record_writer.save_again
         self.gossip.get_reading_age_s = lambda: self.sync.reading_age_s
         self.gossip.on_digest = lambda peer, version, age_s: self.sync.note_reading_age(
             age_s
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -185,7 +185,7 @@
         self.store_sync.on_table = lambda table: self.table_sync.apply(table, "store")
         self.store_sync.on_peers = self._on_peers
         self.store_sync.on_unsaved_peers = self.gossip.report_unsaved
-        self.gossip.on_unsaved = self.store_sync.save_again
+        self.gossip.on_unsaved = self.store_sync.record_writer.save_again
         self.gossip.get_reading_age_s = lambda: self.store_sync.reading_age_s
         self.control = AnnouncementHandler(
             self.clock, read_wall_ms, self.home, event_log, self.metrics, decode_call
@@ -193,7 +193,7 @@
         self.control.read_table = lambda: self.entry.table
         self.control.on_changed = self._publish_server
         self.control.keep_departures = self._keep_departures
-        self.home.on_server_left = lambda: self._keep_departures(lambda: None)
+        self.home.on_server_left = lambda: self._keep_departures(lambda kept: None)
         self.links.listen(settings.peers, peer_message_handler)
         self.callers = self._serve(settings.callers, self.entry.take, self._get_limits)
         self.shutdown = Shutdown(
@@ -226,7 +226,7 @@
         self.store_sync.stopping = True
         self.shutdown.begin(self.settings.bounds.grace_s)
         self.gossip.leave()
-        self.store_sync.retire_local_record()
+        self.store_sync.record_writer.retire()
 
     def reload(self) -> None:
         """Read the settings again, and apply them if they changed."""
@@ -356,11 +356,14 @@
             return
         self.gossip.publish(serving=serving, service=service, departures=departures)
 
-    def _keep_departures(self, on_kept: Callable[[], None]) -> None:
-        """Make departures known to peers at once, and to later processes here."""
+    def _keep_departures(self, on_done: Callable[[bool], None]) -> None:
+        """Make departures known to peers at once, and to later processes here.
+
+        `on_done` is called with whether a later process will know them.
+        """
         self._publish_server()
         self.gossip.send_updates()
-        self.store_sync.save_departure(on_kept)
+        self.store_sync.record_writer.save_departures(on_done)
 
 
 def handle_hangup(sidecar: Sidecar) -> None:
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -22,6 +22,7 @@
     TableReading,
 )
 from flamingobank.sidecar.fleet.peers import PeerRecord, PeerTable
+from flamingobank.sidecar.fleet.record_writer import SAVE_TIMEOUT_S, RecordWriter
 from flamingobank.sidecar.fleet.routes import RoutingTable
 from flamingobank.sidecar.metrics import SidecarMetrics
 
@@ -52,17 +53,10 @@
 CHECK_INTERVAL_S = 0.5
 INITIAL_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 2.0
-SAVE_TIMEOUT_S = 1.0
-# Several watchers may report the local record as missing from the store while it is
-# being written. Reports are ignored this long after a write.
-MIN_SAVE_AGAIN_INTERVAL_S = 2.0
-# A restored store lacks the records of many processes, which write them at random times
-# within this span.
-SAVE_AGAIN_SPREAD_S = 0.3
 
 
 class StoreSync:
-    """Read the routing table and the peers, and write the local record."""
+    """Read the routing table and the peers."""
 
     def __init__(
         self,
@@ -103,12 +97,15 @@
         self._list_requested = False
         self._list_pending = False
         self._list_at = 0.0
-        # The epochs of the store in which the peers were last listed and the local
-        # record was written, None before the first time.
+        # The epoch of the store in which the peers were last listed, None before.
         self._listed_epoch: StoreEpoch | None = None
-        self._saved_epoch: StoreEpoch | None = None
-        self._saved_at: float | None = None
-        self._save_pending = False
+        self.record_writer = RecordWriter(
+            clock, timers, rng, event_log, metrics, store, peers
+        )
+        # Processes that start together may list the records before the others have
+        # written theirs. Of any two, the one that wrote later finds the other's record
+        # by listing once more.
+        self.record_writer.on_first_saved = self._list_peers
         self._ranked_digest: int | None = None
         self._is_watcher = False
 
@@ -130,40 +127,6 @@
         """Record the age of a reading by another sidecar."""
         self._note_reading(self._clock.now() - reading_age_s)
 
-    def save_departure(self, on_done: Callable[[], None]) -> None:
-        """Write the local record with its departures; call `on_done` afterwards.
-
-        `on_done` is also called when the write fails, and the record is then written
-        again.
-        """
-
-        def finish(result: Result[None, FleetStoreError]) -> None:
-            if result.is_error():
-                self._count_error(result.error)
-                self._saved_epoch = None
-            on_done()
-
-        self._count("save")
-        self._store.save_peer(self._peers.local_record, SAVE_TIMEOUT_S / 2, finish)
-
-    def save_again(self) -> None:
-        """Write the local record, which a peer did not find in the store."""
-        now = self._clock.now()
-        # Before the first write there is nothing to repeat.
-        if self._saved_at is None or now < self._saved_at + MIN_SAVE_AGAIN_INTERVAL_S:
-            return
-        self._saved_epoch = None
-        self._timers.call_at(
-            now + self._rng.uniform(0, SAVE_AGAIN_SPREAD_S), self._save_if_needed
-        )
-
-    def retire_local_record(self) -> None:
-        """Remove the local record from the store.
-
-        A record with departures is kept and saved instead, for the next process.
-        """
-        self._retire(self._peers.local_record)
-
     def is_watcher(self) -> bool:
         """Return whether this sidecar is one of those that watch the store."""
         # The digest changes with each record, so the rank is computed once for each
@@ -189,7 +152,7 @@
         if not self._list_requested or (now >= self._list_at and self.is_watcher()):
             self._list_peers()
         else:
-            self._save_if_needed()
+            self.record_writer.save_if_needed()
         if self._position is None or self.is_watcher():
             self._read(self._choose_wait_s())
 
@@ -323,9 +286,10 @@
         if not is_first:
             # At the start of a fleet, many have not written their records yet.
             self.on_unsaved_peers(self._peers.list_unsaved(result.ok))
-        self._save_if_needed()
+        self.record_writer.allow_writes()
 
     def _retire(self, record: PeerRecord) -> None:
+        """Retire the record of another process that has left."""
         if record.departures:
             self._count("save")
             self._store.save_peer(record, SAVE_TIMEOUT_S, self._on_retired)
@@ -337,31 +301,6 @@
         if result.is_error():
             self._count_error(result.error)
 
-    def _save_if_needed(self) -> None:
-        # An earlier process's record is read before it is overwritten.
-        if self.stopping or self._save_pending or self._listed_epoch is None:
-            return
-        if self._saved_epoch == self._store.epoch:
-            return
-        self._save_pending = True
-        self._count("save")
-        self._store.save_peer(self._peers.local_record, SAVE_TIMEOUT_S, self._on_saved)
-
-    def _on_saved(self, result: Result[None, FleetStoreError]) -> None:
-        self._save_pending = False
-        if result.is_error():
-            self._count_error(result.error)
-            return
-        is_first = self._saved_at is None
-        self._saved_epoch = self._store.epoch
-        self._saved_at = self._clock.now()
-        self._event_log.event("store:record-saved", epoch=self._saved_epoch)
-        if is_first:
-            # Processes that start together may list the records before the others have
-            # written theirs. Of any two, the one that wrote later finds the other's
-            # record by listing once more.
-            self._list_peers()
-
     def _count(self, operation: str) -> None:
         self._metrics.count("store_calls_total", operation=operation, outcome="sent")
 
--- a/src/flamingobank/sidecar/homes/announcements.py
+++ b/src/flamingobank/sidecar/homes/announcements.py
@@ -1,8 +1,9 @@
 """Handle the announcements of the server on this machine.
 
 A departure is the server's notice that it leaves. A later sidecar process on this
-machine must also act on a departure that was acknowledged. So the departure is sent to
-the peers and written to the store, and the server is answered when the write has ended.
+machine must also act on a departure that was confirmed. So the departure is sent to the
+peers and written to the store, and confirmed when the store has it. If the store cannot
+be written, the home stops sending work all the same, and the server asks again.
 """
 
 from collections.abc import Callable
@@ -36,9 +37,11 @@
         self.read_table: Callable[[], RoutingTable | None] = lambda: None
         self.on_changed: Callable[[], None] = lambda: None
         # Sends the departures to peers, writes them to the store for a later sidecar
-        # process on this machine, and calls back when the write has succeeded or
-        # failed. The default writes nothing; the daemon replaces it.
-        self.keep_departures: Callable[[Callable[[], None]], None] = lambda done: done()
+        # process on this machine, and calls back with whether the store has them. The
+        # default writes nothing; the daemon replaces it.
+        self.keep_departures: Callable[[Callable[[bool], None]], None] = (
+            lambda on_done: on_done(True)
+        )
         self._clock = clock
         self._read_wall_ms = read_wall_ms
         self._home = home
@@ -99,16 +102,20 @@
         has just started may not know the server yet.
         """
 
-        def confirm() -> None:
+        def finish(kept: bool) -> None:
             self._event_log.event(
                 "control:departure",
                 instance=call.instance,
                 started_ms=call.started_ms,
                 stopped_work=changed,
+                held_in="store" if kept else "memory",
+                confirmed=kept,
             )
-            request.answer(200, JSON_HEADERS, b"{}")
+            if not kept:
+                self._metrics.count("announcements_total", outcome="unconfirmed")
+            request.answer(200 if kept else 503, JSON_HEADERS, b"{}")
 
-        self.keep_departures(confirm)
+        self.keep_departures(finish)
 
     def _apply(self, announcement: Announcement) -> bool:
         server = self._home.server
--- a/src/flamingobank_standins/platform/store.py
+++ b/src/flamingobank_standins/platform/store.py
@@ -55,6 +55,8 @@
         self, poller: Poller, timers: Timers, clock: Clock, address: Address
     ) -> None:
         self.mode = StoreMode.SERVING
+        # Seconds that calls of a method take.
+        self.delays_s: dict[str, float] = {}
         self.calls = 0
         # Rises by one with each restore; sent in every answer.
         self.epoch = 1
@@ -113,6 +115,15 @@
 
     def _handle_request(self, request: CallerRequest) -> None:
         self.calls += 1
+        delay_s = self.delays_s.get(request.method, 0.0)
+        if not delay_s:
+            self._execute(request)
+            return
+        self._timers.call_at(
+            self._clock.now() + delay_s, lambda: self._execute(request)
+        )
+
+    def _execute(self, request: CallerRequest) -> None:
         if self.mode is StoreMode.SILENT:
             return
         if self.mode is StoreMode.RESETTING:
