Doubt starts in the future for departures of an earlier process too

With the clock set back before a notice without a start, a late heartbeat's start lies in the future and proves nothing. Only the process that had the notice knew that; its successor reads the bound alone and took the start for a new one (DRAIN).

Change: the doubt applies to each instance with a departure. A new start under the same id is not affected unless its start lies in the home's future.

Evidence: one more row of features/departures.feature, which fails without the change.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -60,6 +60,14 @@
     And its announcement as ready from before arrives
     Then the server "a" gets no work
 
+  # Guards against the same in a successor, which reads only the bound.
+  Scenario: The machine's clock was set back before the notice, and the process replaced
+    Given a home that has heard of no server
+    When the server "a" that started at 9000 leaves at 5000 without naming its start
+    And the process of the home is replaced, and its successor reads what was published
+    And its announcement as ready from before arrives
+    Then the server "a" gets no work
+
   # Guards against a notice about an earlier start that stops work for a later one.
   Scenario: A late notice names a start before the current one
     Given a home that knows "a" since its start
--- a/src/flamingobank/sidecar/fleet/server_state.py
+++ b/src/flamingobank/sidecar/fleet/server_state.py
@@ -62,8 +62,6 @@
         self.warmed_up_at = 0.0
         # The latest start of each departed instance that its notices bind.
         self._departed: dict[InstanceId, int] = {}
-        # Those of them whose start was not named, so that the wall clock tells it.
-        self._bound_by_clock: set[InstanceId] = set()
 
     @property
     def slots(self) -> int:
@@ -93,7 +91,7 @@
         key = (announcement.instance, announcement.started_ms)
         if announcement.lifecycle is not Lifecycle.READY:
             self._bind(*key)
-        elif announcement.started_ms > wall_ms and key[0] in self._bound_by_clock:
+        elif announcement.started_ms > wall_ms and key[0] in self._departed:
             # The clock was set back, so this start may be older than the notice. A
             # server that has started again goes on announcing itself.
             return False
@@ -120,7 +118,6 @@
         current = self.current
         before = self.accepts_work
         if started_ms is None:
-            self._bound_by_clock.add(instance)
             started_ms = wall_ms
             if current is not None and current.instance == instance:
                 started_ms = max(started_ms, current.started_ms)
@@ -136,9 +133,7 @@
         """Bind an instance's starts up to one to a notice that it leaves."""
         self._departed[instance] = max(started_ms, self._departed.get(instance, -1))
         while len(self._departed) > MAX_KNOWN_DEPARTURES:
-            oldest = min(self._departed, key=self._departed.__getitem__)
-            del self._departed[oldest]
-            self._bound_by_clock.discard(oldest)
+            del self._departed[min(self._departed, key=self._departed.__getitem__)]
 
     def list_latest_departures(self, count: int) -> tuple[tuple[InstanceId, int], ...]:
         """Return the last departed instances, each with its latest start that is bound.
