Answer every open request before a stopping process ends

Cause: the shutdown ended the process by the clock and passed over open requests, although it knew of each what was true.

Ruled out: answers that were written and not sent; the log has no end of these requests.

Change: 0.4 s before the end of the grace period every open request gets its final answer: 503 if no attempt reached a server, 502 if one may have run, a reset if a part of the answer was sent. The process ends when these are sent, 0.2 s later at the latest.

--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -155,7 +155,9 @@
 class ExchangeHarness:
     """An entry with its scripted homes and one request."""
 
-    def __init__(self, kind, scripts, max_attempts=2, retries=100.0, seed=1):
+    def __init__(
+        self, kind, scripts, max_attempts=2, retries=100.0, seed=1, **route_fields
+    ):
         self.loop = TestLoop(VirtualClock(100.0))
         self.homes = {}
         peers = PeerTable(make_record("own", host="10.0.0.1", serving=False))
@@ -183,7 +185,7 @@
             ServiceName("orders"),
         )
         self.entry.get_link = self.homes.__getitem__
-        route = make_route(kind=kind, max_attempts=max_attempts)
+        route = make_route(kind=kind, max_attempts=max_attempts, **route_fields)
         self.entry.table = RoutingTable(
             1, (route,), frozenset(["orders"]), RequestLimits()
         )
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -308,6 +308,16 @@
             return
         self._end_without_answer(DEADLINE_STATUS, "deadline", RefusalCause.DEADLINE)
 
+    def on_process_ending(self) -> None:
+        """Send the final answer now, as this process ends."""
+        if self._reply.started:
+            self._reply.abort()
+            self._end("process-ending-midway")
+            return
+        self._end_without_answer(
+            OUTCOME_UNKNOWN_STATUS, "process-ending", RefusalCause.STOPPING
+        )
+
     def _give_up(self, unknown_outcome: str) -> None:
         """Send the final answer now, unless a sent request still has no outcome."""
         if self.ended or self._attempts.any_committed:
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -110,6 +110,11 @@
         )
         exchange.start()
 
+    def end_all(self) -> None:
+        """Send the final answers of all open requests, as this process ends."""
+        for exchange in list(self.exchanges.values()):
+            exchange.on_process_ending()
+
     def is_quarantined(self, request: CallerRequest) -> bool:
         return self._crashes.is_quarantined(
             request.method, request.target, request.body
--- a/src/flamingobank/sidecar/decisions/refusals.py
+++ b/src/flamingobank/sidecar/decisions/refusals.py
@@ -17,6 +17,7 @@
     RETRIES_SPENT = "retries-spent"
     DEADLINE = "deadline"
     QUARANTINED = "quarantined"
+    STOPPING = "stopping"
 
 
 # For each cause: the seconds after which it has usually passed, and the width in
@@ -28,6 +29,8 @@
     RefusalCause.RETRIES_SPENT: (0.15, 0.4),
     RefusalCause.DEADLINE: (0.25, 0.5),
     RefusalCause.QUARANTINED: (5.0, 5.0),
+    # The next process on this machine serves soon after the end of this one.
+    RefusalCause.STOPPING: (1.0, 1.0),
 }
 
 
--- a/src/flamingobank/sidecar/http/http_server.py
+++ b/src/flamingobank/sidecar/http/http_server.py
@@ -40,6 +40,11 @@
         self.address = self._listener.address
         timers.call_every(DEADLINE_CHECK_INTERVAL_S, self._check_deadlines)
 
+    @property
+    def output_bytes(self) -> int:
+        """Return how many bytes wait to be sent to callers."""
+        return sum(caller.connection.output_bytes for caller in self.connections)
+
     def remove(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
 
--- a/src/flamingobank/sidecar/shutdown.py
+++ b/src/flamingobank/sidecar/shutdown.py
@@ -12,9 +12,10 @@
 # The listening socket stays open this long, so that two readiness checks of callers,
 # a second apart, can see that this process is stopping.
 READINESS_NOTICE_S = 2.3
-# The process ends at the latest this long before the grace period does. Requests that
-# are still open then get no answer.
+# This long before the end of the grace period, requests that are still open get their
+# final answers, and the process ends when these are sent, within FLUSH_TIMEOUT_S.
 STOP_MARGIN_S = 0.4
+FLUSH_TIMEOUT_S = 0.2
 STOP_CHECK_INTERVAL_S = 0.05
 
 
@@ -41,6 +42,8 @@
         self._end_process = end_process
         self._close_at = 0.0
         self._exit_at = 0.0
+        # Requests that were still open at the end.
+        self._ended_requests = 0
 
     def begin(self, grace_s: float) -> None:
         """Start to drain the home and the callers; end within the grace period."""
@@ -67,11 +70,19 @@
             and self._home.is_idle
             and not self._callers.connections
         )
-        if not idle and now < self._exit_at:
+        if not idle and not self._has_finished(now):
             return
         self._event_log.event(
             "sidecar:stopped",
-            cut=len(self._entry.exchanges),
+            ended=self._ended_requests,
             connections=len(self._callers.connections),
         )
         self._end_process()
+
+    def _has_finished(self, now: float) -> bool:
+        """End open requests when the time is over; return whether they are answered."""
+        if now < self._exit_at:
+            return False
+        self._ended_requests += len(self._entry.exchanges)
+        self._entry.end_all()
+        return not self._callers.output_bytes or now >= self._exit_at + FLUSH_TIMEOUT_S
