Start no request that may outlast a stopping process

On with real processes: of requests with 4.5 s of work, those sent 0.2 to 1.0 s after the SIGTERM were answered, those sent at 1.3, 1.6, 1.9 and 2.2 s ran and were cut off at 5.63 s.

Cause: an entry compared a request with its own deadline only, and not with the end of the process.

Change: after SIGTERM a request is started only if its deadline comes before the end of the process. Others are refused at once as not run, also those that wait for a slot. A home that stops does the same with slots that it had granted.

Weighed: an estimate from earlier requests refuses fewer, but cuts off those that take longer than usual; a shorter deadline for the server lets unsafe requests run for nothing.

--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -105,20 +105,20 @@
             self.call_later(lambda: self.handlers[stream].on_link_lost())
             self.reply(Refused(stream, "never-received", REPORT))
 
-    def reply(self, message):
-        """Deliver a message to the stream's handler a millisecond later."""
+    def reply(self, message, delay_s=0.001):
+        """Deliver a message to the stream's handler, mostly a millisecond later."""
 
         def deliver():
             handler = self.handlers.get(message.stream)
             if handler is not None:
                 handler.on_message(message)
 
-        self.call_later(deliver)
+        self.call_later(deliver, delay_s)
 
-    def call_later(self, callback):
-        """Run a callback a millisecond later."""
+    def call_later(self, callback, delay_s=0.001):
+        """Run a callback, mostly a millisecond later."""
         self.harness.loop.timers.call_at(
-            self.harness.loop.clock.now() + 0.001, callback
+            self.harness.loop.clock.now() + delay_s, callback
         )
 
 
@@ -155,6 +155,8 @@
 class ExchangeHarness:
     """An entry with its scripted homes and one request."""
 
+    home_class = ScriptedHome
+
     def __init__(
         self, kind, scripts, max_attempts=2, retries=100.0, seed=1, **route_fields
     ):
@@ -169,7 +171,7 @@
                 node, host=f"10.0.1.{number}", failure_domain=FailureDomain(domain)
             )
             peers.merge(record, 0.0)
-            self.homes[node] = ScriptedHome(self, node, script)
+            self.homes[node] = self.home_class(self, node, script)
         share = RetryBudget(0.0, retries, 10.0)
         self.entry = Entry(
             self.loop.clock,
--- a/features/support/stopping.py
+++ b/features/support/stopping.py
@@ -2,14 +2,15 @@
 
 from features.support.home import HomeHarness
 from features.support.loop import LOCAL, RawPeer
-from features.support.sidecar import ExchangeHarness
+from features.support.sidecar import REPORT, SEALED, ExchangeHarness, ScriptedHome
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.routes import RequestLimits
 from flamingobank.sidecar.http.http_server import HttpServer
+from flamingobank.sidecar.links.messages import Answer, Commit, Granted
 from flamingobank.sidecar.shutdown import Shutdown
 
 GRACE_S = 6.0
-STEP_S = 0.01
+STEP_S = 0.02
 REQUEST = (
     b"%s /a/x HTTP/1.1\r\nHost: x.example\r\nRequest-Id: r%d\r\n"
     b"Content-Length: 0\r\nDeadline-Milliseconds: %d\r\n\r\n"
@@ -39,11 +40,32 @@
             self.answered_at = now
 
 
+class WorkingHome(ScriptedHome):
+    """A home whose server answers every request after some work."""
+
+    def send(self, message):
+        """React to offers and requests as the harness says."""
+        if isinstance(message, Commit):
+            self.commits.append(message)
+            answer = Answer(message.stream, 200, SEALED, b"ok", True, REPORT)
+            self.reply(answer, self.harness.choose_work_s(message.request_id))
+            return
+        self.react_to_offer(message.stream, self.harness.offer_reaction)
+        if self.harness.offer_reaction == "queue" and self.harness.slot_after_s:
+            self.reply(Granted(message.stream), self.harness.slot_after_s)
+
+
 class StoppingHarness(ExchangeHarness):
-    """An entry with scripted homes, its HTTP server and its shutdown."""
+    """An entry with working homes, its HTTP server and its shutdown."""
+
+    home_class = WorkingHome
 
-    def __init__(self, kind, scripts, **route_fields):
-        super().__init__(kind, scripts, **route_fields)
+    def __init__(self, kind, homes, **route_fields):
+        super().__init__(kind, [[]] * homes, **route_fields)
+        self.offer_reaction = "grant"
+        # Seconds after which a queued request gets a slot, 0 for never.
+        self.slot_after_s = 0.0
+        self.choose_work_s = lambda request_id: 0.001
         loop = self.loop
         self.home = HomeHarness("never answers", loop).home
         self.server = HttpServer(
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -116,6 +116,9 @@
         if not self.retry_state.has_time(now):
             self._give_up("no-time-left")
             return
+        if not self._entry.can_finish(self.deadline):
+            self._give_up("process-stopping")
+            return
         if self.retry_state.arrivals and self._entry.is_quarantined(self.request):
             self._give_up("quarantined")
             return
@@ -184,6 +187,10 @@
         return self.retry_state.arrivals > 0 or self._attempts.any_committed
 
     def on_granted(self, attempt: Attempt) -> None:
+        if not self._entry.can_finish(self.deadline):
+            self._attempts.cancel(attempt)
+            self._give_up("process-stopping")
+            return
         now = self._entry.clock.now()
         is_repeat = self._is_repeat()
         if is_repeat and not self._entry.try_spend_retry(self.service, now):
@@ -308,6 +315,11 @@
             return
         self._end_without_answer(DEADLINE_STATUS, "deadline", RefusalCause.DEADLINE)
 
+    def on_stop_begun(self) -> None:
+        """Refuse the request if it waits to be started and could not be finished."""
+        if not self._entry.can_finish(self.deadline):
+            self._give_up("process-stopping")
+
     def on_process_ending(self) -> None:
         """Send the final answer now, as this process ends."""
         if self._reply.started:
@@ -325,6 +337,8 @@
         cause = RefusalCause.BUSY if self._search.found_busy else RefusalCause.NO_HOME
         if self._retry_denied:
             cause = RefusalCause.RETRIES_SPENT
+        if not self._entry.can_finish(self.deadline):
+            cause = RefusalCause.STOPPING
         self._end_without_answer(OUTCOME_UNKNOWN_STATUS, unknown_outcome, cause)
 
     def _end_without_answer(
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -1,6 +1,7 @@
 """Accept callers' requests, match them to routes and track them until answered."""
 
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -53,6 +54,8 @@
         self.calling_service = calling_service
         self.table: RoutingTable | None = None
         self.exchanges: dict[CallerRequest, CallerExchange] = {}
+        # When a stopping process ends.
+        self._ends_at = math.inf
         self.get_link: Callable[[NodeId], Link | LocalLink] | None = None
         self.on_call_failed: Callable[[], None] = lambda: None
         self._rng = rng
@@ -110,6 +113,18 @@
         )
         exchange.start()
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Start only requests whose deadlines come before the end of this process.
+
+        Others that wait to be started are refused now.
+        """
+        self._ends_at = ends_at
+        for exchange in list(self.exchanges.values()):
+            exchange.on_stop_begun()
+
+    def can_finish(self, deadline: float) -> bool:
+        return deadline <= self._ends_at
+
     def end_all(self) -> None:
         """Send the final answers of all open requests, as this process ends."""
         for exchange in list(self.exchanges.values()):
--- a/src/flamingobank/sidecar/callers/exchange_owner.py
+++ b/src/flamingobank/sidecar/callers/exchange_owner.py
@@ -59,6 +59,10 @@
     def allocate_stream(self) -> int:
         """Return an unused stream number for an attempt."""
 
+    @abc.abstractmethod
+    def can_finish(self, deadline: float) -> bool:
+        """Return whether a request with a deadline ends before this process does."""
+
     @abc.abstractmethod
     def is_quarantined(self, request: CallerRequest) -> bool:
         """Return whether a request is blocked because it crashed several servers."""
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -5,6 +5,7 @@
 deadline, so that an entry can still fetch it after its link broke.
 """
 
+import math
 from collections.abc import Callable
 
 from flamingobank.core import Clock, RequestId, ServiceName
@@ -75,6 +76,7 @@
         self.dialect = dialect
         self.server = AnnouncedServer()
         self.leaving = False
+        self._ends_at = math.inf
         # Called when the server's own answer says that it leaves, before that answer is
         # passed on. Announced departures are handled where they arrive.
         self.on_server_left: Callable[[], None] = lambda: None
@@ -145,9 +147,14 @@
         self._capacity.reset(self.clock.now())
         self.server_estimate.reset(self.clock.now())
 
-    def leave(self) -> None:
-        """Refuse waiting requests and all further offers."""
+    def leave(self, ends_at: float) -> None:
+        """Refuse waiting requests and all further offers.
+
+        Of the requests for slots that were granted before, those are started whose
+        deadlines come before `ends_at`, when this process ends.
+        """
         self.leaving = True
+        self._ends_at = ends_at
         self._refuse_waiting()
         self._push_report()
 
@@ -328,6 +335,9 @@
         if not self._serves(request.offer.service):
             self._refuse_request(request, RefusalReason.NO_SERVER)
             return
+        if request.deadline > self._ends_at:
+            self._refuse_request(request, RefusalReason.LEAVING)
+            return
         if request.offer.repeated:
             if not self.run_limiter.can_start_run(now):
                 self._refuse_request(request, RefusalReason.CALLS_SPENT)
--- a/src/flamingobank/sidecar/shutdown.py
+++ b/src/flamingobank/sidecar/shutdown.py
@@ -1,4 +1,9 @@
-"""Stop a process after its open requests have ended, within the grace period."""
+"""Stop a process after its open requests have ended, within the grace period.
+
+How long a server will work on a request is not known, but its deadline is. A request
+that could still be running at the end of the process is not started, as its outcome
+would be lost; it is refused at once, and its caller may send it elsewhere.
+"""
 
 from collections.abc import Callable
 
@@ -56,7 +61,8 @@
             open_requests=len(self._entry.exchanges),
             running=len(self._home.requests),
         )
-        self._home.leave()
+        self._home.leave(self._exit_at)
+        self._entry.begin_stop(self._exit_at)
         self._callers.drain()
         self._timers.call_every(STOP_CHECK_INTERVAL_S, self._check)
 
