Let servers of the soak leave within a second of a restart

Change: a fault restarts a process and lets its server leave before it has announced itself there, with or without naming its start; a heartbeat from before arrives up to 3 s late, and the server may start again under its id. Servers read the clock of their machine, which the soak moves.

--- a/src/flamingobank_standins/platform/server.py
+++ b/src/flamingobank_standins/platform/server.py
@@ -3,10 +3,9 @@
 import enum
 import json
 import random
-import time
 from collections.abc import Callable
 
-from flamingobank.core import Clock
+from flamingobank.core import Clock, read_wall_ms
 from flamingobank.loop import (
     Address,
     AnswerHandler,
@@ -20,6 +19,7 @@
 from flamingobank.sidecar.http.http_server import HttpServer
 
 HEARTBEAT_S = 0.5
+DEREGISTER_INTERVAL_S = 0.2
 REQUEST_LIMITS = RequestLimits()
 SLOTS = 4
 
@@ -70,10 +70,15 @@
         service: str,
         address: Address,
         control: Address,
+        read_wall_ms: Callable[[], int] = read_wall_ms,
     ) -> None:
         self.mode = ServerMode.WORKING
         self.instance = ""
+        self.started_at = 0.0
         self.draining = False
+        # The instance has said that it leaves, without draining first. It sends no more
+        # heartbeats and goes on serving.
+        self.deregistering = False
         self.drain_acknowledged_at: float | None = None
         # Requests per second that the answers name as the limit; None for no limit.
         self.rate_limit_per_s: float | None = None
@@ -90,6 +95,7 @@
         self._rng = rng
         self._service = service
         self._control = control
+        self._read_wall_ms = read_wall_ms
         self._sequence = 0
         self._incarnation = 0
         self._running = 0
@@ -100,15 +106,18 @@
         self.restart()
         timers.call_every(HEARTBEAT_S, self._send_heartbeat)
 
-    def restart(self) -> None:
-        """Simulate a restart of the process, which gets another instance ID."""
-        self.instance = f"i-{self._rng.getrandbits(32):08x}"
+    def restart(self, keep_instance: bool = False) -> None:
+        """Simulate a restart of the process, mostly with another instance ID."""
+        if not keep_instance:
+            self.instance = f"i-{self._rng.getrandbits(32):08x}"
+        self.started_at = self._clock.now()
         self.draining = False
+        self.deregistering = False
         self.drain_acknowledged_at = None
         self.end_rate_limit()
         self.leaving = False
         self._sequence = 0
-        self._incarnation = max(self._incarnation + 1, time.time_ns() // 1_000_000)
+        self._incarnation = max(self._incarnation + 1, self._read_wall_ms())
         self._send_heartbeat()
 
     def name_rate_limit(self, limit_per_s: float) -> None:
@@ -130,8 +139,41 @@
     def on_caller_left(self) -> None:
         """Do nothing when a caller disconnects; its request is still executed."""
 
+    def deregister(self, name_start: bool) -> None:
+        """Say that this instance leaves, again until this is acknowledged."""
+        self.deregistering = True
+        body = json.dumps({"born": self._incarnation}) if name_start else ""
+        self._deregister(self._incarnation, body.encode())
+
+    def _deregister(self, incarnation: int, body: bytes) -> None:
+        if self._incarnation != incarnation or self.drain_acknowledged_at is not None:
+            return
+        self._call("deregister", body, self._make_acknowledgement_handler())
+        self._timers.call_at(
+            self._clock.now() + DEREGISTER_INTERVAL_S,
+            lambda: self._deregister(incarnation, body),
+        )
+
+    def delay_heartbeat(self, seconds: float) -> None:
+        """Make a heartbeat now, and send it after some seconds in any case."""
+        self._sequence += 1
+        instance, body = self.instance, self._encode_heartbeat("ready")
+        self._timers.call_at(
+            self._clock.now() + seconds,
+            lambda: self._call("heartbeat", body, lambda answered: None, instance),
+        )
+
     def _send_heartbeat(self) -> None:
+        if self.deregistering:
+            return
         self._sequence += 1
+        on_done = lambda answered: None
+        if self.draining:
+            on_done = self._make_acknowledgement_handler()
+        state = "draining" if self.draining else "ready"
+        self._call("heartbeat", self._encode_heartbeat(state), on_done)
+
+    def _encode_heartbeat(self, state: str) -> bytes:
         host, port = self.address
         body = {
             "born": self._incarnation,
@@ -143,27 +185,38 @@
                 "slots": SLOTS,
             },
             "status": {
-                "state": "draining" if self.draining else "ready",
+                "state": state,
                 "sequence": self._sequence,
                 "warmup-remaining-s": 0,
             },
         }
-        data = json.dumps(body).encode()
-        head = (
-            f"POST /flamingobank/instances/{self.instance}/heartbeat HTTP/1.1\r\n"
-            f"Host: control\r\nContent-Length: {len(data)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        instance, draining = self.instance, self.draining
+        return json.dumps(body).encode()
+
+    def _make_acknowledgement_handler(self) -> Callable[[bool], None]:
+        incarnation = self._incarnation
 
         def on_done(acknowledged: bool) -> None:
-            if acknowledged and draining and self.instance == instance:
+            if acknowledged and self._incarnation == incarnation:
                 self.drain_acknowledged_at = (
                     self.drain_acknowledged_at or self._clock.now()
                 )
 
+        return on_done
+
+    def _call(
+        self,
+        action: str,
+        body: bytes,
+        on_done: Callable[[bool], None],
+        instance: str | None = None,
+    ) -> None:
+        head = (
+            f"POST /flamingobank/instances/{instance or self.instance}/{action} "
+            f"HTTP/1.1\r\nHost: control\r\nContent-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
         connection = HttpClientConnection(self._poller, self._control)
-        connection.send(head.encode() + data, HeartbeatResponseHandler(on_done))
+        connection.send(head.encode() + body, HeartbeatResponseHandler(on_done))
 
     def _handle_request(self, request: CallerRequest) -> None:
         request_id = request.get_header(b"request-id")
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -22,6 +22,11 @@
 LIMIT_RATIO = 1.5
 LIMIT_EXTRA = 5
 LIMITS_PER_S = (1.0, 2.0, 5.0)
+# A process is started again after this time. Its server leaves within a second of that,
+# and a heartbeat from before arrives after LATE_HEARTBEAT_S.
+RESTART_S = 0.3
+LEAVING_DELAY_S = (0.3, 1.3)
+LATE_HEARTBEAT_S = (0.5, 3.0)
 # Time for which a store is away before it comes back from a copy.
 RESTORE_S = 0.4
 # Largest jump of a clock in seconds, forward or backward.
@@ -140,6 +145,43 @@
     soak.call_later(DRAIN_GRACE_S + seconds, check_and_restart)
 
 
+def leave_at_restart(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Restart a process, and let its server leave before it has announced itself there.
+
+    A heartbeat from before arrives later. Checks that the server gets no requests
+    after its leaving was acknowledged.
+    """
+    server = machine.server
+    instance, started_at = server.instance, server.started_at
+    server.delay_heartbeat(soak.rng.uniform(*LATE_HEARTBEAT_S))
+    machine.send_signal(signal.SIGKILL)
+    soak.call_later(RESTART_S, machine.start)
+
+    def leave() -> None:
+        if server.started_at != started_at:
+            return
+        # A notice without a start counts by the machine's clock, which must not have
+        # been set back since the start that it is about.
+        clock_moved = machine.clock_moved_at >= started_at or machine.clock_offset_s
+        server.deregister(bool(clock_moved) or soak.rng.random() < 0.5)
+
+    def check_and_restart() -> None:
+        if server.started_at != started_at:
+            return
+        acknowledged_at = server.drain_acknowledged_at
+        for request_id, run_by, time in server.runs:
+            if acknowledged_at is None or run_by != instance:
+                continue
+            if time > acknowledged_at + DRAIN_GRACE_S:
+                soak.violations.append(
+                    f"{request_id} was executed by {instance}, which had left"
+                )
+        server.restart(keep_instance=soak.rng.random() < 0.5)
+
+    soak.call_later(soak.rng.uniform(*LEAVING_DELAY_S), leave)
+    soak.call_later(LATE_HEARTBEAT_S[1] + DRAIN_GRACE_S + seconds, check_and_restart)
+
+
 def name_rate_limit(soak: Soak, machine: Machine, seconds: float) -> None:
     """Let a server name a rate limit for a while, and check that it is kept."""
     server = machine.server
@@ -206,6 +248,7 @@
     impair_server,
     impair_server,
     replace_server,
+    leave_at_restart,
     name_rate_limit,
     leave_unannounced,
 )
--- a/tools/soak/machines.py
+++ b/tools/soak/machines.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+from flamingobank.core import read_wall_ms
 from flamingobank.loop import Address, HttpClientConnection
 from flamingobank_standins.platform.server import PlatformServer
 from tools.soak.loop import SoakLoop
@@ -68,6 +69,10 @@
             )
         )
         self._clock_file = directory / f"{self.name}.clock"
+        self._clock = loop.clock
+        # Offset of the time of day, for the process and its server.
+        self.clock_offset_s = 0.0
+        self.clock_moved_at = 0.0
         self.move_clock(0.0)
         self._environment = {
             **os.environ,
@@ -92,6 +97,7 @@
             "orders",
             (self.host, 8080),
             (self.host, 8083),
+            self._read_wall_ms,
         )
 
     def read_cpu_s(self) -> float:
@@ -118,8 +124,13 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal_number)
 
+    def _read_wall_ms(self) -> int:
+        return read_wall_ms() + round(1000 * self.clock_offset_s)
+
     def move_clock(self, seconds: float) -> None:
-        """Set the offset of the process's time of day in seconds."""
+        """Set the offset of the machine's time of day in seconds."""
+        self.clock_offset_s = seconds
+        self.clock_moved_at = self._clock.now()
         # The file is replaced atomically, since the process may read it at any moment.
         new_file = self._clock_file.with_suffix(".new")
         new_file.write_text(str(seconds))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -266,8 +266,9 @@
             machine.server.mode = ServerMode.WORKING
             machine.server.end_rate_limit()
             machine.proxy.set_mode(ProxyMode.PASSING)
-            if machine.server.draining or machine.server.leaving:
-                machine.server.restart()
+            server = machine.server
+            if server.draining or server.leaving or server.deregistering:
+                server.restart()
             machine.send_signal(signal.SIGCONT)
             machine.start()
 
