Close a connection after a request that cannot be read

When a request that cannot be read came behind one that was still unanswered, its 400 was sent in turn, but the connection stayed open and read nothing more, until the caller closed it.

Cause: one flag meant both "reads no more requests" and "the sending side is being closed". It was set when the request could not be read, and the later call to close the sending side then did nothing.

Change: a flag of its own for the first.

Evidence: one more scenario in features/sidecar_network.feature, which fails without the change (the connection isn't closed).

--- a/features/sidecar_network.feature
+++ b/features/sidecar_network.feature
@@ -23,6 +23,15 @@
       | two lengths            | 400    |
       | no HTTP                | 400    |
 
+  # Guards against a connection that stays open after a request that cannot be read, and
+  # against one that ends before an earlier request has its answer.
+  Scenario: A request that cannot be read comes behind one that is still unanswered
+    Given an HTTP server that never answers
+    When a caller sends a request and then bytes that are no request
+    And the request is answered 5 seconds later
+    Then the caller gets that answer and then 400
+    And the connection is closed
+
   Scenario: A caller that does not finish a request head gets 408
     Given an HTTP server that echoes bodies
     When a caller sends half a request head and waits 6 seconds
--- a/features/steps/sidecar_network_steps.py
+++ b/features/steps/sidecar_network_steps.py
@@ -150,6 +150,27 @@
     context.http.peer.send(data)
 
 
+@when("a caller sends a request and then bytes that are no request")
+def step_garbage_behind(context):
+    harness = context.http
+    harness.peer.send(GET % b"1" + b"hello there\r\n\r\n")
+    harness.loop.run_until(lambda: harness.requests, "first request")
+
+
+@when("the request is answered {seconds:d} seconds later")
+def step_answer_later(context, seconds):
+    for _ in range(2 * seconds):
+        context.http.loop.advance(0.5)
+    context.http.requests[0].answer(200, [], b"first")
+
+
+@then("the caller gets that answer and then {status:d}")
+def step_answer_then_refusal(context, status):
+    context.http.read_until(b"HTTP/1.1 %d" % status)
+    received = context.http.peer.received
+    assert received.index(b"first") < received.index(b"HTTP/1.1 %d" % status)
+
+
 @then("it gets {status:d} and the connection is closed")
 def step_refused(context, status):
     context.http.read_until(b"HTTP/1.1 %d" % status)
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -59,6 +59,8 @@
         # collects a header without a limit, so bytes without progress are counted too.
         self._progress = 0
         self._bytes_without_progress = 0
+        # A request could not be read, so no more input is.
+        self._rejected = False
         self._closing = False
         self._closed = False
         self._paused = False
@@ -143,7 +145,7 @@
         """Do nothing: an accepted connection is already open."""
 
     def on_data(self, data: bytes) -> None:
-        if self._closing:
+        if self._closing or self._rejected:
             return
         progress = self._progress
         try:
@@ -255,9 +257,9 @@
         request = self._incoming or CallerRequest(self)
         self._incoming = None
         request.keep_alive = False
+        self._rejected = True
         self._pending.append(request)
         request.answer(status, [], b"")
-        self._closing = True
 
     def _notify_watchers(self) -> None:
         pending = list(self._pending)
