Send queued answers before a connection is closed

Cause: the 2 s in which a caller may close its connection began when its answer was queued, and closing discards what is queued. The idle time of kept connections ran while answers were queued, too.

Ruled out: the end of the grace period; the process ended at 2.3 s.

Change: the 2 s begin when the last byte was handed to the kernel. A connection with queued output is not idle, and a stopping process waits for it within the grace.

--- /dev/null
+++ b/features/steps/slow_callers_steps.py
@@ -0,0 +1,144 @@
+"""Read large answers slowly while connections are to be closed."""
+
+from behave import given, then, when
+
+from features.steps.planned_stop_steps import BUDGET_S, HOMES
+from features.steps.sidecar_network_steps import GET, HttpHarness
+from features.support.loop import RawPeer
+from features.support.stopping import GRACE_S, StoppingHarness
+from flamingobank.sidecar.fleet.routes import RouteKind
+
+STEP_S = 0.05
+HEAD_END = b"\r\n\r\n"
+# A small window, so that most of an answer waits in the process.
+RECEIVE_BYTES = 8192
+CLOSING_GET = b"GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+class SlowReader:
+    """A caller that reads at most a number of bytes a second."""
+
+    def __init__(self, address, rate):
+        self.peer = RawPeer(address, RECEIVE_BYTES)
+        self.rate = rate
+        self.read_bytes = 0
+        self.allowance = 0.0
+
+    def read(self, loop, seconds):
+        """Read what the rate allows for some seconds."""
+        self.allowance += self.rate * seconds
+        while self.allowance >= 65536 and not self.peer.ended:
+            before = len(self.peer.received)
+            self.peer.poll()
+            count = len(self.peer.received) - before
+            self.allowance -= count
+            self.read_bytes += count
+            # Only the first bytes matter, and appending to all would take long.
+            self.peer.received = self.peer.received[:1000]
+            loop.turn(0)
+            if not count:
+                break
+
+    @property
+    def body_bytes(self):
+        """Return how many bytes of the body have been read."""
+        head = self.peer.received.find(HEAD_END)
+        return self.read_bytes - head - len(HEAD_END) if head >= 0 else 0
+
+
+@given("a caller of an answer of {size:d} bytes who reads {rate:d} bytes a second")
+def step_reader(context, size, rate):
+    context.size = size
+    context.http = HttpHarness(lambda harness, request: None)
+    context.http.peer.close()
+    context.reader = SlowReader(context.http.server.address, rate)
+
+
+@when("the answer is ready and {end}")
+def step_answer_ready(context, end):
+    harness = context.http
+    asked_to_close = end == "the caller had asked to close"
+    context.reader.peer.send(CLOSING_GET if asked_to_close else GET % b"1")
+    harness.loop.run_until(lambda: harness.requests, "the request")
+    if end == "the server drained before":
+        harness.server.drain()
+    harness.requests[0].answer(200, [], b"x" * context.size)
+    harness.loop.turn(0)
+    if end == "the server drains":
+        harness.server.drain()
+    context.started_at = harness.loop.clock.now()
+
+
+def _read_for(context, seconds):
+    """Read for some seconds, or until the whole answer or the end has come."""
+    loop = context.http.loop
+    end = loop.clock.now() + seconds
+    while loop.clock.now() < end and not context.reader.peer.ended:
+        loop.advance(STEP_S, turns=2)
+        context.reader.read(loop, STEP_S)
+        if context.reader.body_bytes >= context.size:
+            return
+
+
+@then("the caller gets the whole answer after more than {seconds:d} seconds")
+def step_whole(context, seconds):
+    _read_for(context, 60)
+    reader = context.reader
+    assert reader.body_bytes == context.size, (reader.body_bytes, reader.peer.ended)
+    assert context.http.loop.clock.now() > context.started_at + seconds
+
+
+@then("its connection ends regularly")
+def step_ends(context):
+    peer = context.reader.peer
+    context.http.loop.run_until(lambda: peer.poll().ended, "the end")
+    assert peer.ended == "end", peer.ended
+
+
+@then("its connection is still open")
+def step_open(context):
+    for _ in range(20):
+        context.http.loop.advance(STEP_S)
+    assert not context.reader.peer.poll().ended
+    assert context.http.server.connections
+
+
+@then("its connection is cut off within {limit:d} seconds")
+def step_cut_off(context, limit):
+    for _ in range(round(limit / STEP_S)):
+        context.http.loop.advance(STEP_S, turns=1)
+    assert not context.http.server.connections
+
+
+@when(
+    "{count:d} callers with answers of {size:d} bytes read {rate:d} bytes a second and "
+    "it gets SIGTERM"
+)
+def step_stop_while_reading(context, count, size, rate):
+    context.size = size
+    harness = context.harness = StoppingHarness(
+        RouteKind.SAFE, HOMES, timeout_s=BUDGET_S
+    )
+    harness.body = b"x" * size
+    context.readers = [SlowReader(harness.server.address, rate) for _ in range(count)]
+    for reader in context.readers:
+        reader.peer.send(GET.replace(b"/%s", b"/a/x").replace(b": x", b": x.example"))
+    harness.advance(0.2)
+    assert not harness.entry.exchanges
+    harness.stop()
+    while harness.ended_at is None and harness.now < harness.stopped_at + GRACE_S:
+        harness.loop.advance(STEP_S, turns=2)
+        for reader in context.readers:
+            reader.read(harness.loop, STEP_S)
+            if reader.body_bytes >= size:
+                reader.peer.close()
+                reader.peer.ended = "closed"
+
+
+@then("each of them gets the whole answer, and the process ends within {grace:g} s")
+def step_all_whole(context, grace):
+    for reader in context.readers:
+        assert reader.body_bytes == context.size, reader.body_bytes
+    harness = context.harness
+    assert harness.ended_at is not None
+    assert harness.ended_at <= harness.stopped_at + grace
--- a/features/support/stopping.py
+++ b/features/support/stopping.py
@@ -47,7 +47,9 @@
         """React to offers and requests as the harness says."""
         if isinstance(message, Commit):
             self.commits.append(message)
-            answer = Answer(message.stream, 200, SEALED, b"ok", True, REPORT)
+            answer = Answer(
+                message.stream, 200, SEALED, self.harness.body, True, REPORT
+            )
             self.reply(answer, self.harness.choose_work_s(message.request_id))
             return
         self.react_to_offer(message.stream, self.harness.offer_reaction)
@@ -63,6 +65,7 @@
     def __init__(self, kind, homes, **route_fields):
         super().__init__(kind, [[]] * homes, **route_fields)
         self.offer_reaction = "grant"
+        self.body = b"ok"
         # Seconds after which a queued request gets a slot, 0 for never.
         self.slot_after_s = 0.0
         self.choose_work_s = lambda request_id: 0.001
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -20,9 +20,12 @@
 # An idle connection is kept a little longer than the advertised timeout, so that a
 # request that is in transit when the timeout ends is still read.
 IDLE_GRACE_S = 1.0
-# After the last answer, the caller has this long to read it and close. Closing at once
-# with unread input would reset the connection, and the caller could lose the answer.
+# After the last answer has been sent, the caller has this long to read it and close.
+# Closing at once with unread input would reset the connection, and the caller could
+# lose the answer.
 LINGER_TIMEOUT_S = 2.0
+# A caller that reads nothing of its last answer for this long is cut off.
+STALLED_OUTPUT_TIMEOUT_S = 10.0
 
 
 class ConnectionOwner(abc.ABC):
@@ -67,11 +70,19 @@
         self._advertised_idle_s = server.limits().idle_timeout_s
         self.idle_deadline = server.clock.now() + self._advertised_idle_s + IDLE_GRACE_S
         self.head_deadline: float | None = None
+        # The queued output when it was last looked at, and since when it is as much.
+        self._output_bytes = 0
+        self._output_since = server.clock.now()
         self.connection = Connection(server.poller, sock, self, connecting=False)
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
+        return self._is_answered and not self.connection.output_bytes
+
+    @property
+    def _is_answered(self) -> bool:
+        """Return whether all requests have answers, which may not have been sent."""
         return not self._pending and self._incoming is None and not self._closing
 
     def make_persistence_headers(self, request: CallerRequest) -> list[bytes]:
@@ -117,29 +128,66 @@
             self.finish_output()
 
     def finish_output(self) -> None:
-        """Close the sending side and discard input until the linger timeout."""
+        """Close the sending side after the queued output, and discard input.
+
+        The connection is closed when the caller closes it or does not read on.
+        """
         if self._closed or self._closing:
             return
         self._closing = True
         self._notify_watchers()
+        self._output_bytes = self.connection.output_bytes
+        self._output_since = self._server.clock.now()
         self.connection.finish_output()
-        self._server.timers.call_at(
-            self._server.clock.now() + LINGER_TIMEOUT_S,
-            lambda: self.connection.close("caller did not close the connection"),
-        )
 
     def abort(self) -> None:
         self.connection.reset("answer aborted")
 
     def check_deadlines(self, now: float) -> None:
         """Answer 408 for a slow request head, and close a connection idle too long."""
-        if self._closed or self._closing:
+        if self._closed:
+            return
+        self._note_output(now)
+        if self._closing:
+            self._check_lingering(now)
             return
         if self.head_deadline is not None and now > self.head_deadline:
             self._reject(408)
             return
         if self.is_idle and now > self.idle_deadline:
             self.finish_output()
+            return
+        if self._is_answered and self._output_bytes:
+            limit_s = self._advertised_idle_s + IDLE_GRACE_S
+            if self._server.draining:
+                limit_s = min(limit_s, STALLED_OUTPUT_TIMEOUT_S)
+            if now > self._output_since + limit_s:
+                self.connection.reset("caller does not read its answer")
+
+    def _note_output(self, now: float) -> None:
+        output_bytes = self.connection.output_bytes
+        if output_bytes != self._output_bytes:
+            self._output_bytes = output_bytes
+            self._output_since = now
+
+    def _check_lingering(self, now: float) -> None:
+        """Close a connection whose caller has had time to read its last answer."""
+        waited_s = now - self._output_since
+        if self._output_bytes:
+            if waited_s > STALLED_OUTPUT_TIMEOUT_S:
+                self.connection.reset("caller does not read its last answer")
+        elif waited_s > LINGER_TIMEOUT_S:
+            self.connection.close("caller did not close the connection")
+
+    def on_drained(self) -> None:
+        """Start the idle time of a connection whose answers have all been sent."""
+        if not self.is_idle:
+            return
+        if self._server.draining:
+            self.finish_if_unused()
+            return
+        now = self._server.clock.now()
+        self.idle_deadline = now + self._advertised_idle_s + IDLE_GRACE_S
 
     def on_connected(self) -> None:
         """Do nothing: an accepted connection is already open."""
