Replace only the record that was read in the store

A write to the store that gets no answer may take effect seconds later. A late write of the record without a departure replaced the one with it, after the departure was confirmed; with all peers lost too, the next process would not know it (DRAIN). A watcher that retired the record of a process that had left could remove that of its successor.

Cause: writes were unconditional.

Change: each write names the revision that was last listed or written, and a record that was not listed is created. On a conflict the record is listed and merged before it is written. A first start needs one call less, as the attempt to replace a record that does not exist is gone.

Evidence: features/departures.feature, 3 more rows; all fail without the change.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -116,3 +116,22 @@
     Given a process whose store is serving
     When its server announces 10 times that it drains
     Then each is answered 200, and the record is written once
+
+  # Guards against a write without an answer that takes effect after the departure was
+  # written, and replaces it.
+  Scenario Outline: A write of the former record takes effect late
+    Given a process whose <write> was not answered and takes effect 2 seconds later
+    When its server leaves after the store answers again
+    Then its server is answered 200 within a second
+    And the store still has the departure 3 seconds later
+
+    Examples:
+      | write                                     |
+      | first write over its predecessor's record |
+      | first write                               |
+
+  # Guards against the record of a new process that is removed as that of a former one.
+  Scenario: A process is replaced before another one retires its record
+    Given a process that has left, and a watcher that has listed its record as running
+    When the process is replaced, and the watcher retires the former record
+    Then the store has the record of the new process
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -1,6 +1,7 @@
 """Let servers leave, and deliver their announcements late."""
 
 import json
+from dataclasses import replace
 
 from behave import given, then, when
 from hypothesis import given as given_data, settings, strategies as st
@@ -409,3 +410,71 @@
 def step_written_once(context):
     assert [call.status for call in context.calls] == [200] * len(context.calls)
     assert context.world.store._revision == context.revision + 1
+
+
+@given("a process whose {write} was not answered and takes effect 2 seconds later")
+def step_late_write(context, write):
+    context.world = StoreWorld()
+    if write != "first write":
+        former = DepartingProcess(context.world)
+        former.follower.sync.start()
+        context.world.advance(1)
+        former.follower.sync.stopping = True
+        former.follower.gossip._endpoint.close()
+        assert context.world.store.find(PEER_KIND, "n1") is not None
+    context.process = DepartingProcess(context.world)
+    table = context.process.follower.table
+    table.update_local(incarnation=table.local_record.incarnation + 1)
+    context.world.store.mode = StoreMode.LATE
+    context.process.follower.sync.start()
+    context.world.advance(0.3)
+
+
+@when("its server leaves after the store answers again")
+def step_leaves_after(context):
+    context.world.store.mode = StoreMode.SERVING
+    context.world.advance(0.6)
+    context.call = context.process.leave()
+
+
+@then("the store still has the departure {seconds:d} seconds later")
+def step_still_saved(context, seconds):
+    context.world.advance(seconds)
+    assert context.process.list_saved() == ["i-1"], context.process.list_saved()
+
+
+@given("a process that has left, and a watcher that has listed its record as running")
+def step_left_and_watcher(context):
+    context.world = StoreWorld()
+    former = DepartingProcess(context.world)
+    context.watcher = GossipingFollower(context.world, "n2")
+    former.follower.sync.start()
+    context.watcher.sync.start()
+    context.world.advance(3)
+    context.left = replace(
+        former.follower.table.local_record,
+        revision=former.follower.table.local_record.revision + 1,
+        left=True,
+    )
+    former.follower.sync.stopping = True
+    former.follower.gossip._endpoint.close()
+
+
+@when("the process is replaced, and the watcher retires the former record")
+def step_replaced_then_retired(context):
+    context.process = DepartingProcess(context.world)
+    table = context.process.follower.table
+    table.update_local(incarnation=table.local_record.incarnation + 1)
+    context.process.follower.sync.start()
+    context.world.advance(1)
+    context.watcher.sync._retire(context.left)
+    context.world.advance(0.3)
+
+
+@then("the store has the record of the new process")
+def step_new_record(context):
+    saved = context.world.store.find(PEER_KIND, "n1")
+    assert saved is not None
+    record = unpack_record(saved["record"])
+    expected = context.process.follower.table.local_record.incarnation
+    assert record.incarnation == expected, record
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -49,6 +49,7 @@
 EPOCH_PATTERN = re.compile(r"[0-9]{1,18}")
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
 
 
 class ObjectStore(FleetStore):
@@ -58,6 +59,9 @@
         self.epoch = StoreEpoch(0)
         self._transport = transport
         self._event_log = event_log
+        # The revisions of the sidecars' objects as this process last read or wrote
+        # them; None for an object whose revision cannot be read.
+        self._revisions: dict[str, int | None] = {}
 
     def read_table(self, callback: TableCallback) -> None:
         """Read the current configuration."""
@@ -99,35 +103,54 @@
     def save_peer(
         self, record: PeerRecord, timeout_s: float, callback: DoneCallback
     ) -> None:
-        """Write the record of this sidecar, creating it when there is none."""
-        body = {
-            "metadata": {"name": record.node},
-            "specification": {"record": pack_record(record)},
-        }
-        encoded = json.dumps(body).encode()
-        path = f"{OBJECTS_PATH}/{PEER_KIND}"
+        """Write a record, unless it was written since it was last listed or saved."""
+
+        def finish(result: Result[dict, FleetStoreError]) -> None:
+            if result.is_ok():
+                self._note_revision(result.ok)
+            callback(result.map(_discard_value))
+
+        def create() -> None:
+            body = _encode_peer(record, None)
+            path = f"{OBJECTS_PATH}/{PEER_KIND}"
+            self._call(StoreCall("POST", path, JSON_HEADERS, body, timeout_s), finish)
 
         def create_if_absent(result: Result[dict, FleetStoreError]) -> None:
             if result.is_error() and result.error is FleetStoreError.NOT_FOUND:
-                self._call(
-                    StoreCall("POST", path, JSON_HEADERS, encoded, timeout_s),
-                    lambda created: callback(created.map(_discard_value)),
-                )
+                self._revisions.pop(record.node, None)
+                create()
                 return
-            callback(result.map(_discard_value))
+            finish(result)
 
+        if record.node not in self._revisions:
+            create()
+            return
+        body = _encode_peer(record, self._revisions[record.node])
+        path = _make_peer_path(record)
         self._call(
-            StoreCall("PUT", _make_peer_path(record), JSON_HEADERS, encoded, timeout_s),
-            create_if_absent,
+            StoreCall("PUT", path, JSON_HEADERS, body, timeout_s), create_if_absent
         )
 
     def remove_peer(self, record: PeerRecord, callback: DoneCallback) -> None:
-        """Remove the record of this sidecar."""
+        """Remove a record, unless it was written since it was last listed or saved."""
+        revision = self._revisions.get(record.node)
+        query = f"?revision={revision}" if revision is not None else ""
+        path = f"{_make_peer_path(record)}{query}"
         self._call(
-            StoreCall("DELETE", _make_peer_path(record), timeout_s=READ_TIMEOUT_S),
+            StoreCall("DELETE", path, timeout_s=READ_TIMEOUT_S),
             lambda result: callback(result.map(_discard_value)),
         )
 
+    def _note_revision(self, item: object) -> None:
+        """Note the revision of a sidecar's object that was read or written."""
+        try:
+            name = item["metadata"]["name"]
+            revision = item["metadata"].get("revision")
+        except MALFORMED_ERRORS:
+            return
+        if isinstance(name, str):
+            self._revisions[name] = revision if type(revision) is int else None
+
     def _list_page(
         self, after: str, records: list[PeerRecord], callback: PeersCallback
     ) -> None:
@@ -144,6 +167,7 @@
                 callback(Error(FleetStoreError.MALFORMED))
                 return
             for item in items:
+                self._note_revision(item)
                 record = self._decode_peer(item)
                 if record is not None:
                     records.append(record)
@@ -182,6 +206,9 @@
             return Error(FleetStoreError.HISTORY_GONE)
         if answer.status == STATUS_NOT_FOUND:
             return Error(FleetStoreError.NOT_FOUND)
+        if answer.status == STATUS_CONFLICT:
+            self._log_failure(call, "object was written since it was read")
+            return Error(FleetStoreError.CONFLICT)
         if not 200 <= answer.status < 300:
             self._log_failure(call, f"status {answer.status}")
             return Error(FleetStoreError.UNAVAILABLE)
@@ -294,6 +321,16 @@
         return Error(f"object is malformed: {error!r}")
 
 
+def _encode_peer(record: PeerRecord, revision: int | None) -> bytes:
+    """Return the object of a record, to be written over a revision or any."""
+    metadata: dict[str, object] = {"name": record.node}
+    if revision is not None:
+        metadata["revision"] = revision
+    return json.dumps(
+        {"metadata": metadata, "specification": {"record": pack_record(record)}}
+    ).encode()
+
+
 def _make_peer_path(record: PeerRecord) -> str:
     return f"{OBJECTS_PATH}/{PEER_KIND}/{quote(record.node, safe='')}"
 
--- a/src/flamingobank/sidecar/fleet/fleet_store.py
+++ b/src/flamingobank/sidecar/fleet/fleet_store.py
@@ -28,6 +28,8 @@
     # from before a restore; the caller reads the current state instead.
     HISTORY_GONE = "history-gone"
     NOT_FOUND = "absent"
+    # The object was written since this process last read or wrote it.
+    CONFLICT = "conflict"
     # The body of the store's answer is not a JSON object, or an answer with the
     # configuration has no valid revision.
     MALFORMED = "malformed"
@@ -78,8 +80,11 @@
     def save_peer(
         self, record: PeerRecord, timeout_s: float, callback: DoneCallback
     ) -> None:
-        """Write the record of this sidecar."""
+        """Write a record, unless it was written since it was last listed or saved.
+
+        Also a write that takes effect late must not replace a newer record.
+        """
 
     @abc.abstractmethod
     def remove_peer(self, record: PeerRecord, callback: DoneCallback) -> None:
-        """Remove the record of this sidecar."""
+        """Remove a record, on the same condition."""
--- a/src/flamingobank/sidecar/fleet/record_writer.py
+++ b/src/flamingobank/sidecar/fleet/record_writer.py
@@ -2,7 +2,8 @@
 
 The record lists the departures of servers that this home confirms. A later process on
 the machine reads it there, so a departure is confirmed only once the store has it.
-Writes follow one another, as an older record must not arrive after a newer one.
+Writes follow one another, and each replaces only the record that was read or written
+before, as a write without an answer may take effect after a later one.
 """
 
 import random
@@ -57,6 +58,9 @@
     ) -> None:
         # Called when this process has written its record for the first time.
         self.on_first_saved: Callable[[], None] = lambda: None
+        # Called when the store has another record of this node than the one that was
+        # read. It may list departures, so it is read before it is overwritten.
+        self.on_conflict: Callable[[], None] = lambda: None
         self._clock = clock
         self._timers = timers
         self._rng = rng
@@ -76,7 +80,7 @@
         self._pending: list[PendingDepartures] = []
 
     def allow_writes(self) -> None:
-        """Write from now on: the record of an earlier process here has been read."""
+        """Write from now on: what the store has of this node has been read."""
         self._may_write = True
         self._write_next()
 
@@ -168,7 +172,10 @@
         if result.is_error():
             self._count_error(result.error)
             self._saved = None
-            if self._pending:
+            if result.error is FleetStoreError.CONFLICT:
+                self._may_write = False
+                self.on_conflict()
+            elif self._pending:
                 self._timers.call_at(
                     self._clock.now() + RETRY_DELAY_S, self._write_next
                 )
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -106,6 +106,7 @@
         # written theirs. Of any two, the one that wrote later finds the other's record
         # by listing once more.
         self.record_writer.on_first_saved = self._list_peers
+        self.record_writer.on_conflict = self._list_peers
         self._ranked_digest: int | None = None
         self._is_watcher = False
 
--- a/src/flamingobank_standins/platform/store.py
+++ b/src/flamingobank_standins/platform/store.py
@@ -13,6 +13,7 @@
 
 OBJECT_PATH_PREFIX = "/flamingobank/objects/"
 MAX_HISTORY_EVENTS = 200
+LATE_WRITE_S = 2.0
 REQUEST_LIMITS = RequestLimits()
 
 
@@ -28,6 +29,8 @@
     RESETTING = "resetting"
     # Executes writes, then resets the connection instead of answering.
     LOSING = "losing"
+    # Executes writes some seconds later, and never answers them.
+    LATE = "late"
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,14 +140,20 @@
         if request.method == "GET":
             self._handle_read(request, kind, unquote(name), parse_qs(query))
             return
-        status, body = self._handle_write(request, kind, unquote(name))
+        if self.mode is StoreMode.LATE:
+            self._timers.call_at(
+                self._clock.now() + LATE_WRITE_S,
+                lambda: self._handle_write(request, kind, unquote(name), query),
+            )
+            return
+        status, body = self._handle_write(request, kind, unquote(name), query)
         if self.mode is StoreMode.LOSING:
             request.abort()
             return
         self._answer(request, status, body)
 
     def _handle_write(
-        self, request: CallerRequest, kind: str, name: str
+        self, request: CallerRequest, kind: str, name: str, query: str
     ) -> tuple[int, dict]:
         document = json.loads(request.body) if request.body else {}
         if request.method == "POST":
@@ -155,6 +164,11 @@
         current = self._objects.get((kind, name))
         if current is None:
             return 404, {}
+        expected = document.get("metadata", {}).get("revision")
+        if "revision" in parse_qs(query):
+            expected = int(parse_qs(query)["revision"][0])
+        if expected not in (None, current["metadata"]["revision"]):
+            return 409, current
         if request.method == "DELETE":
             del self._objects[kind, name]
             self._record_change(kind, current, deleted=True)
