End only its own request when a held answer breaks off

Cause: aborting an answer reset the connection, also if nothing of the answer had been sent since it was not the next one.

Ruled out: a reset by the caller; both requests end at the moment at which the server breaks off.

Change: such an answer is discarded, and its request is answered 502 in turn. If a part was sent, the connection is reset as before.

--- a/features/support/stopping.py
+++ b/features/support/stopping.py
@@ -6,7 +6,13 @@
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.routes import RequestLimits
 from flamingobank.sidecar.http.http_server import HttpServer
-from flamingobank.sidecar.links.messages import Answer, Commit, Granted
+from flamingobank.sidecar.links.messages import (
+    Answer,
+    AnswerPart,
+    Commit,
+    Failed,
+    Granted,
+)
 from flamingobank.sidecar.shutdown import Shutdown
 
 GRACE_S = 6.0
@@ -47,6 +53,9 @@
         """React to offers and requests as the harness says."""
         if isinstance(message, Commit):
             self.commits.append(message)
+            if message.request_id in self.harness.broken_streams:
+                self.break_off(message.stream)
+                return
             answer = Answer(
                 message.stream, 200, SEALED, self.harness.body, True, REPORT
             )
@@ -56,6 +65,14 @@
         if self.harness.offer_reaction == "queue" and self.harness.slot_after_s:
             self.reply(Granted(message.stream), self.harness.slot_after_s)
 
+    def break_off(self, stream):
+        """Stream a part of an answer, and then no more."""
+        headers = [(b"server-seal", b"s"), (b"content-length", b"100")]
+        self.reply(Answer(stream, 200, headers, b"part", False, REPORT))
+        self.reply(AnswerPart(stream, b"part", False), 0.1)
+        failure = Failed(stream, False, True, "answer broke off midway", REPORT)
+        self.reply(failure, 0.2)
+
 
 class StoppingHarness(ExchangeHarness):
     """An entry with working homes, its HTTP server and its shutdown."""
@@ -66,6 +83,8 @@
         super().__init__(kind, [[]] * homes, **route_fields)
         self.offer_reaction = "grant"
         self.body = b"ok"
+        # The requests whose answers break off while they are streamed.
+        self.broken_streams = set()
         # Seconds after which a queued request gets a slot, 0 for never.
         self.slot_after_s = 0.0
         self.choose_work_s = lambda request_id: 0.001
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -20,6 +20,7 @@
     AttemptState,
 )
 from flamingobank.sidecar.callers.exchange_owner import EndedRequest, ExchangeOwner
+from flamingobank.sidecar.callers.reply import OUTCOME_UNKNOWN_STATUS
 from flamingobank.sidecar.decisions.home_search import HomeSearch, NextStep
 from flamingobank.sidecar.decisions.refusals import RefusalCause
 from flamingobank.sidecar.decisions.retry_state import RetryState
@@ -37,7 +38,6 @@
 # A request that waits for a server to recover is offered to all homes again after this
 # time.
 RETRY_OFFER_DELAY_S = 0.1
-OUTCOME_UNKNOWN_STATUS = 502
 DEADLINE_STATUS = 504
 
 
--- a/src/flamingobank/sidecar/callers/reply.py
+++ b/src/flamingobank/sidecar/callers/reply.py
@@ -14,6 +14,7 @@
 from flamingobank.sidecar.links.messages import Answer, AnswerPart
 
 REFUSED_STATUS = 503
+OUTCOME_UNKNOWN_STATUS = 502
 
 
 class CallerReply:
@@ -62,8 +63,17 @@
         self._request.finish()
 
     def abort(self) -> None:
-        """Abort an answer that cannot be completed."""
-        self._request.abort()
+        """End an answer that cannot be completed.
+
+        If nothing of it has been sent, as answers to earlier requests of the connection
+        come first, the caller is told that the outcome is unknown. Otherwise the
+        connection is reset, with all requests on it.
+        """
+        if not self._request.discard_output():
+            self._request.abort()
+            return
+        headers = self._dialect.list_refusal_headers(self._request_id, None)
+        self._request.answer(OUTCOME_UNKNOWN_STATUS, headers, b"")
 
     def end_without_answer(
         self,
--- a/src/flamingobank/sidecar/http/caller_request.py
+++ b/src/flamingobank/sidecar/http/caller_request.py
@@ -148,6 +148,18 @@
         self.watcher = None
         self.connection.on_answered()
 
+    def discard_output(self) -> bool:
+        """Discard an answer of which nothing has been sent, so that another may be.
+
+        Returns False if a part has been sent.
+        """
+        if self.connection.is_next(self):
+            return not self.started
+        self._output.clear()
+        self.started = False
+        self._chunked = False
+        return True
+
     def abort(self) -> None:
         """Reset the connection, so that the partial answer does not look complete."""
         self.watcher = None
