Bound the memory that large bodies take

Above the limit a process is killed with all it holds.

Cause: a message was copied when it was encoded and when it was queued, and the rest of the queue was copied for each part that the socket accepted. Nothing limited how many large bodies are open.

Change: bodies of more than 64 KB are queued as they are, between the encoded rest of their message, and what a socket did not accept is kept as a view. Callers' bodies of more than 1 MiB are refused with 503 and Retry-After as soon as their size is known, if more than 128 MiB of these would be open.

--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -13,6 +13,8 @@
 from flamingobank.loop.poller import HUNG_UP, READABLE, WRITABLE, Poller
 
 RECEIVE_BYTES = 65536
+# Queued pieces are joined up to this size; larger ones are sent as they are.
+MAX_JOINED_BYTES = 65536
 LISTEN_BACKLOG = 512
 CLOSED_BY_PEER = "closed by peer"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -75,7 +77,7 @@
         self._fd = sock.fileno()
         self._connecting = connecting
         self._reading = True
-        self._output: list[bytes] = []
+        self._output: list[bytes | memoryview] = []
         self._output_bytes = 0
         self._flush_queued = False
         self._finish_queued = False
@@ -161,20 +163,24 @@
         self._flush_queued = False
         if self.closed or self._connecting or not self._output:
             return
-        data = self._output[0] if len(self._output) == 1 else b"".join(self._output)
-        try:
-            sent = self._sock.send(data)
-        except OSError as error:
-            if error.errno not in RETRY_ERRNOS:
-                self.close(f"send failed: {error}")
+        while self._output:
+            self._join_small_output()
+            data = self._output[0]
+            try:
+                sent = self._sock.send(data)
+            except OSError as error:
+                if error.errno not in RETRY_ERRNOS:
+                    self.close(f"send failed: {error}")
+                    return
+                sent = 0
+            self._output_bytes -= sent
+            if sent < len(data):
+                # A view, since copying the rest of a large message for each piece that
+                # the socket accepts would take time that grows with its square.
+                self._output[0] = memoryview(data)[sent:]
+                self._update_mask()
                 return
-            sent = 0
-        self._output_bytes -= sent
-        if self._output_bytes:
-            self._output = [data[sent:]]
-            self._update_mask()
-            return
-        self._output.clear()
+            del self._output[0]
         if self.close_when_drained:
             self.close("closed locally")
             return
@@ -184,6 +190,18 @@
         self._update_mask()
         self.handler.on_drained()
 
+    def _join_small_output(self) -> None:
+        """Join the first pieces, so that small messages share a call."""
+        count = 0
+        size = 0
+        for data in self._output:
+            size += len(data)
+            if size > MAX_JOINED_BYTES:
+                break
+            count += 1
+        if count > 1:
+            self._output[:count] = [b"".join(self._output[:count])]
+
     def _shut_down_output(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -12,6 +12,12 @@
 from flamingobank.sidecar.fleet.routes import RequestLimits
 from flamingobank.sidecar.http.caller_request import AnswerConnection, CallerRequest
 
+# A body of more than LARGE_BODY_BYTES is refused if the callers of the process would
+# then have more than MAX_LARGE_BODIES_BYTES of these open. A body takes up to twice its
+# size while it is passed on.
+LARGE_BODY_BYTES = 1_048_576
+MAX_LARGE_BODIES_BYTES = 128 * 1_048_576
+LARGE_BODY_RETRY_AFTER = (b"retry-after", b"1")
 # Reading pauses at this many unanswered requests; further ones stay in the socket.
 MAX_PIPELINED = 32
 # A caller that reads a streamed answer too slowly is cut off when more than this is
@@ -40,6 +46,10 @@
     on_request: Callable[[CallerRequest], None]
     on_malformed: Callable[[str], None]
 
+    @abc.abstractmethod
+    def count_large_bodies(self) -> int:
+        """Return how many bytes the large bodies of open requests have."""
+
     @abc.abstractmethod
     def remove(self, connection: "CallerConnection") -> None:
         """Remove a closed connection."""
@@ -85,6 +95,14 @@
         """Return whether all requests have answers, which may not have been sent."""
         return not self._pending and self._incoming is None and not self._closing
 
+    @property
+    def large_body_bytes(self) -> int:
+        """Return how many bytes the large bodies of open requests have."""
+        sizes = [request.body_bytes for request in self._pending]
+        if self._incoming is not None:
+            sizes.append(self._incoming.body_bytes)
+        return sum(size for size in sizes if size > LARGE_BODY_BYTES)
+
     def make_persistence_headers(self, request: CallerRequest) -> list[bytes]:
         is_last = len(self._pending) == 1 and self._incoming is None
         if not request.keep_alive or (self._server.draining and is_last):
@@ -295,8 +313,17 @@
             self._error_status = 431
 
     def _check_body_size(self, count: int) -> None:
+        """Check the declared size of a body, or what has arrived of it."""
         if count > self._server.limits().max_body_bytes:
             self._error_status = self._error_status or 413
+        request = self._incoming
+        if self._error_status or count <= request.body_bytes:
+            return
+        request.body_bytes = count
+        if count <= LARGE_BODY_BYTES:
+            return
+        if self._server.count_large_bodies() > MAX_LARGE_BODIES_BYTES:
+            self._error_status = 503
 
     def _reject(self, status: int) -> None:
         """Answer an unreadable request after those before it, then close."""
@@ -305,9 +332,12 @@
         request = self._incoming or CallerRequest(self)
         self._incoming = None
         request.keep_alive = False
+        request.body_parts.clear()
+        request.body_bytes = 0
         self._rejected = True
         self._pending.append(request)
-        request.answer(status, [], b"")
+        headers = [LARGE_BODY_RETRY_AFTER] if status == 503 else []
+        request.answer(status, headers, b"")
 
     def _notify_watchers(self) -> None:
         pending = list(self._pending)
--- a/src/flamingobank/sidecar/http/caller_request.py
+++ b/src/flamingobank/sidecar/http/caller_request.py
@@ -62,6 +62,7 @@
     __slots__ = (
         "_chunked",
         "_output",
+        "body_bytes",
         "body_parts",
         "complete",
         "connection",
@@ -81,6 +82,8 @@
         self.target = b""
         self.headers: Headers = []
         self.body_parts: list[bytes] = []
+        # The declared size of the body, or what has arrived of one without.
+        self.body_bytes = 0
         self.keep_alive = True
         self.complete = False
         self.started = False
--- a/src/flamingobank/sidecar/http/http_server.py
+++ b/src/flamingobank/sidecar/http/http_server.py
@@ -45,6 +45,9 @@
         """Return how many bytes wait to be sent to callers."""
         return sum(caller.connection.output_bytes for caller in self.connections)
 
+    def count_large_bodies(self) -> int:
+        return sum(caller.large_body_bytes for caller in self.connections)
+
     def remove(self, connection: CallerConnection) -> None:
         self.connections.discard(connection)
 
--- a/src/flamingobank/sidecar/links/channels.py
+++ b/src/flamingobank/sidecar/links/channels.py
@@ -12,7 +12,7 @@
     MessageReader,
     Ping,
     Pong,
-    pack_message,
+    pack_pieces,
 )
 
 
@@ -52,7 +52,8 @@
     def send(self, message: Message) -> None:
         """Send a message; a closed channel discards it."""
         if not self.closed:
-            self._connection.write(pack_message(message))
+            for piece in pack_pieces(message):
+                self._connection.write(piece)
 
     def close(self, reason: str) -> None:
         """Close the connection and report the reason."""
--- a/src/flamingobank/sidecar/links/messages.py
+++ b/src/flamingobank/sidecar/links/messages.py
@@ -1,6 +1,7 @@
 """Define the messages between sidecars and their msgpack encoding."""
 
 import enum
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, fields
 from math import isfinite
@@ -14,6 +15,9 @@
 MAX_BUFFER_BYTES = 96 * 1024 * 1024
 # Memory that each connection's decoder takes from the start; it grows with messages.
 INITIAL_BUFFER_BYTES = 4096
+# Larger bodies are sent as they are, behind the mark of msgpack's format bin 32.
+MAX_COPIED_BODY_BYTES = 65536
+BIN32_MARK = 0xC6
 
 
 class RefusalReason(enum.Enum):
@@ -231,6 +235,7 @@
 
 _REPORT_POSITIONS = _find_field_positions("report")
 _HEADERS_POSITIONS = _find_field_positions("headers")
+_BODY_POSITIONS = _find_field_positions("body")
 # dataclasses.astuple copies all values, which takes ten times as long.
 _FIELD_READERS = {
     message_type: _make_field_reader(message_type)
@@ -247,6 +252,26 @@
     )
 
 
+def pack_pieces(message: Message) -> list[bytes]:
+    """Encode one message in pieces, without a copy of its body if that is large."""
+    message_type = type(message)
+    position = _BODY_POSITIONS.get(message_type)
+    if position is None or len(message.body) <= MAX_COPIED_BODY_BYTES:
+        return [pack_message(message)]
+    values = _FIELD_READERS[message_type](message)
+    packer = msgpack.Packer(default=_read_report_fields, autoreset=False)
+    packer.pack_array_header(2)
+    packer.pack(_TYPE_NUMBERS[message_type])
+    packer.pack_array_header(len(values))
+    for value in values[:position]:
+        packer.pack(value)
+    start = packer.bytes() + struct.pack(">BI", BIN32_MARK, len(message.body))
+    packer.reset()
+    for value in values[position + 1 :]:
+        packer.pack(value)
+    return [start, message.body, packer.bytes()]
+
+
 def _read_report_fields(value: object) -> tuple:
     """Return the fields of a report inside a message, for msgpack."""
     if not isinstance(value, HomeReport):
