See the progress of large messages before a timeout

On slower paths a link that sent a large message was closed as silent after 0.9 s, and a granted slot was freed after 0.6 s while the request was arriving, so such a request could not be served at all.

Cause: timeouts of offers, links and slots looked only at what came back.

Change: an offer behind a backlog is given more time; output that the socket accepts counts as a sign of life; a slot is kept while bytes of a message arrive. Sockets of links and callers hold little unsent output, so that progress shows on slow paths. Homes pass bodies on without a copy.

--- a/features/large_bodies.feature
+++ b/features/large_bodies.feature
@@ -35,3 +35,35 @@
     Given an HTTP server that takes bodies of 64 MB, and 2 callers with bodies of 60 MB
     When another caller sends a body of 1000 bytes
     Then it is answered
+
+  # Guards against a link that is closed as silent while it sends a large message, so that the
+  # message never arrives over a slow path.
+  Scenario: A large request takes longer than a link may be silent
+    Given a link to a peer that reads 8 MB a second
+    When a request with a body of 32000000 bytes is sent on it
+    Then the peer has the whole request after more than 3 seconds, on the same link
+
+  # Guards against a link that is never taken for silent while a large message waits on it.
+  Scenario: The peer of a link stops reading in the middle of a large request
+    Given a link to a peer that reads 8 MB a second
+    When a request with a body of 32000000 bytes is sent on it
+    And the peer reads nothing more after 1 second
+    Then the link is closed within 2 seconds
+
+  # Guards against a home that is taken for silent because its offer waits behind a large
+  # message on the same link.
+  Scenario: An offer waits behind a large message
+    Given a home that grants an offer after 0.5 s, as it waits behind a large message
+    When an unsafe request is offered to it
+    Then the request is answered 200 and the home was asked once
+
+  # Guards against a slot that is freed while the request for it is still arriving.
+  Scenario Outline: A large request arrives for longer than a slot is kept
+    Given a home that has granted a slot
+    When the request for the slot arrives within 3 seconds, <how>
+    Then it is <outcome>
+
+    Examples:
+      | how                                  | outcome                      |
+      | some bytes each 0.2 seconds          | sent to the server of orders |
+      | all bytes after nothing has arrived  | refused as never received    |
--- a/features/steps/large_bodies_steps.py
+++ b/features/steps/large_bodies_steps.py
@@ -7,17 +7,26 @@
 from hypothesis import given as given_data, settings, strategies as st
 
 from features.support.loop import LOCAL, RawPeer, TestLoop
-from flamingobank.core import VirtualClock
+from features.support.stopping import StoppingHarness
+from flamingobank.core import ServiceName, VirtualClock
 from flamingobank.loop import Connection, ConnectionHandler, Listener
-from flamingobank.sidecar.fleet.routes import RequestLimits
+from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.routes import RequestLimits, RouteKind
 from flamingobank.sidecar.http.http_server import HttpServer
+from flamingobank.sidecar.links.channels import AcceptedChannel, PeerObserver
+from flamingobank.sidecar.links.links import LinkObserver, LinkPool, StreamHandler
 from flamingobank.sidecar.links.messages import (
     MAX_COPIED_BODY_BYTES,
+    PROTOCOL_VERSION,
     Answer,
     AnswerPart,
     Commit,
+    Granted,
+    Hello,
     HomeReport,
     MessageReader,
+    Offer,
+    Refused,
     pack_message,
     pack_pieces,
 )
@@ -229,3 +238,186 @@
         context.loop.turn(0)
     assert not context.caller.peer.poll().received
     assert not context.caller.peer.ended
+
+
+class CountingChannel(AcceptedChannel):
+    """A channel that counts the bytes that it has read."""
+
+    read_bytes = 0
+
+    def on_data(self, data):
+        self.read_bytes += len(data)
+        super().on_data(data)
+
+
+class SlowPeer(LinkObserver, PeerObserver):
+    """A peer whose process reads a link at a limited rate."""
+
+    def __init__(self, loop, rate):
+        self.loop = loop
+        self.rate = rate
+        self.allowance = 0.0
+        self.received = []
+        self.channels = []
+        self.listener = Listener(loop.poller, LOCAL, self.accept)
+
+    def accept(self, sock):
+        """Accept a link."""
+        channel = CountingChannel(
+            self, EventLog("peer"), Hello(PROTOCOL_VERSION, "peer", "peer-boot")
+        )
+        channel.attach(Connection(self.loop.poller, sock, channel, connecting=False))
+        self.channels.append(channel)
+
+    def on_peer_message(self, channel, message):
+        """Record a message."""
+        self.received.append(message)
+
+    def on_control_message(self, link, message):
+        """Ignore messages without a stream."""
+
+    def on_channel_closed(self, channel):
+        """Do nothing."""
+
+    def read(self, seconds):
+        """Let the process read what its rate allows in some seconds."""
+        self.allowance += self.rate * seconds
+        for channel in self.channels:
+            if channel.closed:
+                continue
+            channel._connection.resume_reading()
+            while self.allowance >= 65536:
+                before = channel.read_bytes
+                self.loop.turn(0)
+                count = channel.read_bytes - before
+                self.allowance -= count
+                if not count:
+                    break
+            channel._connection.pause_reading()
+
+
+class RecordingStream(StreamHandler):
+    """The handler of a request that records the loss of its link."""
+
+    def __init__(self):
+        self.lost = False
+
+    def on_message(self, message):
+        """Ignore messages."""
+
+    def on_link_lost(self):
+        self.lost = True
+        return False
+
+    def on_home_restarted(self):
+        """Do nothing."""
+
+
+@given("a link to a peer that reads {rate:d} MB a second")
+def step_slow_link(context, rate):
+    loop = context.loop = TestLoop(VirtualClock(100.0))
+    context.slow_peer = SlowPeer(loop, rate * 10**6)
+    links = LinkPool(
+        loop.poller,
+        loop.timers,
+        loop.clock,
+        random.Random(1),
+        EventLog("own"),
+        Hello(PROTOCOL_VERSION, "own", "own-boot"),
+    )
+    links.observer = context.slow_peer
+    context.link = links.get(context.slow_peer.listener.address)
+    context.stream = RecordingStream()
+
+
+@when("a request with a body of {size:d} bytes is sent on it")
+def step_send_large(context, size):
+    context.size = size
+    context.link.open_stream(1, context.stream)
+    body = b"b" * size
+    context.link.send(
+        Commit(1, "r1", "POST", b"/x", [], body, 60.0, ServiceName("orders"))
+    )
+    context.loop.run_until(lambda: context.link.may_answer, "the link")
+    context.sent_at = context.loop.clock.now()
+
+
+def _read_until(context, condition, seconds):
+    """Let time pass and the peer read; return whether a condition came to hold."""
+    loop = context.loop
+    end = loop.clock.now() + seconds
+    while loop.clock.now() < end and not condition():
+        loop.advance(0.05, turns=2)
+        context.slow_peer.read(0.05)
+    return condition()
+
+
+@then(
+    "the peer has the whole request after more than {seconds:d} seconds, on the same "
+    "link"
+)
+def step_whole_request(context, seconds):
+    received = context.slow_peer.received
+    assert _read_until(context, lambda: received, 20)
+    assert len(received[0].body) == context.size
+    assert context.loop.clock.now() > context.sent_at + seconds
+    assert not context.stream.lost and len(context.slow_peer.channels) == 1
+
+
+@when("the peer reads nothing more after {seconds:d} second")
+def step_stop_reading(context, seconds):
+    assert not _read_until(context, lambda: context.stream.lost, seconds)
+    context.slow_peer.rate = 0
+
+
+@then("the link is closed within {seconds:d} seconds")
+def step_link_closed(context, seconds):
+    assert _read_until(context, lambda: context.stream.lost, seconds)
+
+
+@given(
+    "a home that grants an offer after {delay:g} s, as it waits behind a large message"
+)
+def step_backlog(context, delay):
+    harness = context.harness = StoppingHarness(RouteKind.UNSAFE, 1)
+    harness.offer_reaction = "silent"
+    home = context.home = next(iter(harness.homes.values()))
+    home.has_backlog = True
+    context.offers = []
+    send = home.send
+
+    def record_and_send(message):
+        if isinstance(message, Offer):
+            context.offers.append(message)
+            home.reply(Granted(message.stream), delay)
+        send(message)
+
+    home.send = record_and_send
+
+
+@when("an unsafe request is offered to it")
+def step_offer(context):
+    context.caller = context.harness.call(b"POST", 3.0)
+    context.harness.advance(1.0)
+
+
+@then("the request is answered {status:d} and the home was asked once")
+def step_answered(context, status):
+    assert context.caller.status == status, context.caller.status
+    assert len(context.offers) == 1, context.offers
+
+
+@when("the request for the slot arrives within {seconds:d} seconds, {how}")
+def step_arrives_slowly(context, seconds, how):
+    harness = context.harness
+    for _ in range(seconds * 5):
+        harness.loop.advance(0.2)
+        if how == "some bytes each 0.2 seconds":
+            harness.channel.pending_bytes += 100_000
+    harness.commit(1)
+
+
+@then("it is refused as never received")
+def step_never_received(context):
+    refused = context.harness.channel.list_kind(Refused)
+    assert [message.reason for message in refused] == ["never-received"], refused
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -308,9 +308,10 @@
         (b"deadline-milliseconds", b"99999"),
         (b"transfer-encoding", b"chunked"),
     ]
-    encoded = PlatformDialect().encode_request(
+    encoded_head, encoded_body = PlatformDialect().encode_request(
         "POST", b"/a?b=%20", headers, b"body", InstanceId("i-1"), 1.25, "orders"
     )
+    encoded = encoded_head + encoded_body
     head, _, context.body = encoded.partition(b"\r\n\r\n")
     context.lines = head.split(b"\r\n")
 
--- a/features/support/home.py
+++ b/features/support/home.py
@@ -80,6 +80,7 @@
         self.peer_boot = boot
         self.messages = []
         self.output_bytes = 0
+        self.pending_bytes = 0
 
     def send(self, message):
         """Record a message."""
--- a/features/support/sidecar.py
+++ b/features/support/sidecar.py
@@ -47,6 +47,7 @@
         self.request_reactions = []
         self.cancelled_streams = []
         self.is_usable = True
+        self.has_backlog = False
         self.may_answer = False
         self.offer_timeout_s = 0.07
 
--- a/src/flamingobank/loop/connections.py
+++ b/src/flamingobank/loop/connections.py
@@ -15,6 +15,8 @@
 RECEIVE_BYTES = 65536
 # Queued pieces are joined up to this size; larger ones are sent as they are.
 MAX_JOINED_BYTES = 65536
+# What a socket holds beyond the bytes that are on their way, see limit_unsent_output.
+MAX_UNSENT_BYTES = 131_072
 LISTEN_BACKLOG = 512
 CLOSED_BY_PEER = "closed by peer"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -61,6 +63,7 @@
         "close_when_drained",
         "closed",
         "handler",
+        "sent_bytes",
     )
 
     def __init__(
@@ -84,9 +87,22 @@
         self._mask = WRITABLE if connecting else READABLE
         self.handler = handler
         self.closed = False
+        # Bytes that the socket has accepted so far.
+        self.sent_bytes = 0
         self.close_when_drained = False
         poller.register_direct(self._fd, self._mask, self._on_ready)
 
+    def limit_unsent_output(self) -> None:
+        """Let the socket accept little more than the network takes.
+
+        Otherwise it accepts megabytes at once and then nothing for seconds on a slow
+        path, so that a slow peer looks like one that does not read.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
+            )
+
     @property
     def output_bytes(self) -> int:
         """Return the number of bytes that wait to be sent."""
@@ -174,6 +190,7 @@
                     return
                 sent = 0
             self._output_bytes -= sent
+            self.sent_bytes += sent
             if sent < len(data):
                 # A view, since copying the rest of a large message for each piece that
                 # the socket accepts would take time that grows with its square.
--- a/src/flamingobank/loop/http_client.py
+++ b/src/flamingobank/loop/http_client.py
@@ -62,7 +62,7 @@
         self.closed = False
         self.reusable = True
         self._exchange: AnswerHandler | None = None
-        self._request: bytes | None = None
+        self._request: tuple[bytes, bytes] | None = None
         self._status_seen = False
         self._complete = False
         self._is_head_request = False
@@ -85,8 +85,11 @@
         """Return the number of bytes that wait to be sent."""
         return self._connection.output_bytes
 
-    def send(self, request: bytes, handler: AnswerHandler) -> None:
-        """Send one request and pass its answer to the handler."""
+    def send(self, request: bytes, handler: AnswerHandler, body: bytes = b"") -> None:
+        """Send one request and pass its answer to the handler.
+
+        A body that is not a part of `request` is sent behind it, without a copy.
+        """
         self._exchange = handler
         self._headers = []
         self._head_bytes = 0
@@ -99,9 +102,9 @@
         self._is_head_request = request.startswith(b"HEAD ")
         self._parser = httptools.HttpResponseParser(self)
         if self.connected:
-            self._connection.write(request)
+            self._write(request, body)
             return
-        self._request = request
+        self._request = (request, body)
 
     def cancel(self) -> None:
         """Abandon the exchange and close the connection, which cancels the request."""
@@ -132,9 +135,14 @@
             on_result(True)
         if self._request is None:
             return
-        self._connection.write(self._request)
+        self._write(*self._request)
         self._request = None
 
+    def _write(self, request: bytes, body: bytes) -> None:
+        self._connection.write(request)
+        if body:
+            self._connection.write(body)
+
     def on_data(self, data: bytes) -> None:
         if self._exchange is None:
             # No request is in progress. The bytes would be taken for the answer to the
--- a/src/flamingobank/platform/headers.py
+++ b/src/flamingobank/platform/headers.py
@@ -74,8 +74,8 @@
         expected: InstanceId,
         remaining_s: float,
         calling_service: str,
-    ) -> bytes:
-        """Encode a request for a server."""
+    ) -> tuple[bytes, bytes]:
+        """Encode a request for a server; return its head and its body."""
         dropped = OWN_REQUEST_HEADERS | _split_connection_header(headers)
         has_body_framing = any(
             name in (b"content-length", b"transfer-encoding") for name, _ in headers
@@ -87,7 +87,7 @@
         lines.append(b"%s: %s" % (CALLING_SERVICE, calling_service.encode("latin-1")))
         if body or has_body_framing:
             lines.append(b"content-length: %d" % len(body))
-        return b"\r\n".join([*lines, b"", body])
+        return b"\r\n".join([*lines, b"", b""]), body
 
     def read_server(
         self, status: int, headers: Headers, request_id: RequestId
--- a/src/flamingobank/sidecar/callers/attempts.py
+++ b/src/flamingobank/sidecar/callers/attempts.py
@@ -97,6 +97,11 @@
         """Return how many seconds the offer waits for a response."""
         return self._link.offer_timeout_s
 
+    @property
+    def waits_for_link(self) -> bool:
+        """Return whether the offer may not have been sent yet."""
+        return self._link.has_backlog
+
     def offer(self, offer: Offer) -> None:
         """Send the offer to the home."""
         self._link.open_stream(self.stream, self)
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -158,9 +158,7 @@
         )
         repeated = self._is_repeat()
         self._attempts.add(attempt)
-        attempt.timer = self._call_at(
-            now + attempt.offer_timeout_s, lambda: self._on_offer_timeout(attempt)
-        )
+        self._start_offer_timer(attempt)
         attempt.offer(
             Offer(
                 attempt.stream,
@@ -175,9 +173,18 @@
             )
         )
 
+    def _start_offer_timer(self, attempt: Attempt) -> None:
+        attempt.timer = self._call_at(
+            self._entry.clock.now() + attempt.offer_timeout_s,
+            lambda: self._on_offer_timeout(attempt),
+        )
+
     def _on_offer_timeout(self, attempt: Attempt) -> None:
         if self.ended or attempt.state is not AttemptState.OFFERED:
             return
+        if attempt.waits_for_link:
+            self._start_offer_timer(attempt)
+            return
         self._entry.note_offer_timeout(attempt.home)
         self._attempts.cancel(attempt)
         self.on_refused(attempt, RefusalReason.SERVER_DOWN)
--- a/src/flamingobank/sidecar/dialect.py
+++ b/src/flamingobank/sidecar/dialect.py
@@ -66,8 +66,8 @@
         expected: InstanceId,
         remaining_s: float,
         calling_service: str,
-    ) -> bytes:
-        """Encode a request for a server."""
+    ) -> tuple[bytes, bytes]:
+        """Encode a request for a server; return its head and its body."""
 
     @abc.abstractmethod
     def read_server(
--- a/src/flamingobank/sidecar/homes/requests.py
+++ b/src/flamingobank/sidecar/homes/requests.py
@@ -115,6 +115,8 @@
         self.streaming = False
         self._status = 0
         self._paused = False
+        # What had arrived of the message that the channel is receiving.
+        self._pending_bytes = 0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -136,7 +138,7 @@
         self.state_since = now
         home = self.home
 
-        def encode(instance: InstanceId) -> bytes:
+        def encode(instance: InstanceId) -> tuple[bytes, bytes]:
             return home.dialect.encode_request(
                 commit.method,
                 commit.target,
@@ -152,6 +154,11 @@
     def find_timeout_reason(self, now: float) -> str | None:
         """Return why a granted or running request has timed out; None if it has not."""
         if self.state is HomeRequestState.GRANTED:
+            pending_bytes = self.channel.pending_bytes
+            if pending_bytes > self._pending_bytes:
+                # A large message is arriving, which may be the request.
+                self._pending_bytes = pending_bytes
+                self.state_since = now
             if now > self.state_since + GRANT_TIMEOUT_S:
                 return "request did not follow the grant"
             return None
--- a/src/flamingobank/sidecar/homes/server_client.py
+++ b/src/flamingobank/sidecar/homes/server_client.py
@@ -109,13 +109,17 @@
         self._connect_timer = None
 
     def start(
-        self, connection: HttpClientConnection, request: bytes, reused: bool
+        self,
+        connection: HttpClientConnection,
+        request: tuple[bytes, bytes],
+        reused: bool,
     ) -> None:
         """Send the request and start the connect timeout on a new connection."""
         self.connection = connection
         self._reused_connection = reused
         connection.identify = self._is_own_answer
-        connection.send(request, self)
+        head, body = request
+        connection.send(head, self, body)
         if not connection.connected:
             self._connect_timer = self._client.timers.call_at(
                 self._client.clock.now() + CONNECT_TIMEOUT_S, self._check_connected
@@ -309,7 +313,7 @@
     def run(
         self,
         request_id: RequestId,
-        encode: Callable[[InstanceId], bytes],
+        encode: Callable[[InstanceId], tuple[bytes, bytes]],
         idempotent: bool,
         handler: RunHandler,
     ) -> ServerRun:
--- a/src/flamingobank/sidecar/http/caller_connection.py
+++ b/src/flamingobank/sidecar/http/caller_connection.py
@@ -84,6 +84,7 @@
         self._output_bytes = 0
         self._output_since = server.clock.now()
         self.connection = Connection(server.poller, sock, self, connecting=False)
+        self.connection.limit_unsent_output()
 
     @property
     def is_idle(self) -> bool:
--- a/src/flamingobank/sidecar/links/channels.py
+++ b/src/flamingobank/sidecar/links/channels.py
@@ -35,6 +35,8 @@
         self.peer = ""
         self.peer_boot = ""
         self.closed = False
+        # Bytes that have arrived since the last whole message.
+        self.pending_bytes = 0
         self._observer = observer
         self._event_log = event_log
         self._reader = MessageReader()
@@ -43,12 +45,18 @@
     def attach(self, connection: Connection) -> None:
         """Set the connection that carries the messages."""
         self._connection = connection
+        connection.limit_unsent_output()
 
     @property
     def output_bytes(self) -> int:
         """Return the number of bytes that are queued for sending."""
         return 0 if self.closed else self._connection.output_bytes
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return the number of bytes that the peer's side has accepted."""
+        return self._connection.sent_bytes
+
     def send(self, message: Message) -> None:
         """Send a message; a closed channel discards it."""
         if not self.closed:
@@ -69,6 +77,7 @@
             self._event_log.warn("link:malformed", peer=self.peer, error=str(error))
             self.close("malformed message")
             return
+        self.pending_bytes = 0 if messages else self.pending_bytes + len(data)
         for message in messages:
             if self.closed:
                 return
--- a/src/flamingobank/sidecar/links/links.py
+++ b/src/flamingobank/sidecar/links/links.py
@@ -34,6 +34,8 @@
 # After an offer without a response, the peer has this long to send anything before
 # the connection is closed.
 PROBE_TIMEOUT_S = 0.5
+# With more than this queued, an offer may wait for its own link and not for its home.
+BACKLOG_BYTES = 262_144
 CHECK_INTERVAL_S = 0.1
 # An offer times out after OFFER_TIMEOUT_FACTOR times the smoothed response time of its
 # home. The response time includes the delays of both machines, which may be slow, and
@@ -92,6 +94,9 @@
         self._ping_sent = False
         self._probe_deadline = 0.0
         self._offered_at: dict[int, float] = {}
+        # What had been sent on the current connection at the last check.
+        self._sent_bytes = 0
+        self._backlog_at = float("-inf")
         self._response_time_s = INITIAL_RESPONSE_TIME_S
 
     @property
@@ -110,6 +115,17 @@
         """Return whether a request may be offered over this link."""
         return not self.failed
 
+    @property
+    def has_backlog(self) -> bool:
+        """Return whether messages wait behind a large one, or did a moment ago.
+
+        What the socket has accepted is still on its way to the peer.
+        """
+        now = self._links.clock.now()
+        if self._channel is not None and self._channel.output_bytes > BACKLOG_BYTES:
+            self._backlog_at = now
+        return now < self._backlog_at + MAX_OFFER_TIMEOUT_S
+
     def suspect(self) -> None:
         """Send no offers over this link until data arrives from the peer."""
         if self.state is LinkState.UP and not self.failed:
@@ -195,6 +211,7 @@
             return
         if self.state is not LinkState.UP:
             return
+        self._note_sent(now)
         if self.failed and now > self._probe_deadline:
             self._channel.close("silent")
             return
@@ -208,6 +225,19 @@
             self._ping_sent = True
             self._channel.send(Ping())
 
+    def _note_sent(self, now: float) -> None:
+        """Take the progress of a large message for a sign of life.
+
+        The peer answers a ping behind it only when the message has arrived.
+        """
+        sent_bytes, output_bytes = self._channel.sent_bytes, self._channel.output_bytes
+        if output_bytes > BACKLOG_BYTES:
+            self._backlog_at = now
+        if sent_bytes != self._sent_bytes and output_bytes:
+            self.last_data_at = now
+            self._probe_deadline = now + PROBE_TIMEOUT_S
+        self._sent_bytes = sent_bytes
+
     def on_handshake_done(self, channel: "OutgoingChannel") -> None:
         """Resume the open streams and send queued messages after the peer's Hello."""
         now = self._links.clock.now()
--- a/src/flamingobank/sidecar/links/local_link.py
+++ b/src/flamingobank/sidecar/links/local_link.py
@@ -16,6 +16,7 @@
         self.closed = False
         # Messages are delivered in the next turn of the loop, so none are queued.
         self.output_bytes = 0
+        self.pending_bytes = 0
         self._link = link
 
     def send(self, message: Message) -> None:
@@ -49,6 +50,11 @@
         """Return True: the own process can always be reached."""
         return True
 
+    @property
+    def has_backlog(self) -> bool:
+        """Return False: messages are delivered in the next turn of the loop."""
+        return False
+
     @property
     def offer_timeout_s(self) -> float:
         """Return how long an offer waits for a response."""
