Forget the times of requests whose service is never retried

What callers saw: nothing; the review read it. An entry kept the time of each request for a service that gets only unsafe requests, as times are dropped when the allowance for retries is asked for, and it never is for these.

Change: times outside the window are dropped when one is added, too.

Evidence: one more scenario in features/sidecar_decisions.feature, which fails without the change (36,000 times held instead of 101).

--- a/features/sidecar_decisions.feature
+++ b/features/sidecar_decisions.feature
@@ -121,6 +121,12 @@
     Given a home whose servers "z1" to "z9" and "a1" to "a9" have left one after another
     Then the 8 departures that it publishes are those of "a2" to "a9"
 
+  # Guards against times that are kept for good for a service whose requests are never
+  # retried.
+  Scenario: A service gets only requests that may run once
+    When an entry counts 10 requests a second for an hour without asking for retries
+    Then its budget holds at most the times of 10 seconds
+
   Scenario: Repeated runs keep to the retry budget of the service that they call
     When 12 machines repeat a third of their runs, each of which makes two calls
     Then no window of 10 seconds has more retries at the called service than allowed
--- a/features/steps/sidecar_decisions_steps.py
+++ b/features/steps/sidecar_decisions_steps.py
@@ -279,6 +279,19 @@
         assert retries <= 0.2 * requests + 56, (end, retries, requests)
 
 
+@when("an entry counts 10 requests a second for an hour without asking for retries")
+def step_count_for_long(context):
+    context.budget = RetryBudget(0.2, 56.0, 10.0)
+    for number in range(36_000):
+        context.budget.count_request(ORDERS, number / 10)
+
+
+@then("its budget holds at most the times of {seconds:d} seconds")
+def step_holds(context, seconds):
+    held = len(context.budget._requests[ORDERS])
+    assert held <= 10 * seconds + 1, held
+
+
 @given("an entry that may send 3 retries")
 def step_small_budget(context):
     context.budget = RetryBudget(0.0, 3.6, 10.0)
--- a/src/flamingobank/sidecar/decisions/retry_budget.py
+++ b/src/flamingobank/sidecar/decisions/retry_budget.py
@@ -28,11 +28,11 @@
 
     def count_request(self, service: ServiceName, now: float) -> None:
         """Count a request of a caller towards the ratio."""
-        self._requests.setdefault(service, deque()).append(now)
+        self._count(self._requests, service, now)
 
     def count_retry(self, service: ServiceName, now: float) -> None:
         """Count a retry, or a call made by a repeated run, against the budget."""
-        self._retries.setdefault(service, deque()).append(now)
+        self._count(self._retries, service, now)
 
     def compute_allowance(
         self, service: ServiceName, entry_count: int, now: float
@@ -50,6 +50,16 @@
         self.count_retry(service, now)
         return True
 
+    def _count(
+        self,
+        counts: dict[ServiceName, deque[float]],
+        service: ServiceName,
+        now: float,
+    ) -> None:
+        # Trimmed here too, as the allowance of a service may never be asked for.
+        self._trim(counts, service, now)
+        counts.setdefault(service, deque()).append(now)
+
     def _trim(
         self,
         counts: dict[ServiceName, deque[float]],
