Keep a small test for links that go silent for good

The scenarios so far cover the configuration over such links, not requests.

Change: an entry with real links to real homes behind proxies. When all links go silent before a request comes, it is refused as not run, and the next one is served over new links; when they go silent while the server works, an unsafe request's outcome is fetched over a new link and it runs once.

Evidence: 4 rows in features/silent_connections.feature, which pass on this code; no fault was found.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -32,3 +32,22 @@
     Given a process that has links to 20 peers
     When all links go silent and a peer announces a newer version each 0.2 seconds
     Then the process has the newer version within 1 second
+
+  # Guards against requests that run twice, or get no true answer, when the links between
+  # sidecars go silent for good, and against links that are not opened anew.
+  Scenario Outline: The links to all homes go silent
+    Given an entry with links to 3 homes whose servers work for 0.5 s
+    When all its links go silent <when>, and <kind> request has 4 s of time
+    Then its caller gets <status> within 2 s
+    And it has run <runs>
+    And another request 1 s later gets 200 within 1 s
+
+    Examples: no home answers an offer, so the request has not run
+      | when                     | kind      | status | runs  |
+      | before the request comes | a safe    | 503    | never |
+      | before the request comes | an unsafe | 503    | never |
+
+    Examples: the outcome is fetched over a new link, or the request may be repeated
+      | when                     | kind      | status     | runs          |
+      | while the server works   | an unsafe | 200        | once          |
+      | while the server works   | a safe    | 200 or 502 | at most twice |
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -6,11 +6,13 @@
 from behave import given, then, when
 
 from features.steps.sidecar_decisions_steps import make_record, make_route
+from features.support.linked import LinkedHarness
 from features.support.loop import LOCAL, TestLoop
+from features.support.sidecar import RecordingRequest
 from features.support.store_follower import StoreFollower, StoreWorld
 from flamingobank.core import ServiceName, VirtualClock
 from flamingobank.sidecar.event_log import EventLog
-from flamingobank.sidecar.fleet.routes import RequestLimits, RoutingTable
+from flamingobank.sidecar.fleet.routes import RequestLimits, RouteKind, RoutingTable
 from flamingobank.sidecar.links.channels import PeerObserver
 from flamingobank.sidecar.links.links import LinkObserver, LinkPool
 from flamingobank.sidecar.links.messages import PROTOCOL_VERSION, Hello, TablePull
@@ -168,3 +170,71 @@
             context.process.sync.note_version(next(announcing), 2)
         context.loop.advance(0.02, turns=8)
     assert context.process.sync.version == 2
+
+
+@given("an entry with links to {count:d} homes whose servers work for {work:g} s")
+def step_linked_homes(context, count, work):
+    context.linked_homes = count
+    context.work_s = work
+
+
+@when("all its links go silent {when}, and {kind} request has {budget:g} s of time")
+def step_all_silent(context, when, kind, budget):
+    route_kind = RouteKind.UNSAFE if kind == "an unsafe" else RouteKind.SAFE
+    harness = context.linked = LinkedHarness(
+        route_kind, context.linked_homes, context.work_s, timeout_s=budget
+    )
+    harness.request.headers = [
+        (name, b"%d" % (1000 * budget) if name == b"deadline-milliseconds" else value)
+        for name, value in harness.request.headers
+    ]
+    harness.connect()
+    if when == "before the request comes":
+        _silence_homes(harness)
+        harness.take()
+        return
+    harness.take()
+    harness.loop.run_until(
+        lambda: any(home.runs for home in harness.linked), "the request runs"
+    )
+    _silence_homes(harness)
+
+
+def _silence_homes(harness):
+    for home in harness.linked:
+        assert home.proxy.links
+        home.silence()
+
+
+@then("its caller gets {statuses} within {limit:g} s")
+def step_caller_gets(context, statuses, limit):
+    _await_answer(context.linked, limit)
+    assert str(context.linked.final) in statuses.split(" or "), context.linked.final
+
+
+def _await_answer(harness, limit):
+    started_at = harness.loop.clock.now()
+    while not harness.request.answers:
+        assert harness.loop.clock.now() < started_at + limit, "no answer"
+        harness.pass_time(0.02)
+
+
+def _count_runs(harness):
+    return sum(home.runs for home in harness.linked)
+
+
+@then("it has run {times}")
+def step_has_run_times(context, times):
+    context.linked.pass_time(1)
+    least, most = {"never": (0, 0), "once": (1, 1), "at most twice": (1, 2)}[times]
+    assert least <= _count_runs(context.linked) <= most, times
+
+
+@then("another request {delay:d} s later gets {status:d} within {limit:d} s")
+def step_another(context, delay, status, limit):
+    harness = context.linked
+    harness.pass_time(delay)
+    harness.request = RecordingRequest(harness.loop.clock.now(), RouteKind.SAFE)
+    harness.take()
+    _await_answer(harness, limit)
+    assert harness.final == status, harness.request.answers
