Count requests before a first grant as forgotten

What callers saw: nothing; found by reading the change again. A home drops what it knows of an entry process after grants to 4,096 others. At the next grant it began anew with no request forgotten, so it would have said of an earlier one that it never arrived, although it may have run (TWICE).

Change: the record of a process begins with all requests before its first granted one as forgotten. Entries number their requests in rising order, so this says "unknown" too often only for one that was granted out of turn.

Evidence: one more step in features/resumed_requests.feature, which fails without the change.

--- a/features/resumed_requests.feature
+++ b/features/resumed_requests.feature
@@ -49,3 +49,4 @@
     Given a history of runs with requests of 5000 entries that were forgotten
     Then every one of these requests may have run
     And a request that is newer than the forgotten one of its entry has not run
+    And every one of them may have run after later grants to all entries
--- a/features/steps/resumed_requests_steps.py
+++ b/features/steps/resumed_requests_steps.py
@@ -174,7 +174,7 @@
     context.history = RunHistory()
     context.boots = [f"boot{number}" for number in range(count)]
     for boot in context.boots:
-        context.history.note_grant(boot)
+        context.history.note_grant(boot, 7)
         context.history.note_forgotten(boot, 7)
 
 
@@ -186,3 +186,11 @@
 @then("a request that is newer than the forgotten one of its entry has not run")
 def step_newer(context):
     assert not context.history.may_have_run(context.boots[-1], 8)
+
+
+@then("every one of them may have run after later grants to all entries")
+def step_later_grants(context):
+    for boot in context.boots:
+        context.history.note_grant(boot, 20)
+        assert context.history.may_have_run(boot, 7), boot
+        assert not context.history.may_have_run(boot, 21), boot
--- a/src/flamingobank/sidecar/homes/home.py
+++ b/src/flamingobank/sidecar/homes/home.py
@@ -286,7 +286,7 @@
 
     def _grant(self, request: HomeRequest) -> None:
         now = self.clock.now()
-        self._run_history.note_grant(request.channel.peer_boot)
+        self._run_history.note_grant(*request.key)
         failure_probability = self.server_estimate.read_failure_probability(now)
         self._capacity.take_slot(failure_probability > SUSPECT_FAILURE_PROBABILITY, now)
         request.state = HomeRequestState.GRANTED
--- a/src/flamingobank/sidecar/homes/run_history.py
+++ b/src/flamingobank/sidecar/homes/run_history.py
@@ -21,9 +21,13 @@
     def __init__(self) -> None:
         self._newest_forgotten: OrderedDict[str, int] = OrderedDict()
 
-    def note_grant(self, boot: str) -> None:
-        """Record an entry process that may send a request for a granted slot."""
-        self._newest_forgotten.setdefault(boot, 0)
+    def note_grant(self, boot: str, stream: int) -> None:
+        """Record an entry process that may send a request for a granted slot.
+
+        What is known of its earlier requests may have been dropped, so these count as
+        forgotten.
+        """
+        self._newest_forgotten.setdefault(boot, stream - 1)
         self._newest_forgotten.move_to_end(boot)
         if len(self._newest_forgotten) > MAX_PROCESSES:
             self._newest_forgotten.popitem(last=False)
