Pause before a conflict in the store is resolved

What users saw: nothing; found by reading the change again. A process whose entry another writer changes all the time listed and wrote without a pause, which is priced and may reach the store's rates.

Evidence: one more scenario of features/departures.feature (16 calls a second at most), which fails without the change.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -135,3 +135,10 @@
     Given a process that has left, and a watcher that has listed its record as running
     When the process is replaced, and the watcher retires the former record
     Then the store has the record of the new process
+
+  # Guards against calls to the store without a pause while another writer holds the entry.
+  Scenario: Each write conflicts with one of another writer
+    Given a process whose entry in the store another writer changes all the time
+    When its server leaves
+    Then its server is answered 503 within a second
+    And at most 16 calls were made to the store in that second
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -478,3 +478,28 @@
     record = unpack_record(saved["record"])
     expected = context.process.follower.table.local_record.incarnation
     assert record.incarnation == expected, record
+
+
+@given("a process whose entry in the store another writer changes all the time")
+def step_contested(context):
+    context.world = StoreWorld()
+    context.process = DepartingProcess(context.world)
+    context.process.follower.sync.start()
+    context.world.advance(2)
+    store = context.world.store
+    execute = store._execute
+
+    def change_and_execute(request):
+        if request.method == "PUT":
+            entry = store.find(PEER_KIND, "n1")
+            store.put(PEER_KIND, "n1", entry | {"changes": entry.get("changes", 0) + 1})
+        execute(request)
+
+    store._execute = change_and_execute
+    context.calls_before = store.calls
+
+
+@then("at most {limit:d} calls were made to the store in that second")
+def step_few_calls(context, limit):
+    calls = context.world.store.calls - context.calls_before
+    assert 2 < calls <= limit, calls
--- a/src/flamingobank/sidecar/fleet/record_writer.py
+++ b/src/flamingobank/sidecar/fleet/record_writer.py
@@ -172,13 +172,12 @@
         if result.is_error():
             self._count_error(result.error)
             self._saved = None
+            retry_at = self._clock.now() + RETRY_DELAY_S
             if result.error is FleetStoreError.CONFLICT:
                 self._may_write = False
-                self.on_conflict()
+                self._timers.call_at(retry_at, lambda: self.on_conflict())
             elif self._pending:
-                self._timers.call_at(
-                    self._clock.now() + RETRY_DELAY_S, self._write_next
-                )
+                self._timers.call_at(retry_at, self._write_next)
             return
         is_first = self._saved_at is None
         self._saved = record
