--- a/src/flamingobank_standins/platform/server.py
+++ b/src/flamingobank_standins/platform/server.py
@@ -22,6 +22,10 @@
 DEREGISTER_INTERVAL_S = 0.2
 REQUEST_LIMITS = RequestLimits()
 SLOTS = 4
+# Seconds of work for a request, and for one whose path begins with LONG_PATH_PREFIX.
+WORK_S = (0.01, 0.06)
+LONG_WORK_S = (0.5, 4.0)
+LONG_PATH_PREFIX = b"/long-"
 
 
 class ServerMode(enum.Enum):
@@ -83,17 +87,22 @@
         # Requests per second that the answers name as the limit; None for no limit.
         self.rate_limit_per_s: float | None = None
         self.rate_limit_ended_at: float | None = None
+        # Each limit that was named, with the time from which it was.
+        self.named_limits: list[tuple[float, float]] = []
         # The answers say that this instance leaves; its heartbeats may not.
         self.leaving = False
-        # Instance ID and time of each request that arrived, also of refused ones.
-        self.arrivals: list[tuple[str, float]] = []
+        # Time of the server's start and time of each request that arrived, also of
+        # refused ones. An instance may start more than once.
+        self.arrivals: list[tuple[float, float]] = []
         # Request ID, instance ID and start time of each executed request.
         self.runs: list[tuple[str, str, float]] = []
+        # Request ID and service of each executed request.
+        self.services: list[tuple[str, str]] = []
         self._poller = poller
         self._timers = timers
         self._clock = clock
         self._rng = rng
-        self._service = service
+        self.service = service
         self._control = control
         self._read_wall_ms = read_wall_ms
         self._sequence = 0
@@ -124,6 +133,7 @@
         """Name a rate limit in the answers from now on."""
         self.rate_limit_per_s = limit_per_s
         self.rate_limit_ended_at = None
+        self.named_limits.append((self._clock.now(), limit_per_s))
 
     def end_rate_limit(self) -> None:
         """Name no rate limit any more."""
@@ -179,7 +189,7 @@
             "born": self._incarnation,
             "address": f"{host}:{port}",
             "info": {
-                "service": self._service,
+                "service": self.service,
                 "version": "v1",
                 "zone": "a",
                 "slots": SLOTS,
@@ -226,14 +236,16 @@
             headers = [*echo, (b"instance-id", self.instance.encode())]
             request.answer(421, headers, b"")
             return
-        self.arrivals.append((self.instance, self._clock.now()))
+        self.arrivals.append((self.started_at, self._clock.now()))
         if self._running >= SLOTS or self.mode is ServerMode.SHEDDING:
             headers = [*echo, (b"not-executed", b"1"), *self._list_notices()]
             request.answer(503, headers, b"")
             return
         self.runs.append((request_id, self.instance, self._clock.now()))
+        self.services.append((request_id, self.service))
         self._running += 1
-        work_s = self._rng.uniform(0.01, 0.06)
+        is_long = request.target.startswith(LONG_PATH_PREFIX)
+        work_s = self._rng.uniform(*(LONG_WORK_S if is_long else WORK_S))
         self._timers.call_at(
             self._clock.now() + work_s, lambda: self._finish(request, request_id)
         )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -9,7 +9,7 @@
 from flamingobank_standins.platform.store import StoreMode
 from tools.soak.machines import Machine
 from tools.soak.proxy import ProxyMode
-from tools.soak.run import Soak
+from tools.soak.run import OTHER_SERVICE, SERVICE, Soak
 from tools.soak.windows import count_most
 
 # Seconds after the acknowledgement of a drain in which the server may still get
@@ -27,6 +27,7 @@
 RESTART_S = 0.3
 LEAVING_DELAY_S = (0.3, 1.3)
 LATE_HEARTBEAT_S = (0.5, 3.0)
+LONG_PAUSE_S = 4.0
 # Time for which a store is away before it comes back from a copy.
 RESTORE_S = 0.4
 # Largest jump of a clock in seconds, forward or backward.
@@ -52,6 +53,19 @@
     soak.call_later(seconds, lambda: machine.send_signal(signal.SIGCONT))
 
 
+def pause_two_processes(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Suspend two processes so that their suspensions overlap."""
+    other = soak.rng.choice(soak.machines)
+    machine.send_signal(signal.SIGSTOP)
+    soak.call_later(LONG_PAUSE_S, lambda: machine.send_signal(signal.SIGCONT))
+    overlap_s = soak.rng.uniform(0.2, LONG_PAUSE_S)
+    starts_after_s = LONG_PAUSE_S - overlap_s
+    soak.call_later(starts_after_s, lambda: other.send_signal(signal.SIGSTOP))
+    soak.call_later(
+        starts_after_s + LONG_PAUSE_S, lambda: other.send_signal(signal.SIGCONT)
+    )
+
+
 def reload_settings(soak: Soak, machine: Machine, seconds: float) -> None:
     """Send SIGHUP to a process, so that it reads its settings again."""
     machine.send_signal(signal.SIGHUP)
@@ -182,23 +196,46 @@
     soak.call_later(LATE_HEARTBEAT_S[1] + DRAIN_GRACE_S + seconds, check_and_restart)
 
 
+def give_address_away(soak: Soak, machine: Machine, seconds: float) -> None:
+    """Replace a server by one of another service at its address, and put it back.
+
+    Nobody sends requests for that service, so none may be executed there.
+    """
+    server = machine.server
+    server.service = OTHER_SERVICE
+    server.restart()
+
+    def put_back() -> None:
+        if server.service != SERVICE:
+            server.service = SERVICE
+            server.restart()
+
+    soak.call_later(seconds, put_back)
+
+
 def name_rate_limit(soak: Soak, machine: Machine, seconds: float) -> None:
     """Let a server name a rate limit for a while, and check that it is kept."""
     server = machine.server
-    instance, limit_per_s = server.instance, soak.rng.choice(LIMITS_PER_S)
+    instance, started_at = server.instance, server.started_at
+    limit_per_s = soak.rng.choice(LIMITS_PER_S)
+    named_at = soak.loop.clock.now()
     server.name_rate_limit(limit_per_s)
-    settled_at = soak.loop.clock.now() + LIMIT_SETTLE_S
+    settled_at = named_at + LIMIT_SETTLE_S
 
     def check_and_end() -> None:
-        if server.instance == instance:
+        if server.started_at == started_at:
             server.end_rate_limit()
         ended_at = server.rate_limit_ended_at or soak.loop.clock.now()
         times = [
             time
-            for arrived_at, time in server.arrivals
-            if arrived_at == instance and settled_at <= time <= ended_at
+            for start, time in server.arrivals
+            if start == started_at and settled_at <= time <= ended_at
         ]
-        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * limit_per_s + LIMIT_EXTRA
+        # Another fault may have changed the limit meanwhile.
+        largest_per_s = max(
+            limit for time, limit in server.named_limits if named_at <= time <= ended_at
+        )
+        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * largest_per_s + LIMIT_EXTRA
         most = count_most(times, LIMIT_WINDOW_S)
         if most > allowed:
             soak.violations.append(
@@ -236,6 +273,7 @@
     kill_process,
     stop_process,
     pause_process,
+    pause_two_processes,
     reload_settings,
     impair_links,
     impair_links,
@@ -249,6 +287,7 @@
     impair_server,
     replace_server,
     leave_at_restart,
+    give_address_away,
     name_rate_limit,
     leave_unannounced,
 )
--- a/tools/soak/machines.py
+++ b/tools/soak/machines.py
@@ -55,6 +55,8 @@
         self.name = f"m{number}"
         self.host = host
         self.process: subprocess.Popen | None = None
+        # The time and number of each signal that was sent to a running process.
+        self.signals: list[tuple[float, signal.Signals]] = []
         self._log_file = directory / f"{self.name}.log"
         settings = directory / f"{self.name}.toml"
         store_host, store_port = store
@@ -122,6 +124,7 @@
     def send_signal(self, signal_number: int) -> None:
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.poll() is None:
+            self.signals.append((self._clock.now(), signal.Signals(signal_number)))
             self.process.send_signal(signal_number)
 
     def _read_wall_ms(self) -> int:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -23,7 +23,17 @@
 # successful requests.
 SETTLE_S = 6.0
 REQUESTS_PER_S = 8.0
-REQUEST_BUDGET_MS = 3000
+# Time budgets of short and long requests, and the share of the long ones.
+SHORT_BUDGET_S = 3.0
+LONG_BUDGET_S = 10.0
+LONG_SHARE = 0.05
+# All requests are for this service.
+SERVICE = "orders"
+OTHER_SERVICE = "patterns"
+# A planned stop binds a process that no other signal has disturbed since this long
+# before its SIGTERM.
+CALM_BEFORE_STOP_S = 3.0
+GRACE_S = 6.0
 # Connections that callers keep open at each machine; further concurrent requests open
 # one each.
 MAX_KEPT_CONNECTIONS = 2
@@ -36,9 +46,15 @@
 class SoakCall(AnswerHandler):
     """One request of a caller and its response."""
 
-    def __init__(self, soak: "Soak", request_id: str, unsafe: bool) -> None:
+    def __init__(
+        self, soak: "Soak", machine: Machine, request_id: str, unsafe: bool
+    ) -> None:
+        self.machine = machine
         self.request_id = request_id
         self.unsafe = unsafe
+        # The caller gave up at the end of its time budget.
+        self.expired = False
+        self.ended_at = 0.0
         self.status = 0
         self.seal = ""
         # The server says in its answer that it leaves.
@@ -109,6 +125,7 @@
         # When a caller first got an answer in which an instance said that it leaves.
         self.leaving_seen_at: dict[str, float] = {}
         self.requests_per_s = REQUESTS_PER_S
+        self.long_share = LONG_SHARE
         self.violations: list[str] = []
         self.fault_names: list[str] = []
         self._recovery_start: float | None = None
@@ -135,6 +152,7 @@
     def measure_cpu(self, seconds: float, requests_per_s: float) -> float:
         """Return the CPU seconds of all processes per request with status 200."""
         self.requests_per_s = requests_per_s
+        self.long_share = 0.0
         try:
             for machine in self.machines:
                 machine.start()
@@ -154,6 +172,7 @@
     def check_response(self, call: SoakCall) -> None:
         """Record that a call has ended and check its response."""
         call.ended = True
+        call.ended_at = self.loop.clock.now()
         if call.leaving:
             instance = call.seal.partition(".")[0]
             self.leaving_seen_at.setdefault(instance, self.loop.clock.now())
@@ -171,29 +190,37 @@
         routes = [
             {
                 "resource-kind": "routes",
-                "metadata": {"name": kind},
+                "metadata": {"name": name},
                 "specification": {
                     "host": "x.example",
-                    "path-prefix": f"/{kind}/",
+                    "path-prefix": f"/{name}/",
                     "kind": kind,
-                    "timeout-s": 2.5,
+                    "timeout-s": timeout_s,
                     "target-latency-s": 1,
                     "priority": 1,
-                    "service": "orders",
+                    "service": SERVICE,
                     "max-attempts": 2,
                 },
             }
-            for kind in ("safe", "unsafe")
+            for name, kind, timeout_s in (
+                ("safe", "safe", 2.5),
+                ("unsafe", "unsafe", 2.5),
+                ("long-safe", "safe", LONG_BUDGET_S),
+                ("long-unsafe", "unsafe", LONG_BUDGET_S),
+            )
+        ]
+        services = [
+            {
+                "resource-kind": "services",
+                "metadata": {"name": name},
+                "specification": {"health-path": "/health", "connection-limit": 330},
+            }
+            for name in (SERVICE, OTHER_SERVICE)
         ]
-        service = {
-            "resource-kind": "services",
-            "metadata": {"name": "orders"},
-            "specification": {"health-path": "/health", "connection-limit": 330},
-        }
         self.store.put(
             "config",
             "main",
-            {"version": f"{self.version:08x}", "resources": [*routes, service]},
+            {"version": f"{self.version:08x}", "resources": [*routes, *services]},
         )
 
     def _send_requests(self) -> None:
@@ -202,20 +229,23 @@
 
     def _send_next(self, machine: Machine) -> None:
         call = SoakCall(
-            self, f"{self.rng.getrandbits(64):016x}", self.rng.random() < 0.6
+            self, machine, f"{self.rng.getrandbits(64):016x}", self.rng.random() < 0.6
         )
         self.calls.append(call)
         kind = "unsafe" if call.unsafe else "safe"
+        budget_s = SHORT_BUDGET_S
+        if self.long_share and self.rng.random() < self.long_share:
+            kind, budget_s = f"long-{kind}", LONG_BUDGET_S
         request = (
             f"POST /{kind}/x HTTP/1.1\r\nHost: x.example\r\n"
             f"Request-Id: {call.request_id}\r\nContent-Length: 0\r\n"
-            f"Deadline-Milliseconds: {REQUEST_BUDGET_MS}\r\n\r\n"
+            f"Deadline-Milliseconds: {budget_s * 1000:.0f}\r\n\r\n"
         )
         connection = self._choose_connection(machine)
         connection.send(request.encode(), call)
         now = self.loop.clock.now()
         self.loop.timers.call_at(
-            now + REQUEST_BUDGET_MS / 1000,
+            now + budget_s,
             lambda: self._abort_if_pending(call, connection),
         )
         interval_s = self.rng.expovariate(self.requests_per_s)
@@ -240,6 +270,7 @@
         self, call: SoakCall, connection: HttpClientConnection
     ) -> None:
         if not call.ended:
+            call.expired = True
             connection.close("time budget")
 
     def _inject_fault(self) -> None:
@@ -267,7 +298,10 @@
             machine.server.end_rate_limit()
             machine.proxy.set_mode(ProxyMode.PASSING)
             server = machine.server
-            if server.draining or server.leaving or server.deregistering:
+            if server.service != SERVICE:
+                server.service = SERVICE
+                server.restart()
+            elif server.draining or server.leaving or server.deregistering:
                 server.restart()
             machine.send_signal(signal.SIGCONT)
             machine.start()
@@ -277,6 +311,11 @@
         for machine in self.machines:
             for request_id, _, _ in machine.server.runs:
                 runs[request_id] += 1
+            for request_id, service in machine.server.services:
+                if service != SERVICE:
+                    self.violations.append(
+                        f"{request_id} was executed by a server of {service}"
+                    )
         for call in self.calls:
             if call.unsafe and runs[call.request_id] > 1:
                 self.violations.append(
@@ -290,6 +329,8 @@
                 self.violations.append(
                     f"unsafe {call.request_id} got {call.status} but was executed"
                 )
+            if call.status == 0 and runs[call.request_id] and not call.expired:
+                self._check_planned_stop(call)
         total = sum(self._recovery_outcomes.values())
         if not total or self._recovery_outcomes[True] < MIN_SUCCESS_SHARE * total:
             self.violations.append(
@@ -298,6 +339,25 @@
         for machine in self.machines:
             self._check_log(machine)
 
+    def _check_planned_stop(self, call: SoakCall) -> None:
+        """Check that a request without an answer was not cut off by a planned stop."""
+        for stopped_at, number in call.machine.signals:
+            if number is not signal.SIGTERM:
+                continue
+            if not stopped_at <= call.sent_at < call.ended_at < stopped_at + GRACE_S:
+                continue
+            others = [
+                other
+                for other, number in call.machine.signals
+                if number in (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT)
+                and stopped_at - CALM_BEFORE_STOP_S < other < call.ended_at
+            ]
+            if not others:
+                self.violations.append(
+                    f"{call.request_id} came {call.sent_at - stopped_at:.1f} s after "
+                    f"the SIGTERM of {call.machine.name}, was executed and cut off"
+                )
+
     def _check_log(self, machine: Machine) -> None:
         version = 0
         for line in (self.directory / f"{machine.name}.log").read_text().splitlines():
