End a case's processes also when its script is ended

Cause: a script that got SIGTERM left its processes running.

Done: the stand-ins cancel the case, end the processes and exit with 2.

--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -704,6 +704,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # The processes are ended also if the script is.
+        cancel = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
         stage = Stage(record)
         try:
             return await case(stage, record, trouble)
@@ -712,7 +715,7 @@
 
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 115))
-    except (SetupError, TimeoutError, OSError) as error:
+    except (SetupError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.note("cannot-run", error=repr(error))
         print(f"{name}: cannot run: {error!r}", flush=True)
         os._exit(2)
