Show that a machine that was suspended serves a withdrawn key

Done: review/15 with a script: one machine of ten is stopped for 6 s, twelve times in turn, and a key is withdrawn 0.6 s after each begins. It takes the place of the store that moves, a lesser case, and what only that one used is removed from the stand-ins. Nothing is fixed.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,8 @@
-"""Move the store to another address, as the settings files then say."""
+"""Withdraw keys while one machine is suspended, and go on using them there."""
 
 import json
 import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -11,91 +12,139 @@
 
 import fleet as f  # noqa: E402
 
-MACHINES = 6
-FORMER = "orders"
-LATTER = "patterns"
-# RULES.md and the settings: config-propagation-s, and stability-window-s.
-PROPAGATION_S = 2.0
-STABILITY_S = 3.0
-WATCH_S = 25.0
-BUDGET_S = 2.0
+MACHINES = 10
+ROUNDS = 12
+CALLERS = 10
+# RULES.md, CONFIG: the bounds of the deployment.
+REVOKE_S = 5.0
+BOUNDS = f"strict-revocation = true\nrevoke-s = {REVOKE_S}"
+SUSPENDED_S = 6.0
+# When the key is withdrawn, from the begin of the suspension.
+WITHDRAWN_S = 0.6
+CALM_S = 1.5
+# The configuration has routes as after `big_config`, and tenants as the deployment has.
+ROUTES = 1400
+TENANTS = 81
+BUDGET_S = 4.0
 
 
-def make_table(version, moved):
-    """Return a version with a route of one or of the other service."""
-    routes = [
-        f.route("moved", "/moved/", "safe", 4.0, 1.0, LATTER if moved else FORMER)
-    ]
-    if not moved:
-        routes.append(f.route("dropped", "/dropped/", "safe", 4.0, 1.0, FORMER))
-    return json.dumps(f.configuration(version, routes, (FORMER, LATTER)))
+def make_table(version, withdrawn):
+    """Return a version in which the first keys are withdrawn."""
+    keys = [f"key-{number}" for number in range(withdrawn, ROUNDS)]
+    tenants = []
+    for number in range(TENANTS):
+        body = {
+            "api-keys": keys if number == 0 else [f"other-{number}"],
+            "priority": 1,
+            "rate-per-s": 1000,
+            "burst": 1000,
+        }
+        tenants.append(
+            {
+                "resource-kind": "tenants",
+                "metadata": {"name": f"t{number}"},
+                "specification": body,
+            }
+        )
+    routes = [f.route("r", "/safe/", "safe", BUDGET_S)]
+    for number in range(ROUTES):
+        routes.append(f.route(f"m{number}", f"/more/{number}/", "safe", BUDGET_S))
+    return json.dumps(f.configuration(version, routes, tenants=tenants))
+
+
+class Caller:
+    """One caller with a kept connection to the machine."""
+
+    def __init__(self, machine):
+        self._sock = socket.create_connection(
+            (machine.ip, f.PORTS["outbound"]), timeout=BUDGET_S + 1
+        )
+
+    def send(self, name, key):
+        data = (
+            f"GET /safe/x HTTP/1.1\r\nHost: {f.HOST}\r\nRequest-Id: {name}\r\n"
+            f"Authorization: Token {key}\r\n"
+            f"Deadline-Milliseconds: {int(BUDGET_S * 1000)}\r\n\r\n"
+        )
+        self._sock.sendall(data.encode())
+
+    def read_status(self):
+        """Return the status of the answer, 0 for none."""
+        try:
+            return int(self._sock.recv(65536)[9:12] or 0)
+        except OSError:
+            return 0
+
+    def close(self):
+        self._sock.close()
+
+
+def play_round(number, fleet, machine):
+    """Withdraw one key; return the names of what was sent too late with it."""
+    record = fleet.record
+    key = f"key-{number}"
+    callers = [Caller(machine) for _ in range(CALLERS)]
+    statuses = []
+    for index, caller in enumerate(callers):
+        caller.send(f"w{number}x{index}", key)
+        statuses.append(caller.read_status())
+    record.write(f"round {number}: before, {statuses}")
+    began = time.monotonic()
+    if f.disturbed():
+        machine.process.send_signal(signal.SIGSTOP)
+        record.write(f"machine {machine.number} is suspended")
+    time.sleep(WITHDRAWN_S)
+    confirmed = f.put_configuration(fleet.store_ip, make_table(number + 2, number + 1))
+    record.write(f"{key} is withdrawn")
+    late = []
+    # All of these are sent after the time, and before the machine wakes.
+    first = confirmed + REVOKE_S + 0.1
+    step_s = (began + SUSPENDED_S - 0.05 - first) / CALLERS
+    for index, caller in enumerate(callers):
+        time.sleep(max(0, first + index * step_s - time.monotonic()))
+        name = f"k{number}x{index}"
+        sent = time.monotonic()
+        caller.send(name, key)
+        late.append(name)
+        record.write(f"{name} sent {sent - confirmed:.3f} s after the confirmation")
+    time.sleep(max(0, began + SUSPENDED_S - time.monotonic()))
+    machine.process.send_signal(signal.SIGCONT)
+    record.write(f"machine {machine.number} goes on")
+    statuses = [caller.read_status() for caller in callers]
+    record.write(f"answers: {statuses}")
+    for caller in callers:
+        caller.close()
+    return late
 
 
 def main():
-    fleet = f.Fleet(FOLDER, MACHINES)
+    fleet = f.Fleet(FOLDER, MACHINES, more_bounds=BOUNDS)
     record = fleet.record
-    half = MACHINES // 2
-    for machine in fleet.machines[half:]:
-        machine.service = LATTER
-        machine.write_settings()
-    next_ip = f"{fleet.prefix}.251"
     try:
-        fleet.start_store(
-            [("config", "main", make_table(1, False))], "--next-ip", next_ip
-        )
+        fleet.start_store([("config", "main", make_table(1, 0))])
         for machine in fleet.machines:
             machine.start()
         fleet.watch()
         for machine in fleet.machines:
-            machine.start_server()
+            machine.start_server("--slots", "16")
         f.wait_until(lambda: all(m.is_ready() for m in fleet.machines), "ready")
-        time.sleep(4)
-        if f.disturbed():
-            fleet.store_ip = next_ip
-            for machine in fleet.machines:
-                machine.write_settings()
-                machine.process.send_signal(signal.SIGHUP)
-            record.write(f"the settings name the store at {next_ip}; SIGHUP to all")
-            time.sleep(2)
-            fleet.store.send_signal(signal.SIGUSR1)
-            record.write("the store no longer listens at its former address")
-        time.sleep(2 * STABILITY_S)
-        confirmed = f.put_configuration(fleet.store_ip, make_table(2, True))
-        record.write("version 2 is confirmed: a route goes elsewhere, one is dropped")
-        number = 0
-        late = old = 0
-        former = {m.number for m in fleet.machines[:half]}
-        asked = {}
-        while time.monotonic() < confirmed + WATCH_S:
-            for machine in fleet.machines:
-                number += 1
-                sent = time.monotonic() - confirmed
-                counts = sent > PROPAGATION_S
-                late += 2 * counts
-                status, _ = f.call(
-                    machine.ip, "GET", "/dropped/x", f"d{number:05d}", BUDGET_S
-                )
-                old += counts and status == 200
-                name = f"m{number:05d}"
-                asked[name] = counts
-                other, _ = f.call(machine.ip, "GET", "/moved/x", name, BUDGET_S)
-                record.write(
-                    f"{sent:.1f} s after: machine {machine.number} answers {status} on "
-                    f"the dropped route, {other} on the moved one"
-                )
-            time.sleep(0.3)
-        for machine in fleet.machines:
-            for line in machine.list_runs():
-                old += machine.number in former and asked.get(line[1], False)
-        record.write(f"{old} of {late} requests were handled as by version 1")
+        time.sleep(CALM_S)
+        late = []
+        for number in range(ROUNDS):
+            late += play_round(number, fleet, fleet.machines[number % MACHINES])
+            time.sleep(CALM_S)
+        ran = {line[1] for m in fleet.machines for line in m.list_runs()}
+        used = [name for name in late if name in ran]
+        record.write(
+            f"{len(used)} of {len(late)} requests sent over {REVOKE_S} s after the "
+            f"withdrawal of their key ran: {used}"
+        )
         ends = [m.own_ends for m in fleet.machines if m.own_ends]
         record.write(f"ends {ends}")
-        if not late:
+        if not any(name.startswith("w") for name in ran):
             return 2
-        if old:
-            record.write(
-                "BROKEN: requests were handled as only an older version allows"
-            )
+        if used:
+            record.write("BROKEN: requests with a withdrawn key ran")
             return 1
         record.write("held")
         return 0
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -23,7 +23,6 @@
 ROOT = HERE.parent.parent
 ROLE = "sidecar"
 PORTS = {"server": 8145, "inbound": 8146, "outbound": 8147, "readiness": 8141}
-CONTROL_PORT = 8144
 STORE_PORT = 8142
 HOST = "svc.example"
 SERVICE = "orders"
@@ -171,7 +170,6 @@
         self.peak_mb = 0.0
         # Ends that nobody ordered: by the process itself or for its memory.
         self.own_ends = []
-        self.expected_end = False
         self.settings = fleet.path / f"{number}.toml"
         self.run_log = fleet.path / f"{number}.runs"
 
@@ -197,7 +195,6 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["FLAMINGOBANK_CONFIG"] = str(self.settings)
         log = open(self.fleet.path / f"{self.number}.log", "ab")  # noqa: SIM115
-        self.expected_end = False
         self.process = subprocess.Popen(
             self.fleet.command,
             cwd=ROOT,
@@ -266,7 +263,6 @@
         self.path = Path(self._directory.name)
         self.prefix = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.store_ip = f"{self.prefix}.250"
-        self.store = None
         self.command = self._read_command()
         self._log = open(self.path / "standins.log", "ab")  # noqa: SIM115
         self._spawned = []
@@ -295,13 +291,11 @@
         self._spawned.append(process)
         return process
 
-    def start_store(self, objects, *options):
+    def start_store(self, objects):
         """Start the store with objects: triples of kind, name and JSON text."""
         file = self.path / "objects.json"
         file.write_text(json.dumps(objects))
-        self.store = self.spawn(
-            "store.py", "--ip", self.store_ip, "--objects", str(file), *options
-        )
+        self.spawn("store.py", "--ip", self.store_ip, "--objects", str(file))
         wait_until(lambda: accepts((self.store_ip, STORE_PORT)), "the store listens")
 
     def watch(self):
@@ -312,7 +306,7 @@
         while not self._stopped.wait(0.02):
             for machine in self.machines:
                 process = machine.process
-                if process is None or machine.expected_end:
+                if process is None:
                     continue
                 _, peak_mb = machine.read_memory_mb()
                 if peak_mb > machine.peak_mb:
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -3,7 +3,6 @@
 import argparse
 import asyncio
 import json
-import signal
 import time
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -23,9 +22,6 @@
         self.events = []
         self.compacted = 0
         self.changed = asyncio.Condition()
-        # The address that the store leaves when it is told to move.
-        self.former_ip = ""
-        self.former_writers = []
         for kind, name, text in objects:
             self._put(kind, name, text)
 
@@ -138,8 +134,6 @@
                 continue
 
     async def serve(self, reader, writer):
-        if writer.get_extra_info("sockname")[0] == self.former_ip:
-            self.former_writers.append(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -170,29 +164,12 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--ip", required=True)
     parser.add_argument("--objects", required=True)
-    # Where the store listens as well, and alone from SIGUSR1 on.
-    parser.add_argument("--next-ip", default="")
     options = parser.parse_args()
     store = Store(json.loads(Path(options.objects).read_text()))
-    servers = []
-    for ip in (options.ip, options.next_ip):
-        if ip:
-            servers.append(
-                await asyncio.start_server(
-                    store.serve, ip, PORT, limit=8_000_000, backlog=512
-                )
-            )
-
-    def move():
-        """Stop listening at the first address; the second one stays."""
-        servers[0].close()
-        for writer in store.former_writers:
-            writer.transport.abort()
-
-    if options.next_ip:
-        store.former_ip = options.ip
-        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, move)
-    await servers[-1].serve_forever()
+    server = await asyncio.start_server(
+        store.serve, options.ip, PORT, limit=8_000_000, backlog=512
+    )
+    await server.serve_forever()
 
 
 asyncio.run(main())
