--- a/review/15/case.py
+++ b/review/15/case.py
@@ -13,7 +13,7 @@
 import fleet as f  # noqa: E402
 
 MACHINES = 10
-ROUNDS = 12
+ROUNDS = 10
 CALLERS = 10
 # RULES.md, CONFIG: the bounds of the deployment.
 REVOKE_S = 5.0
--- a/review/standins-3/crowd.py
+++ b/review/standins-3/crowd.py
@@ -16,7 +16,8 @@
     parser.add_argument("--stay-s", type=float, required=True)
     options = parser.parse_args()
     chunk = b"%x\r\n%s\r\n" % (options.size, b"x" * options.size)
-    body = chunk * options.chunks
+    # All clients send the same body.
+    body = memoryview(chunk * options.chunks)
     selector = selectors.DefaultSelector()
     for number in range(options.clients):
         sock = socket.create_connection((options.ip, 8147), timeout=10)
@@ -25,8 +26,9 @@
             f"Request-Id: crowd{number:05d}\r\nDeadline-Milliseconds: 4000\r\n"
             "Transfer-Encoding: chunked\r\n\r\n"
         )
+        sock.sendall(head.encode())
         sock.setblocking(False)
-        selector.register(sock, selectors.EVENT_WRITE, memoryview(head.encode() + body))
+        selector.register(sock, selectors.EVENT_WRITE, body)
     end = time.monotonic() + options.stay_s
     while time.monotonic() < end:
         for key, _ in selector.select(0.1):
