Date the end of a watch by when its answer arrived

What callers see: a withdrawn key may stay in use for up to the length of a watch (1.56 s) longer at all machines, as a watcher's confirmation reaches all others. With 3.75 s for a key and 5 s allowed, 0.3 s too long.

Cause: an empty answer to a watch confirms the table until the end of the wait that was asked for, if that end has passed when the answer is read. A watch that waits may be cut off by the store at any time. An empty answer that came early and was read after a suspension counted as the end of the wait.

Change: the answer confirms the table until the time before which it had not arrived, which the poller knows, or until the end of the wait, if that is earlier.

--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -107,7 +107,8 @@
     def _read_since(self, position):
         if self.store.version > position.revision or self.store.unavailable:
             return self.store.read()
-        return Ok(TableReading(None, position))
+        arrived_after = self.store.loop.poller.found_after
+        return Ok(TableReading(None, position, arrived_after))
 
     def _answer_later(self, seconds, answer):
         self._begin_call()
--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -1,13 +1,17 @@
 """Test keys of workspaces: who is served, and for how long a table is trusted."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from features.steps import configuration_spread_steps as spread
 from features.support.home import SCRIPTS, HomeHarness, answer, answer_with
+from features.support.loop import TestLoop
 from features.support.sidecar import ExchangeHarness, RecordingRequest
-from flamingobank.core import NodeId, WorkspaceId
+from features.support.store_follower import StoreFollower, make_configuration
+from features.support.watched_store import WatchedStore
+from flamingobank.core import NodeId, VirtualClock, WorkspaceId
 from flamingobank.platform.configuration import decode_configuration
 from flamingobank.sidecar.decisions.home_choice import ChoiceReason, HomeChoice
 from flamingobank.sidecar.decisions.memory_account import MemoryAccount
@@ -463,3 +467,67 @@
     assert len(reports) >= 2
     assert max(reports) <= context.suspended_at + 1.6, reports
     assert min(reports) <= context.suspended_at, reports
+
+
+@given("a process that watches the store over a connection")
+def step_watching(context):
+    context.loop = loop = TestLoop(VirtualClock(100.0))
+    loop.poller.clock = loop.clock
+    item = {
+        "metadata": {"name": "main", "revision": 1},
+        "specification": make_configuration(1),
+    }
+    context.store = store = WatchedStore(item)
+    context.add_cleanup(store.close)
+    context.follower = StoreFollower(SimpleNamespace(loop=loop, proxy=store), "one")
+    context.confirmed_at = []
+    context.follower.sync.on_confirmed = lambda version, at: (
+        context.confirmed_at.append(at)
+    )
+    context.follower.sync.start()
+    _pass_time(context, lambda: store.watch is not None)
+    context.watched_at = loop.clock.now()
+
+
+def _pass_time(context, condition):
+    for _ in range(200):
+        if condition():
+            return
+        context.store.serve()
+        context.loop.advance(0.02)
+    raise AssertionError("the condition did not hold in 4 s")
+
+
+@when("the store cuts the watch off, and the process is suspended before it reads that")
+def step_cut_off(context):
+    clock = context.loop.clock
+    cut_off_at = context.watched_at + 0.2
+    _pass_time(context, lambda: clock.now() >= cut_off_at)
+    context.confirmed_at.clear()
+    context.ended_at = clock.now()
+    context.store.end_watch()
+    # The call has not yet reached its timeout when the process goes on.
+    clock.advance_to(context.watched_at + context.store.wait_s + 0.2)
+    context.loop.run_until(lambda: context.confirmed_at, "the answer is read")
+
+
+@when("the store answers the watch at the end of its wait")
+def step_watch_ends(context):
+    end = context.watched_at + context.store.wait_s
+    _pass_time(context, lambda: context.loop.clock.now() >= end)
+    context.confirmed_at.clear()
+    context.ended_at = context.loop.clock.now()
+    context.store.end_watch()
+    context.loop.run_until(lambda: context.confirmed_at, "the answer is read")
+
+
+@then("the table is confirmed at no time after the watch was cut off")
+def step_not_confirmed_later(context):
+    late_s = max(context.confirmed_at) - context.ended_at
+    assert late_s <= 0, late_s
+
+
+@then("the table is confirmed at most {seconds:g} s before that")
+def step_confirmed_near(context, seconds):
+    early_s = context.ended_at - max(context.confirmed_at)
+    assert early_s <= seconds, early_s
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -122,3 +122,16 @@
     Given 2 processes that confirm their tables
     When one of them is suspended for 10 seconds, with gossip and a reply waiting
     Then both date from before the suspension
+
+  # Guards against a watch that the store cut off early, whose answer waited during a
+  # suspension, and counted as the end of a wait in vain.
+  Scenario: The end of a watch that waits during a suspension does not confirm the wait
+    Given a process that watches the store over a connection
+    When the store cuts the watch off, and the process is suspended before it reads that
+    Then the table is confirmed at no time after the watch was cut off
+
+  # Guards against a bound so careful that each watch leaves the table as old as before.
+  Scenario: A watch that ends in time confirms most of its wait
+    Given a process that watches the store over a connection
+    When the store answers the watch at the end of its wait
+    Then the table is confirmed at most 0.2 s before that
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from urllib.parse import quote
 
 from expression import Error, Ok, Result
@@ -91,10 +92,15 @@
                 return Error(FleetStoreError.HISTORY_GONE)
             return self._decode_reading(document, _list_changed)
 
-        self._call(
-            StoreCall("GET", target, timeout_s=wait_s + WATCH_ANSWER_MARGIN_S),
-            lambda result: callback(result.bind(decode_changes)),
-        )
+        call = StoreCall("GET", target, timeout_s=wait_s + WATCH_ANSWER_MARGIN_S)
+
+        def receive(answer: Answer) -> None:
+            reading = self._decode(call, answer).bind(decode_changes)
+            if reading.is_ok():
+                reading = Ok(replace(reading.ok, arrived_after=answer.arrived_after))
+            callback(reading)
+
+        self._transport.send(call, receive)
 
     def list_peers(self, callback: PeersCallback) -> None:
         """Read the records of all sidecars, page by page."""
--- a/src/flamingobank/sidecar/fleet/fleet_store.py
+++ b/src/flamingobank/sidecar/fleet/fleet_store.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NewType
@@ -49,6 +50,8 @@
 
     table: RoutingTable | None
     position: StorePosition
+    # A time before the arrival of the reading, which may have waited to be read.
+    arrived_after: float = -math.inf
 
 
 TableCallback = Callable[[Result[TableReading, FleetStoreError]], None]
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -259,8 +259,10 @@
         confirmed_at = self._called_at
         waited_until = self._called_at + self._wait_s - WATCH_END_TOLERANCE_S
         if reading.table is None and now >= waited_until:
-            # The store waited for a change in vain. How long its answer was on the way
-            # is unknown: this process may have been suspended.
+            # The store waited for a change in vain, either for the whole time or until
+            # it cut the watch off. How long its answer then was on the way, or waited
+            # while this process was suspended, is unknown.
+            waited_until = min(waited_until, reading.arrived_after)
             confirmed_at = max(confirmed_at, waited_until)
         self.on_confirmed(self._stored_version, confirmed_at)
 
--- a/src/flamingobank/store/calls.py
+++ b/src/flamingobank/store/calls.py
@@ -1,6 +1,7 @@
 """Encoding of calls to the store and decoding of its answers."""
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from urllib.parse import quote, urlencode
@@ -38,6 +39,8 @@
     status: int
     headers: Mapping[str, str]
     body: bytes
+    # A time before the arrival of the answer, which may have waited to be read.
+    arrived_after: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/flamingobank/store/transport.py
+++ b/src/flamingobank/store/transport.py
@@ -1,5 +1,6 @@
 """Transport for store calls over HTTP connections of the circuits loop."""
 
+import math
 from collections.abc import Callable
 
 from flamingobank.core import Clock
@@ -33,7 +34,7 @@
     def __init__(
         self, poller: Poller, timers: Timers, clock: Clock, address: Address, token: str
     ) -> None:
-        self._poller = poller
+        self.poller = poller
         self._timers = timers
         self._clock = clock
         self._address = address
@@ -47,7 +48,7 @@
         connection = self._take_idle_connection()
         reused = connection is not None
         if connection is None:
-            connection = HttpClientConnection(self._poller, self._address)
+            connection = HttpClientConnection(self.poller, self._address)
         exchange = StoreExchange(self, connection, reused, on_answer)
         exchange.timeout = self._timers.call_at(
             self._clock.now() + call.timeout_s, exchange.on_timeout
@@ -102,11 +103,13 @@
         self._on_answer = on_answer
         self._status = 0
         self._headers: dict[str, str] = {}
+        self._arrived_after = -math.inf
         self._body: list[bytes] = []
         self._size = 0
 
     def on_answer_head(self, status: int, headers) -> None:
         self._status = status
+        self._arrived_after = self._transport.poller.found_after
         self._headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in headers
@@ -121,7 +124,8 @@
 
     def on_answer_end(self) -> None:
         body = b"".join(self._body)
-        if self._finish(StoreAnswer(self._status, self._headers, body)):
+        answer = StoreAnswer(self._status, self._headers, body, self._arrived_after)
+        if self._finish(answer):
             self._transport.release(self.connection)
 
     def on_answer_failed(self, reason: str, sent: bool) -> None:
