Date readings of the store that waited during a suspension by their arrival

What callers see: a change of the configuration may come into force late. The processes that watch the store are replaced by others when the newest reading that anybody reports is 0.7 s old. A process that goes on after a suspension took a digest that had waited in its socket for one that was sent just then, and an answer of the store likewise, and passed the wrong age on to its peers. If the watchers are gone, each such process puts the replacement off by 0.7 s of the 2 s.

Cause: both were dated by the time at which they were handled.

Change: what had waited for over 0.5 s is dated by the time before which it had not arrived, which the poller now notes in each deployment.

The step that was added gives a reading at the end of a suspension of 10 s without the change.

--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -54,7 +54,8 @@
             return Error(FleetStoreError.UNAVAILABLE)
         services = frozenset([ServiceName("orders")])
         table = RoutingTable(self.version, (make_route(),), services, RequestLimits())
-        return Ok(TableReading(table, StorePosition(StoreEpoch(0), self.version)))
+        position = StorePosition(StoreEpoch(0), self.version)
+        return Ok(TableReading(table, position, self.loop.poller.found_after))
 
 
 class StoreConnection(FleetStore):
--- a/features/steps/sidecar_fleet_steps.py
+++ b/features/steps/sidecar_fleet_steps.py
@@ -188,16 +188,17 @@
         routes = (make_route(),)
         services = frozenset([ServiceName("orders")])
         table = RoutingTable(self.version, routes, services, RequestLimits())
-        self._answer(
-            "read", Ok(TableReading(table, StorePosition(self.epoch, 30))), callback
-        )
+        position = StorePosition(self.epoch, 30)
+        reading = TableReading(table, position, self.loop.clock.now())
+        self._answer("read", Ok(reading), callback)
 
     def await_table(self, position, wait_s, callback):
         """Return nothing new after the wait."""
         if self.history_gone:
             self._answer("watch", Error(FleetStoreError.HISTORY_GONE), callback)
             return
-        self._answer("watch", Ok(TableReading(None, position)), callback, wait_s)
+        reading = TableReading(None, position, self.loop.clock.now() + wait_s)
+        self._answer("watch", Ok(reading), callback, wait_s)
 
     def list_peers(self, callback):
         """Return the records as they are when the call arrives."""
--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -469,6 +469,12 @@
     assert min(reports) <= context.suspended_at, reports
 
 
+@then("the newest reading that it reports to peers does too")
+def step_reading_dated_before(context):
+    read_at = context.loop.clock.now() - context.suspended.sync.reading_age_s
+    assert read_at <= context.suspended_at, read_at - context.suspended_at
+
+
 @given("a process that watches the store over a connection")
 def step_watching(context):
     context.loop = loop = TestLoop(VirtualClock(100.0))
--- a/features/support/loop.py
+++ b/features/support/loop.py
@@ -20,6 +20,7 @@
         super().__init__()
         self.clock = clock or MonotonicClock()
         self.poller = Poller().register(self)
+        self.poller.clock = self.clock
         self.timers = Timers(self.clock).register(self)
         self.errors = []
 
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -122,6 +122,7 @@
     Given 2 processes that confirm their tables
     When one of them is suspended for 10 seconds, with gossip and a reply waiting
     Then both date from before the suspension
+    And the newest reading that it reports to peers does too
 
   # Guards against a watch that the store cut off early, whose answer waited during a
   # suspension, and counted as the end of a wait in vain.
--- a/src/flamingobank/loop/__init__.py
+++ b/src/flamingobank/loop/__init__.py
@@ -15,7 +15,7 @@
     Headers,
     HttpClientConnection,
 )
-from flamingobank.loop.poller import Poller
+from flamingobank.loop.poller import Poller, estimate_arrival
 from flamingobank.loop.timers import TimerHandle, Timers
 from flamingobank.loop.turns import LoopComponent
 
@@ -35,4 +35,5 @@
     "TimerHandle",
     "Timers",
     "connect",
+    "estimate_arrival",
 ]
--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -16,6 +16,9 @@
 HUNG_UP = select.EPOLLHUP | select.EPOLLERR
 # Descriptors that one poll finds at most. The others are found by later polls.
 MAX_FOUND = 1023
+# What is found within this time of having been looked for in vain has just arrived, for
+# decisions that a shorter delay does not change.
+PROMPT_S = 0.5
 
 ReadyHandler = Callable[[int], None]
 
@@ -197,6 +200,14 @@
             self.fire(_write(source), target)
 
 
+def estimate_arrival(arrived_after: float, now: float) -> float:
+    """Return when something arrived that was found now and not at an earlier time.
+
+    That is now, or the earlier time if the process may have been suspended since.
+    """
+    return now if now <= arrived_after + PROMPT_S else arrived_after
+
+
 def _get_fileno(fd) -> int:
     if isinstance(fd, int):
         return fd
--- a/src/flamingobank/platform/store.py
+++ b/src/flamingobank/platform/store.py
@@ -66,17 +66,15 @@
 
     def read_table(self, callback: TableCallback) -> None:
         """Read the current configuration."""
-        self._call(
-            StoreCall(
-                "GET", f"{OBJECTS_PATH}/{CONFIGURATION_KIND}", timeout_s=READ_TIMEOUT_S
-            ),
-            lambda result: callback(
-                result.bind(
-                    lambda document: self._decode_reading(document, _list_items)
-                )
-            ),
+        call = StoreCall(
+            "GET", f"{OBJECTS_PATH}/{CONFIGURATION_KIND}", timeout_s=READ_TIMEOUT_S
         )
 
+        def decode_items(document: dict) -> Result[TableReading, FleetStoreError]:
+            return self._decode_reading(document, _list_items)
+
+        self._call_for_table(call, decode_items, callback)
+
     def await_table(
         self, position: StorePosition, wait_s: float, callback: TableCallback
     ) -> None:
@@ -93,14 +91,7 @@
             return self._decode_reading(document, _list_changed)
 
         call = StoreCall("GET", target, timeout_s=wait_s + WATCH_ANSWER_MARGIN_S)
-
-        def receive(answer: Answer) -> None:
-            reading = self._decode(call, answer).bind(decode_changes)
-            if reading.is_ok():
-                reading = Ok(replace(reading.ok, arrived_after=answer.arrived_after))
-            callback(reading)
-
-        self._transport.send(call, receive)
+        self._call_for_table(call, decode_changes, callback)
 
     def list_peers(self, callback: PeersCallback) -> None:
         """Read the records of all sidecars, page by page."""
@@ -191,6 +182,20 @@
             add_page,
         )
 
+    def _call_for_table(
+        self,
+        call: StoreCall,
+        decode: Callable[[dict], Result[TableReading, FleetStoreError]],
+        callback: TableCallback,
+    ) -> None:
+        def receive(answer: Answer) -> None:
+            reading = self._decode(call, answer).bind(decode)
+            if reading.is_ok():
+                reading = Ok(replace(reading.ok, arrived_after=answer.arrived_after))
+            callback(reading)
+
+        self._transport.send(call, receive)
+
     def _call(
         self, call: StoreCall, callback: Callable[[Result[dict, FleetStoreError]], None]
     ) -> None:
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -96,6 +96,7 @@
         event_log.use_clock(self.clock)
         self.boot = make_boot(os.urandom(8).hex())
         self.poller = poller.register(self)
+        self.poller.clock = self.clock
         self.timers = Timers(self.clock).register(self)
         self.metrics = SidecarMetrics({"node": settings.node_id})
         self._started_at = self.clock.now()
@@ -149,8 +150,6 @@
             settings.service,
             settings.bounds.revocation_s,
         )
-        if settings.bounds.revocation_s is not None:
-            self.poller.clock = self.clock
         self.table_sync = RoutingTableSync(
             self.clock,
             self.timers,
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -8,7 +8,13 @@
 import msgpack
 
 from flamingobank.core import Clock, Fingerprint, InstanceId, NodeId
-from flamingobank.loop import Address, DatagramEndpoint, Poller, Timers
+from flamingobank.loop import (
+    Address,
+    DatagramEndpoint,
+    Poller,
+    Timers,
+    estimate_arrival,
+)
 from flamingobank.quarantine import CrashId
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.peers import (
@@ -270,7 +276,10 @@
                 sender = self.table.find(NodeId(node))
                 if sender is not None:
                     self._heard_at[sender.node] = self._clock.now()
-                    self.on_digest(sender, version, age_ms / 1000)
+                    now = self._clock.now()
+                    arrived_at = estimate_arrival(self._endpoint.arrived_after, now)
+                    age_s = now - arrived_at + age_ms / 1000
+                    self.on_digest(sender, version, age_s)
                     if version < self.version:
                         # The sender is known to run, unlike peers chosen at random.
                         self._send_digest(sender)
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -12,7 +12,7 @@
 from expression import Result
 
 from flamingobank.core import Clock, hash_text
-from flamingobank.loop import Timers
+from flamingobank.loop import Timers, estimate_arrival
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.fleet_store import (
     FleetStore,
@@ -246,7 +246,8 @@
             self._stored_version = reading.table.version
             self.on_table(reading.table)
         self._confirm(reading, now)
-        self._note_reading(now)
+        arrived_at = estimate_arrival(reading.arrived_after, now)
+        self._note_reading(max(self._called_at, arrived_at))
         if self._listed_epoch not in (None, reading.position.epoch):
             # The restored store may lack records, and have those of former processes.
             self._list_peers()
