Use an age that a peer states only if the peer was not suspended as it sent it

What callers see: a withdrawn key may be used after its time at a machine that was not suspended itself. A peer computes the age of its table and sends it. If it is suspended between the two, the age is too low by the whole suspension when it arrives.

Cause: nothing tells the receiver how long the age waited at its sender, and the sender can't take a datagram back.

Change: a confirmation counts only with the digest that has always been sent right after it. The sender reads its clock once more between the two, and leaves the digest out if it was suspended. No field changes: earlier builds send a digest in each case and use confirmations at once, as before.

The new scenario gives a date 10 s too late without the change, and holds with it.

--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import msgpack
 from behave import given, then, when
 
 from features.steps import configuration_spread_steps as spread
@@ -17,6 +18,7 @@
 from flamingobank.sidecar.decisions.memory_account import MemoryAccount
 from flamingobank.sidecar.decisions.selection import HomeView
 from flamingobank.sidecar.event_log import EventLog
+from flamingobank.sidecar.fleet.gossip import DatagramKind
 from flamingobank.sidecar.fleet.routes import RouteKind
 from flamingobank.sidecar.fleet.workspaces import Workspace, hash_key
 from flamingobank.sidecar.http.caller_connection import CallerConnection
@@ -475,6 +477,45 @@
     assert read_at <= context.suspended_at, read_at - context.suspended_at
 
 
+@when("one of them is suspended for 10 seconds while it sends the age of its table")
+def step_suspended_sender(context):
+    sender, receiver = context.processes
+    clock = context.loop.clock
+    context.known_at = clock.now() - sender.compute_age_s()
+    receiver.reports.clear()
+    send = sender.gossip._endpoint.send
+
+    def send_late(data, address):
+        if msgpack.unpackb(data)[0] == DatagramKind.CONFIRMATION:
+            clock.advance(10.0)
+            # The receiver is not suspended: it looks for datagrams until this arrives.
+            context.loop.poller.wait(0)
+            context.loop.poller.wait(0)
+        send(data, address)
+
+    sender.gossip._endpoint.send = send_late
+    _report(context, sender, receiver)
+    sender.gossip._endpoint.send = send
+
+
+@when("it reports to the other once more")
+def step_report_again(context):
+    _report(context, *context.processes)
+
+
+def _report(context, sender, receiver):
+    sender.gossip._send_digest(receiver.table.local_record)
+    # No timer runs, so that nobody reads the store.
+    context.loop.poller.wait(0)
+
+
+@then("the other dates no confirmation after the time that the first one knows")
+def step_dated_as_known(context):
+    reports = context.processes[1].reports
+    assert reports
+    assert max(reports) <= context.known_at, max(reports) - context.known_at
+
+
 @given("a process that watches the store over a connection")
 def step_watching(context):
     context.loop = loop = TestLoop(VirtualClock(100.0))
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -124,6 +124,13 @@
     Then both date from before the suspension
     And the newest reading that it reports to peers does too
 
+  # Guards against an age that was computed before a suspension and sent after it.
+  Scenario: A process is suspended before the age of its table has left
+    Given 2 processes that confirm their tables
+    When one of them is suspended for 10 seconds while it sends the age of its table
+    And it reports to the other once more
+    Then the other dates no confirmation after the time that the first one knows
+
   # Guards against a watch that the store cut off early, whose answer waited during a
   # suspension, and counted as the end of a wait in vain.
   Scenario: The end of a watch that waits during a suspension does not confirm the wait
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -46,6 +46,9 @@
 MIN_COMPARE_INTERVAL_S = 0.3
 EXPIRE_INTERVAL_S = 5.0
 MAX_READING_AGE_S = 3600.0
+# Sending a datagram takes microseconds. After a longer time the process was probably
+# suspended meanwhile.
+MAX_SENDING_S = 0.1
 
 
 class DatagramKind(enum.IntEnum):
@@ -61,8 +64,9 @@
     CRASH = 4
     # The store lacks the receiver's current record.
     UNSAVED = 5
-    # How long ago the store was known to hold the sender's version. Builds without
-    # workspaces take exactly four fields in DIGEST.
+    # How long ago the store was known to hold the sender's version. It counts once the
+    # DIGEST that is sent right after it has arrived. Builds without workspaces take
+    # exactly four fields in DIGEST.
     CONFIRMATION = 6
 
 
@@ -104,6 +108,8 @@
         self._updates_scheduled = False
         self._compared_at = -1.0
         self._heard_at: dict[NodeId, float] = {}
+        # The version and time of confirmations whose digest is still to arrive.
+        self._unfinished_confirmations: dict[NodeId, tuple[int, float]] = {}
         self._endpoint = DatagramEndpoint(poller, address, self._receive)
         timers.call_every(ROUND_INTERVAL_S, self._run_round)
         timers.call_every(EXPIRE_INTERVAL_S, self._expire)
@@ -213,6 +219,11 @@
     def _expire(self) -> None:
         now = self._clock.now()
         self.table.expire(now)
+        self._unfinished_confirmations = {
+            node: confirmation
+            for node, confirmation in self._unfinished_confirmations.items()
+            if self.table.find(node) is not None
+        }
         self._heard_at = {
             node: heard_at
             for node, heard_at in self._heard_at.items()
@@ -232,8 +243,8 @@
         self._send_digests()
 
     def _send_digest(self, peer: PeerRecord) -> None:
-        # Before the digest, as the receiver may forward both on the digest's arrival.
-        self._send_confirmation(peer)
+        if not self._send_confirmation(peer):
+            return
         self._send(
             peer.address,
             DatagramKind.DIGEST,
@@ -243,12 +254,19 @@
             self._updates.take(self._is_remote(peer)),
         )
 
-    def _send_confirmation(self, peer: PeerRecord) -> None:
+    def _send_confirmation(self, peer: PeerRecord) -> bool:
+        """Send the age of the version in force; return whether a digest may follow.
+
+        The age is too low if this process is suspended before the datagram leaves. The
+        digest shows the receiver that it was not.
+        """
+        started_at = self._clock.now()
         age_s = self.get_confirmation_age_s()
         if age_s is None or age_s > MAX_READING_AGE_S:
-            return
+            return True
         age_ms = math.ceil(1000 * age_s)
         self._send(peer.address, DatagramKind.CONFIRMATION, self.version, age_ms)
+        return self._clock.now() <= started_at + MAX_SENDING_S
 
     def _receive_confirmation(self, node: object, version: int, age_ms: int) -> None:
         _check_numbers(version, age_ms)
@@ -257,7 +275,16 @@
             return
         # The datagram may have waited in the socket while this process was suspended.
         arrived_after = min(self._clock.now(), self._endpoint.arrived_after)
-        self.on_confirmation(version, arrived_after - age_ms / 1000)
+        self._unfinished_confirmations[NodeId(node)] = (
+            version,
+            arrived_after - age_ms / 1000,
+        )
+
+    def _finish_confirmation(self, node: NodeId) -> None:
+        """Use a confirmation whose digest has arrived."""
+        confirmation = self._unfinished_confirmations.pop(node, None)
+        if confirmation is not None:
+            self.on_confirmation(*confirmation)
 
     def _send(self, address: Address, kind: DatagramKind, *fields: object) -> None:
         local_record = self.table.local_record
@@ -276,6 +303,7 @@
                 sender = self.table.find(NodeId(node))
                 if sender is not None:
                     self._heard_at[sender.node] = self._clock.now()
+                    self._finish_confirmation(sender.node)
                     now = self._clock.now()
                     arrived_at = estimate_arrival(self._endpoint.arrived_after, now)
                     age_s = now - arrived_at + age_ms / 1000
