Decode large odd documents in memory and time in proportion to their size

One entry of 1 MB of another writer among the sidecars' records, with a whole number of 5,000 digits, ended each of 4 processes for its memory about 18 times in 40 s; callers got no answer meanwhile.

Cause: a document that the JSON decoder rejects is searched for deep values with an expression that repeats a group, and the matcher keeps about 120 bytes for each character of a string until the match ends. For a string without an end it also tries again from each of its quotation marks.

Change: the repetitions are possessive, and a string without an end matches to the end of the text.

--- a/features/sidecar_hostile_peers.feature
+++ b/features/sidecar_hostile_peers.feature
@@ -103,6 +103,23 @@
     When the store answers calls with random documents
     Then each call gave its result once
 
+  # Guards against an odd entry whose text makes the processes which list it exceed their
+  # memory, or keeps them from anything else.
+  Scenario Outline: A large odd document takes memory and time in proportion to its size
+    Given a document of 1 MB that the JSON decoder rejects, with <content>
+    When the document is decoded
+    Then that took at most 20 MB and 2 seconds
+
+    Examples:
+      | content                                           |
+      | a text without escapes                            |
+      | a text of escapes                                 |
+      | a text of quotation marks                         |
+      | a text of quotation marks that has no end         |
+      | a text that ends in a backslash                   |
+      | nested lists                                      |
+      | lists and objects by turns                        |
+
   # Guards against one odd entry that makes the processes which list the records end, or
   # lose the rest of the listing.
   Scenario Outline: One odd entry among the records in the store does not affect the others
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,6 +1,9 @@
 """Check that odd entries in the store do not affect the records of peers."""
 
+import contextlib
 import json
+import time
+import tracemalloc
 
 from behave import given, then, when
 
@@ -8,6 +11,7 @@
 from features.steps.sidecar_fleet_steps import GossipingNode
 from features.support.loop import TestLoop
 from flamingobank.core import VirtualClock
+from flamingobank.platform.documents import decode_document
 from flamingobank.platform.store import ObjectStore
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.peers import pack_record
@@ -133,3 +137,39 @@
 def step_page(context):
     assert len(context.results) == 1
     assert {record.node for record in context.results[0].ok} == {PEERS[0]}
+
+
+LARGE = 1_000_000
+LARGE_CONTENTS = {
+    "a text without escapes": '"%s"' % ("x" * LARGE),
+    "a text of escapes": '"%s"' % ("\\u00e9" * (LARGE // 6)),
+    "a text of quotation marks": '"%s"' % ('\\"' * (LARGE // 2)),
+    "a text of quotation marks that has no end": '"%s' % ('\\"' * (LARGE // 2)),
+    "a text that ends in a backslash": '"%s\\' % ('\\"' * (LARGE // 2)),
+    "nested lists": "[" * (LARGE // 2) + "]" * (LARGE // 2),
+    "lists and objects by turns": '{"a":[' * (LARGE // 8) + "]}" * (LARGE // 8),
+}
+
+
+@given("a document of 1 MB that the JSON decoder rejects, with {content}")
+def step_large_document(context, content):
+    document = f'{{"number":{"9" * 5000},"content":{LARGE_CONTENTS[content]}}}'
+    context.document = document.encode()
+
+
+@when("the document is decoded")
+def step_decode(context):
+    tracemalloc.start()
+    started_at = time.process_time()
+    # A document without an end is malformed.
+    with contextlib.suppress(ValueError):
+        decode_document(context.document)
+    context.decoding_s = time.process_time() - started_at
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@then("that took at most {megabytes:d} MB and {seconds:d} seconds")
+def step_bounded(context, megabytes, seconds):
+    assert context.peak_bytes <= megabytes * 1_000_000, context.peak_bytes
+    assert context.decoding_s <= seconds, context.decoding_s
--- a/src/flamingobank/platform/documents.py
+++ b/src/flamingobank/platform/documents.py
@@ -11,7 +11,9 @@
 MAX_DEPTH = 64
 # The decoder of the standard library rejects integers with more than 4300 digits.
 MAX_INTEGER_CHARACTERS = 40
-_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[{]+|[\]}]+', re.DOTALL)
+# Its repetitions are possessive: otherwise the matcher keeps a state for each character
+# of a string, and tries a string without an end from each of its quotation marks.
+_TOKEN = re.compile(r'"[^"\\]*+(?:\\.?[^"\\]*+)*+(?:"|\Z)|[\[{]++|[\]}]++', re.DOTALL)
 
 
 def decode_document(data: bytes) -> object:
