Log what the keys rest on that let a request run

exchange:sent names the age of the keys in force and who reported it. The age is that of the last check, which is made right before the request is sent. The scenario fails without the change, as the line has no such fields.

--- a/features/steps/sidecar_hostile_peers_steps.py
+++ b/features/steps/sidecar_hostile_peers_steps.py
@@ -270,7 +270,9 @@
     context.ages_s = []
     node.gossip.on_digest = lambda record, version, age_s: context.ages_s.append(age_s)
     context.confirmed_at = []
-    node.gossip.on_confirmation = lambda version, at: context.confirmed_at.append(at)
+    node.gossip.on_confirmation = lambda version, at, peer: context.confirmed_at.append(
+        at
+    )
     context.now = loop.clock.now()
     node.gossip._endpoint.arrived_after = context.now
     record = pack_record(peer.table.local_record)
--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -110,6 +110,25 @@
     context.harness.entry.choose_home = choose_first
 
 
+@when('the peer "{peer}" has confirmed its table {seconds:g} s ago')
+def step_confirmed_by(context, peer, seconds):
+    harness = context.harness
+    confirmation = harness.entry.access.confirmation
+    confirmation.note_peer(1, harness.loop.clock.now() + 1e-3, NodeId(peer))
+    harness.loop.clock.advance(seconds + 1e-3)
+    harness.request.read_at = harness.loop.clock.now()
+
+
+@then(
+    'the line of the request says that its key rests on "{peer}" and is {age_ms:d} ms '
+    "old"
+)
+def step_line(context, peer, age_ms):
+    fields = [fields for args, fields in context.lines if args[0] == "exchange:sent"]
+    assert fields and fields[0]["keys_from"] == peer, context.lines
+    assert abs(fields[0]["keys_age_ms"] - age_ms) <= 100, fields
+
+
 @when("a request with {key} and a forged Tenant header is served")
 def step_serve(context, key):
     headers = context.harness.request.headers
@@ -293,10 +312,10 @@
         self.reports.append(at)
         self.confirmation.note_store(version, at)
 
-    def note_peer(self, version, at):
+    def note_peer(self, version, at, peer):
         """Take what a peer reports."""
         self.reports.append(at)
-        self.confirmation.note_peer(version, at)
+        self.confirmation.note_peer(version, at, peer)
 
     def apply(self, version):
         """Put a newer version in force."""
@@ -409,7 +428,7 @@
 
 @when("a peer with version {version:d} reports 1 s")
 def step_peer_reports(context, version):
-    context.confirmation.note_peer(version, context.now - 1)
+    context.confirmation.note_peer(version, context.now - 1, NodeId("peer"))
 
 
 @when("the store holds version {version:d}")
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -26,6 +26,13 @@
       | fresh         | public | Token k-clinic    | 200    | clinic    |
       | too old       | public | Token k-clinic    | 200    |           |
 
+  # Guards against a withdrawn key whose use the log cannot explain.
+  Scenario: The log tells what the key of a request that was sent rests on
+    Given an entry with a table that is fresh, and a keyed route
+    When the peer "one" has confirmed its table 1.5 s ago
+    And a request with Token k-clinic and a forged Tenant header is served
+    Then the line of the request says that its key rests on "one" and is 1500 ms old
+
   # Guards against keys in the log, and against keys of a single character.
   Scenario: A configuration with odd keys neither shows them nor allows parts of them
     When configurations with odd keys are decoded
--- a/src/flamingobank/sidecar/callers/caller_exchange.py
+++ b/src/flamingobank/sidecar/callers/caller_exchange.py
@@ -354,6 +354,7 @@
             extra=is_repeat,
             failing=round(attempt.home.estimate_failure_probability(now), 3),
             report_age_ms=round((now - attempt.home.reported_at) * 1000),
+            **self._entry.describe_keys(),
         )
         self._count_choice(attempt)
         attempt.commit(
--- a/src/flamingobank/sidecar/callers/entry.py
+++ b/src/flamingobank/sidecar/callers/entry.py
@@ -180,6 +180,9 @@
     def check_access(self, route: Route, digest: KeyDigest | None) -> Access:
         return self.access.check(self.table, route, digest)
 
+    def describe_keys(self) -> dict[str, object]:
+        return self.access.describe(self.table)
+
     def compute_priority(self, route: Route, workspace: Workspace | None) -> int:
         return compute_priority(self.table, route, workspace)
 
--- a/src/flamingobank/sidecar/callers/exchange_owner.py
+++ b/src/flamingobank/sidecar/callers/exchange_owner.py
@@ -95,6 +95,10 @@
     def check_access(self, route: Route, digest: KeyDigest | None) -> Access:
         """Decide by the current table whether a request with a key may run."""
 
+    @abc.abstractmethod
+    def describe_keys(self) -> dict[str, object]:
+        """Return the fields of a log line that tell what the keys in force rest on."""
+
     @abc.abstractmethod
     def compute_priority(self, route: Route, workspace: Workspace | None) -> int:
         """Return the priority of a request's offers."""
--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -98,7 +98,10 @@
         # Returns the time in seconds since the store was known to hold the version in
         # force; None where that is not needed.
         self.get_confirmation_age_s: Callable[[], float | None] = lambda: None
-        self.on_confirmation: Callable[[int, float], None] = lambda version, at: None
+        # Called with a version, a time at which the store held it, and who reported it.
+        self.on_confirmation: Callable[[int, float, NodeId], None] = (
+            lambda version, at, peer: None
+        )
         self.version = 0
         self._timers = timers
         self._clock = clock
@@ -284,7 +287,7 @@
         """Use a confirmation whose digest has arrived."""
         confirmation = self._unfinished_confirmations.pop(node, None)
         if confirmation is not None:
-            self.on_confirmation(*confirmation)
+            self.on_confirmation(*confirmation, node)
 
     def _send(self, address: Address, kind: DatagramKind, *fields: object) -> None:
         local_record = self.table.local_record
--- a/src/flamingobank/sidecar/workspaces/access_control.py
+++ b/src/flamingobank/sidecar/workspaces/access_control.py
@@ -1,5 +1,7 @@
 """Check the keys of requests against the routing table in force, and report on it."""
 
+import math
+
 from flamingobank.core import Clock
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.routes import Route, RoutingTable
@@ -64,6 +66,16 @@
             return None
         return self.confirmation.compute_age_s(self._clock.now())
 
+    def describe(self, table: RoutingTable) -> dict[str, object]:
+        """Return the fields of a log line that tell what the keys in force rest on."""
+        age_s = self.compute_age_s(table)
+        if age_s is None or age_s == math.inf:
+            return {}
+        return {
+            "keys_age_ms": round(1000 * age_s),
+            "keys_from": self.confirmation.source,
+        }
+
     def _log_freshness(self, table: RoutingTable, now: float) -> None:
         age_s = self.confirmation.compute_age_s(now)
         self._event_log.event(
--- a/src/flamingobank/sidecar/workspaces/confirmation.py
+++ b/src/flamingobank/sidecar/workspaces/confirmation.py
@@ -8,6 +8,8 @@
 import math
 from dataclasses import dataclass
 
+from flamingobank.core import NodeId
+
 # Share of the time in which a withdrawn key must be out of use everywhere. The rest is
 # for delays of datagrams, whose transit times are unknown, and of requests.
 KEYS_SHARE = 0.75
@@ -21,12 +23,18 @@
 PEERS_WAIT_S = 1.5
 
 
+# The source of what this process has read itself.
+OWN_READING = "store"
+
+
 @dataclass(frozen=True, slots=True)
 class Confirmation:
-    """A time at which the store held a version."""
+    """A time at which the store held a version, and who reported it."""
 
     version: int
     at: float
+    # OWN_READING or the name of a peer, for the log.
+    source: str = ""
 
 
 NO_CONFIRMATION = Confirmation(0, -math.inf)
@@ -55,6 +63,11 @@
         """Return the time until which the keys of the table in force are used."""
         return self._confirmed.at + self._keys_s if self.is_limited else math.inf
 
+    @property
+    def source(self) -> str:
+        """Return who reported the newest time, empty if nobody did."""
+        return self._confirmed.source
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the keys of the table in force may be used now."""
         if not self.is_limited:
@@ -87,23 +100,23 @@
         force. It holds none that is newer then, so the keys in force remain valid.
         """
         if version <= self._confirmed.version:
-            self._confirm(at)
+            self._confirm(at, OWN_READING)
 
-    def note_peer(self, version: int, at: float) -> None:
+    def note_peer(self, version: int, at: float, peer: NodeId) -> None:
         """Note that the store held a version, by a peer that has it in force."""
         if version == self._confirmed.version:
-            self._confirm(at)
+            self._confirm(at, peer)
         elif version > self._confirmed.version and at > self._newer.at:
-            self._newer = Confirmation(version, at)
+            self._newer = Confirmation(version, at, peer)
 
     def note_peer_version(self, version: int) -> None:
         """Note the version that a peer has in force."""
         if 0 < version <= self._confirmed.version:
             self._peers_awaited_until = -math.inf
 
-    def _confirm(self, at: float) -> None:
+    def _confirm(self, at: float, source: str) -> None:
         # A newer version is known, so a store that holds this one was restored. The
         # report of a newer version counts as long as its keys would.
         if at <= self._confirmed.at or at < self._newer.at + self._keys_s:
             return
-        self._confirmed = Confirmation(self._confirmed.version, at)
+        self._confirmed = Confirmation(self._confirmed.version, at, source)
