Read the store for the first request that outdated keys refuse

What callers saw: with keys dated before a suspension, a machine that goes on refuses valid keys with 503 until a peer reports or its turn to read the store comes.

Change: the first request that is refused because the table was confirmed too long ago makes the process ask the store at once whether there was a change. A call that is open and the pause after one that failed stay as they are, so a store that is down gets no more calls for it.

The scenario fails without the call: the keys are still unused after 0.05 s.

--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.steps import configuration_spread_steps as spread
+from features.steps.sidecar_decisions_steps import ORDERS, make_route
 from features.support.home import SCRIPTS, HomeHarness, answer, answer_with
 from features.support.loop import TestLoop
 from features.support.sidecar import ExchangeHarness, RecordingRequest
@@ -19,11 +20,13 @@
 from flamingobank.sidecar.decisions.selection import HomeView
 from flamingobank.sidecar.event_log import EventLog
 from flamingobank.sidecar.fleet.gossip import DatagramKind
-from flamingobank.sidecar.fleet.routes import RouteKind
+from flamingobank.sidecar.fleet.routes import RequestLimits, RouteKind, RoutingTable
 from flamingobank.sidecar.fleet.workspaces import Workspace, hash_key
 from flamingobank.sidecar.http.caller_connection import CallerConnection
 from flamingobank.sidecar.http.caller_request import CallerRequest
 from flamingobank.sidecar.links.messages import Answer, Commit, Granted, Offer
+from flamingobank.sidecar.metrics import SidecarMetrics
+from flamingobank.sidecar.workspaces.access_control import AccessControl
 from flamingobank.sidecar.workspaces.confirmation import TableConfirmation
 
 REVOCATION_S = 5.0
@@ -496,6 +499,45 @@
     assert read_at <= context.suspended_at, read_at - context.suspended_at
 
 
+@when("one of them, which is no watcher, is suspended for 10 seconds")
+def step_suspend_one(context):
+    context.suspended = next(p for p in context.processes if not p.sync.is_watcher())
+    context.loop.clock.advance(10.0)
+
+
+@when("{count:d} requests with keys arrive at once when it goes on")
+def step_requests_arrive(context, count):
+    process, clock = context.suspended, context.loop.clock
+    access = AccessControl(
+        clock, EventLog("own"), SidecarMetrics({"node": "own"}), REVOCATION_S
+    )
+    access.confirmation = process.confirmation
+    access.on_outdated = process.sync.read_now
+    workspaces = (_make_workspace("clinic"),)
+    route = make_route()
+    services = frozenset([ORDERS])
+    table = RoutingTable(1, (route,), services, RequestLimits(), workspaces)
+    context.calls = process.store.calls
+    context.accesses = [
+        access.check(table, route, hash_key(b"k-clinic")) for _ in range(count)
+    ]
+
+
+@then(
+    "they are refused, and {seconds:g} seconds later keys are used again, after "
+    "{calls:d} call"
+)
+def step_used_soon(context, seconds, calls):
+    assert not any(access.is_allowed for access in context.accesses)
+    # Nobody else's reading or report arrives meanwhile.
+    process, clock = context.suspended, context.loop.clock
+    for _ in range(round(seconds / 0.01)):
+        clock.advance(0.01)
+        context.loop.timers.run_due()
+    assert process.confirmation.is_fresh(clock.now())
+    assert process.store.calls == context.calls + calls
+
+
 @when("one of them is suspended for 10 seconds while it sends the age of its table")
 def step_suspended_sender(context):
     sender, receiver = context.processes
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -131,6 +131,13 @@
     Then both date from before the suspension
     And the newest reading that it reports to peers does too
 
+  # Guards against a process that goes on refusing keys until its turn to read the store.
+  Scenario: A process that goes on after a suspension reads the store for its first request
+    Given 20 processes that confirm their tables
+    When one of them, which is no watcher, is suspended for 10 seconds
+    And 3 requests with keys arrive at once when it goes on
+    Then they are refused, and 0.05 seconds later keys are used again, after 1 call
+
   # Guards against an age that was computed before a suspension and sent after it.
   Scenario: A process is suspended before the age of its table has left
     Given 2 processes that confirm their tables
--- a/src/flamingobank/sidecar/daemon.py
+++ b/src/flamingobank/sidecar/daemon.py
@@ -218,6 +218,7 @@
         self.store_sync.needs_reading = lambda: self.entry.access.needs_reading(
             self.entry.table
         )
+        self.entry.access.on_outdated = self.store_sync.read_now
         self.store_sync.on_peers = self._on_peers
         self.store_sync.on_unsaved_peers = self.gossip.report_unsaved
         self.gossip.on_unsaved = self.store_sync.record_writer.save_again
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -46,8 +46,8 @@
 TAKEOVER_INTERVAL_S = 0.2
 TAKEOVER_READERS = 8
 TAKEOVER_GROWTH = 4
-# A reading in place of the watchers or of a call that failed only asks whether there
-# was a change.
+# A reading in place of the watchers or of a call that failed, or for a request that is
+# refused meanwhile, only asks whether there was a change.
 SHORT_WAIT_S = 0.02
 # A reading is announced to peers if the last announced one is older by this.
 ANNOUNCE_INTERVAL_S = 0.3
@@ -141,6 +141,12 @@
         """Record the age of a reading by another sidecar."""
         self._note_reading(self._clock.now() - reading_age_s)
 
+    def read_now(self) -> None:
+        """Read the store, unless a call is open or one has failed lately."""
+        if self.stopping or self._call_pending or self._clock.now() < self._retry_at:
+            return
+        self._read(SHORT_WAIT_S)
+
     def is_watcher(self) -> bool:
         """Return whether this sidecar is one of those that watch the store."""
         # The digest changes with each record, so the rank is computed once for each
--- a/src/flamingobank/sidecar/workspaces/access_control.py
+++ b/src/flamingobank/sidecar/workspaces/access_control.py
@@ -1,6 +1,7 @@
 """Check the keys of requests against the routing table in force, and report on it."""
 
 import math
+from collections.abc import Callable
 
 from flamingobank.core import Clock
 from flamingobank.sidecar.event_log import EventLog
@@ -27,6 +28,8 @@
         revocation_s: float | None,
     ) -> None:
         self.confirmation = TableConfirmation(revocation_s, clock.now())
+        # Called for a request that is refused because the table is out of date.
+        self.on_outdated: Callable[[], None] = lambda: None
         self._clock = clock
         self._event_log = event_log
         self._metrics = metrics
@@ -43,6 +46,8 @@
         if is_fresh != self._was_fresh:
             self._was_fresh = is_fresh
             self._log_freshness(table, now)
+        if not is_fresh and self.confirmation.needs_reading(now):
+            self.on_outdated()
         access = decide_access(table, route, digest, is_fresh)
         if not access.is_allowed:
             self._metrics.count(
