Let requests with a withdrawn key wait at a process that the soak suspends

Eight connections are opened before the suspension. A request with the key that is withdrawn in it is sent on each, from the time on at which the key must be out of use until just after the process goes on.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -4,6 +4,7 @@
 """
 
 import signal
+from functools import partial
 
 from flamingobank_standins.platform.server import ServerMode
 from flamingobank_standins.platform.store import StoreMode
@@ -29,8 +30,11 @@
 LEAVING_DELAY_S = (0.3, 1.3)
 LATE_HEARTBEAT_S = (0.5, 3.0)
 LONG_PAUSE_S = 4.0
-# Time from the start of a long suspension to the withdrawal of a key.
+# Time from the begin of the fault to the suspension, and to the withdrawal of a key.
+CONNECTING_S = 0.05
 WITHDRAWAL_DELAY_S = 0.2
+# Requests with that key, which are sent once it must be out of use.
+WAITING_REQUESTS = 8
 # Connections on which requests with large answers come at once, and requests on each.
 PIPELINES = 8
 PIPELINED_COUNT = 24
@@ -73,11 +77,25 @@
 
 
 def pause_past_revocation(soak: Soak, machine: Machine, seconds: float) -> None:
-    """Suspend a process until a key that is withdrawn meanwhile must be out of use."""
-    machine.send_signal(signal.SIGSTOP)
-    soak.call_later(
-        WITHDRAWAL_DELAY_S, lambda: change_configuration(soak, machine, seconds)
-    )
+    """Suspend a process until a key that is withdrawn meanwhile must be out of use.
+
+    Requests with that key wait at the process when it goes on.
+    """
+    connections = [soak.connect(machine) for _ in range(WAITING_REQUESTS)]
+    soak.call_later(CONNECTING_S, lambda: machine.send_signal(signal.SIGSTOP))
+
+    def withdraw() -> None:
+        change_configuration(soak, machine, seconds)
+        if soak.keys is None:
+            return
+        key = soak.keys.get_newest_withdrawn()
+        for connection in connections:
+            # Some of them are sent only when the process has gone on.
+            delay_s = REVOCATION_S + soak.rng.uniform(0.05, max(0.1, seconds))
+            send = partial(soak.send_with_key, machine, connection, key)
+            soak.call_later(delay_s, send)
+
+    soak.call_later(WITHDRAWAL_DELAY_S, withdraw)
     soak.call_later(REVOCATION_S + seconds, lambda: machine.send_signal(signal.SIGCONT))
 
 
--- a/tools/soak/keys.py
+++ b/tools/soak/keys.py
@@ -60,11 +60,14 @@
         if share < UNKNOWN_SHARE:
             return DrawnKey(f"{KEY_MARK}-none", "", False)
         if share < UNKNOWN_SHARE + WITHDRAWN_SHARE and self.withdrawn_at:
-            key = rng.choice(list(self.withdrawn_at))
-            return DrawnKey(key, f"w{key.split('-')[2]}", False)
+            return self._make_withdrawn(rng.choice(list(self.withdrawn_at)))
         number = rng.randrange(WORKSPACES)
         return DrawnKey(self._make_key(number), f"w{number}", True)
 
+    def get_newest_withdrawn(self) -> DrawnKey:
+        """Return the key that was withdrawn last."""
+        return self._make_withdrawn(next(reversed(self.withdrawn_at)))
+
     def find_violations(
         self,
         sent: dict[str, tuple[DrawnKey, float]],
@@ -93,5 +96,8 @@
                 )
         return violations
 
+    def _make_withdrawn(self, key: str) -> DrawnKey:
+        return DrawnKey(key, f"w{key.split('-')[2]}", False)
+
     def _make_key(self, number: int) -> str:
         return f"{KEY_MARK}-{number}-{self.generations[number]}"
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -332,6 +332,22 @@
         interval_s = self.rng.expovariate(self.requests_per_s)
         self.call_later(interval_s, lambda: self._send_next(machine))
 
+    def connect(self, machine: Machine) -> HttpClientConnection:
+        """Open a connection of a caller to a machine."""
+        return HttpClientConnection(self.loop.poller, (machine.host, 8081))
+
+    def send_with_key(
+        self, machine: Machine, connection: HttpClientConnection, key: DrawnKey
+    ) -> None:
+        """Send a safe request with a key, unless the connection has been closed."""
+        if not connection.idle:
+            return
+        call, request, budget_s = self._draw_call(
+            machine, unsafe=False, shape=SHORT, long_share=0.0, key=key
+        )
+        connection.send(request, call)
+        self._close_after(budget_s, [call], connection)
+
     def send_pipeline(self, machine: Machine, count: int, large_share: float) -> None:
         """Send some safe requests behind one another on a connection of their own."""
         drawn = [
@@ -359,15 +375,25 @@
         self._close_after(max(budget_s for _, _, budget_s in drawn), calls, pipeline)
 
     def _draw_call(
-        self, machine: Machine, unsafe: bool, shape: Shape, long_share: float
+        self,
+        machine: Machine,
+        unsafe: bool,
+        shape: Shape,
+        long_share: float,
+        key: DrawnKey | None = None,
     ) -> tuple[SoakCall, bytes, float]:
-        """Return a call, its request and its time budget in seconds."""
+        """Return a call, its request and its time budget in seconds.
+
+        Without a key, one is drawn if there are workspaces.
+        """
+        if key is None and self.keys is not None:
+            key = self.keys.draw(self.rng)
         call = SoakCall(
             self,
             machine,
             f"{self.rng.getrandbits(64):016x}",
             unsafe,
-            self.keys.draw(self.rng) if self.keys is not None else None,
+            key,
             shape,
         )
         self.calls.append(call)
@@ -405,7 +431,7 @@
         for connection in machine.kept_connections:
             if connection.idle:
                 return connection
-        connection = HttpClientConnection(self.loop.poller, (machine.host, 8081))
+        connection = self.connect(machine)
         if len(machine.kept_connections) < MAX_KEPT_CONNECTIONS:
             machine.kept_connections.append(connection)
         return connection
