Limit the readings of the store for requests that outdated keys refuse

What callers saw: nothing; the operator saw it.

Cause: each refused request read the store at once if no call was open. That does not help while a newer table is known than the store confirms, after it came back from a copy, so the calls followed the requests.

Change: such a reading is made 1 s after the last call of the process at the earliest, and not while the store is known to be unavailable. Then the process waits for its turn as before.

--- a/features/steps/workspaces_steps.py
+++ b/features/steps/workspaces_steps.py
@@ -505,22 +505,59 @@
     context.loop.clock.advance(10.0)
 
 
-@when("{count:d} requests with keys arrive at once when it goes on")
-def step_requests_arrive(context, count):
-    process, clock = context.suspended, context.loop.clock
+def _make_check(process, clock):
+    """Return a function that checks a request with a key at a process."""
     access = AccessControl(
         clock, EventLog("own"), SidecarMetrics({"node": "own"}), REVOCATION_S
     )
     access.confirmation = process.confirmation
     access.on_outdated = process.sync.read_now
-    workspaces = (_make_workspace("clinic"),)
     route = make_route()
-    services = frozenset([ORDERS])
-    table = RoutingTable(1, (route,), services, RequestLimits(), workspaces)
+    workspaces = (_make_workspace("clinic"),)
+    table = RoutingTable(1, (route,), frozenset([ORDERS]), RequestLimits(), workspaces)
+    return lambda: access.check(table, route, hash_key(b"k-clinic"))
+
+
+@when("{count:d} requests with keys arrive at once when it goes on")
+def step_requests_arrive(context, count):
+    process = context.suspended
+    check = _make_check(process, context.loop.clock)
     context.calls = process.store.calls
-    context.accesses = [
-        access.check(table, route, hash_key(b"k-clinic")) for _ in range(count)
-    ]
+    context.accesses = [check() for _ in range(count)]
+
+
+@when("{event} for 10 seconds, in which requests with keys arrive all the time")
+def step_requests_meanwhile(context, event):
+    context.calls = [_count_calls(context, event, False)]
+    context.execute_steps("Given 20 processes that confirm their tables")
+    context.calls.append(_count_calls(context, event, True))
+
+
+def _count_calls(context, event, with_requests):
+    clock = context.loop.clock
+    if event == "the store is down":
+        context.store.unavailable = True
+    else:
+        # Each process has heard of a version that the store lost.
+        for process in context.processes:
+            process.confirmation.note_peer(2, clock.now() + 10, NodeId("peer"))
+            process.confirmation.set_version(1)
+            process.confirmation.note_peer(2, clock.now() + 10, NodeId("peer"))
+    checks = [_make_check(process, clock) for process in context.processes]
+    before = sum(process.store.calls for process in context.processes)
+    for _ in range(500):
+        spread._advance(context, spread.STEP_S)
+        if with_requests:
+            for check in checks:
+                check()
+    assert not any(check().is_allowed for check in checks)
+    return sum(process.store.calls for process in context.processes) - before
+
+
+@then("the store gets at most {percent:d}% more calls than without them")
+def step_few_more_calls(context, percent):
+    without, with_requests = context.calls
+    assert with_requests <= without * (1 + percent / 100), context.calls
 
 
 @then(
--- a/features/workspaces.feature
+++ b/features/workspaces.feature
@@ -138,6 +138,17 @@
     And 3 requests with keys arrive at once when it goes on
     Then they are refused, and 0.05 seconds later keys are used again, after 1 call
 
+  # Guards against calls for each request to a store that cannot answer or confirm.
+  Scenario Outline: Requests with keys do not multiply the calls to the store
+    Given 20 processes that confirm their tables
+    When <what happens> for 10 seconds, in which requests with keys arrive all the time
+    Then the store gets at most <percent>% more calls than without them
+
+    Examples:
+      | what happens                            | percent |
+      | the store is down                       | 25      |
+      | the store has an older version          | 25      |
+
   # Guards against an age that was computed before a suspension and sent after it.
   Scenario: A process is suspended before the age of its table has left
     Given 2 processes that confirm their tables
--- a/src/flamingobank/sidecar/fleet/store_sync.py
+++ b/src/flamingobank/sidecar/fleet/store_sync.py
@@ -49,6 +49,9 @@
 # A reading in place of the watchers or of a call that failed, or for a request that is
 # refused meanwhile, only asks whether there was a change.
 SHORT_WAIT_S = 0.02
+# The least time from the last call to a reading for a request, as it may not help: a
+# store that came back from a copy does not confirm a newer table.
+MIN_READ_INTERVAL_S = 1.0
 # A reading is announced to peers if the last announced one is older by this.
 ANNOUNCE_INTERVAL_S = 0.3
 # Watchers list the peers this often, to find sidecars that gossip does not reach.
@@ -142,8 +145,11 @@
         self._note_reading(self._clock.now() - reading_age_s)
 
     def read_now(self) -> None:
-        """Read the store, unless a call is open or one has failed lately."""
-        if self.stopping or self._call_pending or self._clock.now() < self._retry_at:
+        """Read the store, unless it has just been called or is not available."""
+        now = self._clock.now()
+        if self.stopping or self._call_pending or not self._store_available:
+            return
+        if now < self._called_at + MIN_READ_INTERVAL_S:
             return
         self._read(SHORT_WAIT_S)
 
