--- a/features/steps/hostile_clients_steps.py
+++ b/features/steps/hostile_clients_steps.py
@@ -179,7 +179,8 @@
 
 @then("one ordinary request is answered with 200")
 def step_ordinary(context):
-    assert context.fleet.entry.call(8081, "/safe/x", b"b" * 2000) == 200
+    status = context.fleet.entry.call(8081, "/safe/x", b"b" * 2000)
+    assert status == 200, status
 
 
 @given("bodies of {size:d} bytes are allowed")
