--- a/src/flamingobank/loop/poller.py
+++ b/src/flamingobank/loop/poller.py
@@ -16,8 +16,8 @@
 HUNG_UP = select.EPOLLHUP | select.EPOLLERR
 # Descriptors that one poll finds at most. The others are found by later polls.
 MAX_FOUND = 1023
-# What is found within this time of having been looked for in vain has just arrived, for
-# decisions that a shorter delay does not change.
+# For decisions that a shorter delay does not change, what a poll finds has just arrived
+# if the time before which it had not arrived is at most this long ago.
 PROMPT_S = 0.5
 
 ReadyHandler = Callable[[int], None]
@@ -50,8 +50,8 @@
         self._flushables: deque[Flushable] = deque()
         # Set to have the times of polls noted.
         self.clock: Clock | None = None
-        # A time at which nothing of what is found ready now was ready, however long
-        # the process was suspended since.
+        # A time at which nothing that the current poll found was ready, however long
+        # the process was suspended since. Needs the clock.
         self.found_after = -math.inf
         # The begin of the last poll whose findings were all handled. Its end is no
         # such time: a poll in which the process is suspended may end without having
@@ -201,9 +201,10 @@
 
 
 def estimate_arrival(arrived_after: float, now: float) -> float:
-    """Return when something arrived that was found now and not at an earlier time.
+    """Return the approximate time at which something arrived that was found just now.
 
-    That is now, or the earlier time if the process may have been suspended since.
+    It had not arrived at `arrived_after`. Only a difference of more than PROMPT_S, as
+    after a suspension, makes the time earlier than now.
     """
     return now if now <= arrived_after + PROMPT_S else arrived_after
 
--- a/src/flamingobank/sidecar/workspaces/confirmation.py
+++ b/src/flamingobank/sidecar/workspaces/confirmation.py
@@ -21,9 +21,7 @@
 # restored. Until a peer has shown that it has no newer one, or for this long after the
 # start, no keys are used.
 PEERS_WAIT_S = 1.5
-
-
-# The source of what this process has read itself.
+# The source of a confirmation that this process has read from the store itself.
 OWN_READING = "store"
 
 
