--- a/src/flamingobank/sidecar/fleet/gossip.py
+++ b/src/flamingobank/sidecar/fleet/gossip.py
@@ -46,7 +46,7 @@
 MIN_COMPARE_INTERVAL_S = 0.3
 EXPIRE_INTERVAL_S = 5.0
 MAX_READING_AGE_S = 3600.0
-# Sending a datagram takes microseconds. A process for which it took longer than this was
+# Sending a datagram takes microseconds. If it took longer than this, the process was
 # probably suspended meanwhile.
 MAX_SENDING_S = 0.1
 
